--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Features: what the system promises, and the steps that prove it."""
--- /dev/null
+++ b/features/run.py
@@ -0,0 +1,71 @@
+"""Runs all features and closes with one line that counts scenarios."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import sys
+from typing import Final
+
+from behave.configuration import Configuration
+from behave.model import ScenarioOutline
+from behave.runner import Runner
+
+FOLDER: Final = Path(__file__).parent
+KNOWN_RED_FILE: Final = FOLDER.parent / "KNOWN-RED.txt"
+
+
+def read_known_red(path: Path) -> set[str]:
+    """Read the names of scenarios that are known to fail.
+
+    :param path: a file whose entries begin with `test: NAME`.
+    :returns: the names.
+    """
+    if not path.exists():
+        return set()
+    prefix = "test: "
+    return {
+        line.removeprefix(prefix).strip()
+        for line in path.read_text().splitlines()
+        if line.startswith(prefix)
+    }
+
+
+def list_scenarios(runner: Runner) -> list:
+    """List all scenarios that ran, those of outlines one by one."""
+    found = []
+    for feature in runner.features:
+        for scenario in feature.scenarios:
+            if isinstance(scenario, ScenarioOutline):
+                found += scenario.scenarios
+            else:
+                found.append(scenario)
+    return found
+
+
+def main(arguments: list[str]) -> int:
+    """Run the features named, or all, and give the exit code."""
+    options = ["--no-logcapture", "--format", "progress3", "--no-summary"]
+    paths = arguments or [str(FOLDER)]
+    configuration = Configuration([*options, *paths])
+    runner = Runner(configuration)
+    runner.run()
+    known_red = read_known_red(KNOWN_RED_FILE)
+    passed = 0
+    failed = 0
+    for scenario in list_scenarios(runner):
+        status = scenario.status.name
+        if status == "passed":
+            passed += 1
+        elif status == "skipped":
+            print(f"skipped: {scenario.name}")
+        elif scenario.name in known_red:
+            print(f"known red: {scenario.name}")
+        else:
+            failed += 1
+            print(f"failed: {scenario.name} ({status})")
+    print(f"{passed} passed, {failed} failed")
+    return 0 if failed == 0 and passed > 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the steps of several features share."""
--- /dev/null
+++ b/src/fulmarscale/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside a target: queue, start, record, drain."""
--- /dev/null
+++ b/src/fulmarscale/agent/actions.py
@@ -0,0 +1,65 @@
+"""What an agent's decision code asks its driver to do."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from fulmarscale.control.entry_list import Member
+from fulmarscale.events import Event
+from fulmarscale.ids import TaskRef
+from fulmarscale.wire.messages import FromAgent
+
+
+class SendEntry(msgspec.Struct, frozen=True):
+    """Send a message to an entry; it may be lost with its stream."""
+
+    session: int
+    """The stream."""
+    message: FromAgent
+    """The message."""
+
+
+class StartTask(msgspec.Struct, frozen=True):
+    """Give a task to the target, now."""
+
+    task: TaskRef
+    """The task."""
+    kind: str
+    """Its kind."""
+    payload: bytes
+    """Its payload as JSON text."""
+    deadline_in_s: float
+    """The time left until the job's deadline."""
+
+
+class StopTask(msgspec.Struct, frozen=True):
+    """Stop a running task."""
+
+    task: TaskRef
+    """The task."""
+
+
+class FollowEntries(msgspec.Struct, frozen=True):
+    """Keep one stream to each of these entries, and to no other."""
+
+    members: tuple[Member, ...]
+    """The entries."""
+
+
+class Log(msgspec.Struct, frozen=True):
+    """Write a numbered event to the log."""
+
+    event: Event
+    """The event."""
+    fields: dict[str, Any]
+    """Named values; never a key or a payload."""
+
+
+class Drained(msgspec.Struct, frozen=True):
+    """Nothing runs any more; the process may end."""
+
+
+AgentAction = SendEntry | StartTask | StopTask | FollowEntries | Log | Drained
+"""All that an agent's decision code may ask for."""
--- /dev/null
+++ b/src/fulmarscale/agent/links.py
@@ -0,0 +1,108 @@
+"""An agent's streams to entries, and what waits to be sent on each."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from fulmarscale.wire.messages import NotStarted
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarscale.ids import EntryId
+    from fulmarscale.ids import SubmissionId
+    from fulmarscale.wire.messages import NotStartedReason
+    from fulmarscale.wire.messages import RecoveredJob
+    from fulmarscale.wire.messages import TaskResult
+
+
+class EntryLink:
+    """One stream to an entry."""
+
+    def __init__(self, session: int, address: str) -> None:
+        self.session = session
+        self.address = address
+        self.entry: EntryId | None = None
+        self.must_send = True
+        self.wants_echo = False
+        self.asked_echo_at = float("-inf")
+        self.results: list[TaskResult] = []
+        self.recovered: list[RecoveredJob] = []
+        self._given_back: dict[
+            SubmissionId, dict[NotStartedReason, list[int]]
+        ] = defaultdict(lambda: defaultdict(list))
+
+    @property
+    def has_news(self) -> bool:
+        """Whether anything waits to be sent."""
+        return bool(
+            self.must_send
+            or self.wants_echo
+            or self.results
+            or self.recovered
+            or self._given_back
+        )
+
+    def give_back(
+        self,
+        submission_id: SubmissionId,
+        indexes: Iterable[int],
+        reason: NotStartedReason,
+    ) -> None:
+        """Note tasks that were never started, for the entry."""
+        self._given_back[submission_id][reason].extend(indexes)
+
+    def take_given_back(self) -> tuple[NotStarted, ...]:
+        """Give all tasks noted as never started."""
+        return tuple(
+            NotStarted(submission_id, tuple(indexes), reason)
+            for submission_id, by_reason in self._given_back.items()
+            for reason, indexes in by_reason.items()
+        )
+
+    def clear(self) -> None:
+        """Note that all was sent."""
+        self.must_send = False
+        self.wants_echo = False
+        self.results.clear()
+        self.recovered.clear()
+        self._given_back.clear()
+
+
+class Links:
+    """All open streams, one for each entry address."""
+
+    def __init__(self) -> None:
+        self._links: dict[int, EntryLink] = {}
+
+    def open(self, session: int, address: str) -> None:
+        """Add a stream; an older one to the same address is dropped."""
+        for known in list(self._links.values()):
+            if known.address == address:
+                del self._links[known.session]
+        self._links[session] = EntryLink(session, address)
+
+    def close(self, session: int) -> None:
+        """Drop a stream."""
+        self._links.pop(session, None)
+
+    def find(self, session: int) -> EntryLink | None:
+        """Find a stream; none if it was closed or replaced."""
+        return self._links.get(session)
+
+    def of(self, entry: EntryId) -> EntryLink | None:
+        """Find the stream on which an entry speaks."""
+        for link in self._links.values():
+            if link.entry == entry:
+                return link
+        return None
+
+    def mark_all(self) -> None:
+        """Send something on every stream."""
+        for link in self._links.values():
+            link.must_send = True
+
+    def ready(self) -> list[EntryLink]:
+        """List the streams with news."""
+        return [link for link in self._links.values() if link.has_news]
--- /dev/null
+++ b/src/fulmarscale/agent/process.py
@@ -0,0 +1,254 @@
+"""Connects an agent's decisions to entries, the target and the table."""
+
+from __future__ import annotations
+
+import asyncio
+from random import SystemRandom
+import time
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+from fulmarscale.agent.actions import Drained
+from fulmarscale.agent.actions import FollowEntries
+from fulmarscale.agent.actions import Log
+from fulmarscale.agent.actions import SendEntry
+from fulmarscale.agent.actions import StartTask
+from fulmarscale.agent.actions import StopTask
+from fulmarscale.agent.core import AgentCore
+from fulmarscale.agent.inputs import DrainRequested
+from fulmarscale.agent.inputs import EntryClosed
+from fulmarscale.agent.inputs import EntryOpened
+from fulmarscale.agent.inputs import EntryReceived
+from fulmarscale.agent.inputs import ListRead
+from fulmarscale.agent.inputs import TaskEnded
+from fulmarscale.agent.inputs import Tick
+from fulmarscale.control.lease import INCARNATION_BITS
+from fulmarscale.errors import FulmarError
+from fulmarscale.errors import InvariantError
+from fulmarscale.errors import Outcome
+from fulmarscale.errors import ResultCode
+from fulmarscale.events import Event
+from fulmarscale.ids import AgentId
+from fulmarscale.ids import AgentName
+from fulmarscale.ids import DataCentreName
+from fulmarscale.settings import client_tls
+from fulmarscale.wire.messages import Announce
+from fulmarscale.wire.messages import TaskResult
+from fulmarscale.wire.streams import EntryLinkHandler
+from fulmarscale.wire.streams import EntryStream
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from fulmarscale.agent.actions import AgentAction
+    from fulmarscale.agent.inputs import AgentInput
+    from fulmarscale.agent.target import Target
+    from fulmarscale.ids import TaskRef
+    from fulmarscale.logs import EventLog
+    from fulmarscale.platform.table import Table
+    from fulmarscale.settings import AgentSettings
+    from fulmarscale.wire.messages import ToAgent
+
+TICK_S: Final = 0.05
+LOOK_S: Final = 1.0
+"""Time between looks at the target."""
+
+FIRST_LOOK_S: Final = 0.25
+"""The same, while no entry is known."""
+
+DRAIN_LIMIT_S: Final = 75.0
+"""How long a planned stop may take, past the longest deadline."""
+
+FLUSH_LIMIT_S: Final = 2.0
+"""How long a stopping agent waits for its last messages to be sent."""
+
+
+class AgentProcess(EntryLinkHandler):
+    """One agent process."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        table: Table,
+        target: Target,
+        log: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._target = target
+        self._log = log
+        agent = AgentId(
+            AgentName(settings.name),
+            SystemRandom().getrandbits(INCARNATION_BITS),
+        )
+        self._core = AgentCore(
+            agent,
+            DataCentreName(settings.data_centre),
+            settings.timings,
+            settings.records,
+        )
+        self._streams: dict[str, EntryStream] = {}
+        self._sessions: dict[int, EntryStream] = {}
+        self._session_number = 0
+        self._runs: dict[TaskRef, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._drained = asyncio.Event()
+        self._failed = asyncio.Event()
+
+    @property
+    def failed(self) -> asyncio.Event:
+        """Set when an invariant was about to be broken."""
+        return self._failed
+
+    async def start(self) -> None:
+        """Wait for the target, then connect to the entries."""
+        await self._table.start()
+        await self._target.start()
+        self._log.write(Event.PROCESS_STARTED)
+        self._spawn(self._run())
+        self._spawn(self._tick_forever())
+
+    async def drain(self) -> None:
+        """Stop as planned; cuts off no task."""
+        self.dispatch(DrainRequested())
+        try:
+            async with asyncio.timeout(DRAIN_LIMIT_S):
+                await self._drained.wait()
+            async with asyncio.timeout(FLUSH_LIMIT_S):
+                await self._flush()
+        except TimeoutError:
+            return
+
+    async def close(self) -> None:
+        """End all streams and connections."""
+        for task in [*self._tasks, *self._runs.values()]:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for stream in self._streams.values():
+            await stream.close()
+        await self._target.close()
+        await self._table.close()
+        self._log.write(Event.PROCESS_STOPPED)
+
+    def open_entry(self, link: EntryStream, address: str) -> int:
+        """Take in a new stream."""
+        self._session_number += 1
+        session = self._session_number
+        self._sessions[session] = link
+        self.dispatch(EntryOpened(session, address))
+        return session
+
+    def receive_entry(self, session: int, message: ToAgent) -> None:
+        """Take in an entry's message."""
+        if session in self._sessions:
+            self.dispatch(EntryReceived(session, message))
+
+    def close_entry(self, session: int) -> None:
+        """Note the end of a stream."""
+        if self._sessions.pop(session, None) is not None:
+            self.dispatch(EntryClosed(session))
+
+    def dispatch(self, event: AgentInput) -> None:
+        """Hand an event to the decisions and carry out the actions."""
+        if self._failed.is_set():
+            return
+        now = time.monotonic()
+        try:
+            actions = self._core.handle(event, now)
+        except InvariantError as error:
+            self._log.write_error(Event.INVARIANT_BROKEN, error)
+            self._failed.set()
+            return
+        for action in actions:
+            self._perform(action, now)
+
+    def _perform(self, action: AgentAction, now: float) -> None:
+        match action:
+            case SendEntry():
+                stream = self._sessions.get(action.session)
+                if stream is not None:
+                    stream.put(action.message)
+            case StartTask():
+                run = asyncio.create_task(self._run_task(action, now))
+                self._runs[action.task] = run
+            case StopTask():
+                run_or_none = self._runs.get(action.task)
+                if run_or_none is not None:
+                    run_or_none.cancel()
+            case FollowEntries():
+                addresses = {m.address for m in action.members}
+                self._spawn(self._follow(addresses))
+            case Log():
+                self._log.write(action.event, **action.fields)
+            case Drained():
+                self._drained.set()
+
+    async def _run_task(self, start: StartTask, decided_at: float) -> None:
+        try:
+            ended = await self._target.run(start, decided_at)
+        except asyncio.CancelledError:
+            ended = TaskEnded(
+                TaskResult(
+                    task=start.task,
+                    outcome=Outcome.FAILED,
+                    code=ResultCode.TASK_STOPPED,
+                    result=b"",
+                    run_s=0.0,
+                )
+            )
+        self._runs.pop(start.task, None)
+        self.dispatch(ended)
+
+    async def _run(self) -> None:
+        """Look at the target and, while no entry is known, the list."""
+        while True:
+            seen = await self._target.look()
+            self.dispatch(seen)
+            wait_s = LOOK_S if self._streams else FIRST_LOOK_S
+            if not self._sessions:
+                await self._read_list()
+            await asyncio.sleep(wait_s)
+
+    async def _read_list(self) -> None:
+        try:
+            reading = await self._table.read(None, 1 << 62)
+        except FulmarError as error:
+            self._log.write(Event.TABLE_FAILED, detail=error.detail)
+            return
+        self.dispatch(ListRead(reading.entry_list))
+
+    async def _follow(self, addresses: set[str]) -> None:
+        for address in sorted(set(self._streams) - addresses):
+            await self._streams.pop(address).close()
+        for address in sorted(addresses - set(self._streams)):
+            stream = EntryStream(
+                address,
+                self._make_announcement(),
+                self,
+                client_tls(self._settings.tls),
+            )
+            self._streams[address] = stream
+            stream.start()
+
+    def _make_announcement(self) -> Announce:
+        return Announce(
+            agent=self._core.agent,
+            data_centre=DataCentreName(self._settings.data_centre),
+            kinds=self._settings.kinds,
+            secret=self._settings.secret,
+        )
+
+    async def _flush(self) -> None:
+        while not all(s.is_idle for s in self._sessions.values()):
+            await asyncio.sleep(TICK_S)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self.dispatch(Tick())
+            await asyncio.sleep(TICK_S)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/fulmarscale/agent/records.py
@@ -0,0 +1,163 @@
+"""Start records: which tasks this agent started, and what became of them."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from fulmarscale.errors import require
+from fulmarscale.ids import CustomerName
+from fulmarscale.wire.messages import RecoveredJob
+
+if TYPE_CHECKING:
+    from fulmarscale.ids import EntryId
+    from fulmarscale.ids import SubmissionId
+    from fulmarscale.ids import TaskRef
+    from fulmarscale.wire.messages import JobDispatch
+    from fulmarscale.wire.messages import TaskResult
+    from fulmarscale.wire.messages import TaskSpec
+
+
+class StartRecord:
+    """One started task."""
+
+    __slots__ = ("entry", "is_reported", "result", "started_at", "task")
+
+    def __init__(self, task: TaskRef, entry: EntryId, now: float) -> None:
+        self.task = task
+        self.entry = entry
+        self.started_at = now
+        self.result: TaskResult | None = None
+        self.is_reported = False
+
+
+class JobRecord:
+    """What an agent knows of one job."""
+
+    __slots__ = (
+        "customer",
+        "digest",
+        "kind",
+        "noted_at",
+        "starts",
+        "task_count",
+    )
+
+    def __init__(self, dispatch: JobDispatch, now: float) -> None:
+        self.noted_at = now
+        self.customer = dispatch.customer
+        self.kind = dispatch.kind
+        self.task_count = dispatch.task_count
+        self.digest = dispatch.digest
+        self.starts: dict[int, StartRecord] = {}
+
+
+class StartRecords:
+    """All start records of one life of an agent."""
+
+    def __init__(self, kept_s: float, limit: int) -> None:
+        self._kept_s = kept_s
+        self._limit = limit
+        self._jobs: dict[SubmissionId, JobRecord] = {}
+        self._order: deque[StartRecord] = deque()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further task may be started."""
+        return len(self._order) >= self._limit
+
+    def job(self, submission_id: SubmissionId) -> JobRecord | None:
+        """Find what is known of a job."""
+        return self._jobs.get(submission_id)
+
+    def note_job(self, dispatch: JobDispatch, now: float) -> None:
+        """Note a job before its first task is queued."""
+        if dispatch.submission_id not in self._jobs:
+            self._jobs[dispatch.submission_id] = JobRecord(dispatch, now)
+
+    def find(self, task: TaskRef) -> StartRecord | None:
+        """Find the start record of a task."""
+        job = self._jobs.get(task.submission_id)
+        return job.starts.get(task.index) if job is not None else None
+
+    def start(self, task: TaskRef, entry: EntryId, now: float) -> None:
+        """Note a start, before the target hears of it."""
+        job = self._jobs[task.submission_id]
+        require(task.index not in job.starts, "no task starts twice")
+        record = StartRecord(task, entry, now)
+        job.starts[task.index] = record
+        self._order.append(record)
+
+    def withdraw(self, record: StartRecord) -> None:
+        """Drop the record of a task that never reached the target."""
+        job = self._jobs[record.task.submission_id]
+        del job.starts[record.task.index]
+        self._order.remove(record)
+
+    def recover(
+        self,
+        submission_id: SubmissionId,
+        entry: EntryId,
+        dropped: tuple[TaskSpec, ...],
+    ) -> RecoveredJob:
+        """Give all records of a submission to the entry that asks."""
+        job = self._jobs.get(submission_id)
+        if job is None:
+            return _nothing(submission_id)
+        running = []
+        results = []
+        for index in sorted(job.starts):
+            record = job.starts[index]
+            record.entry = entry
+            if record.result is None:
+                running.append(index)
+            else:
+                record.is_reported = True
+                results.append(record.result)
+        return RecoveredJob(
+            submission_id=submission_id,
+            customer=job.customer,
+            kind=job.kind,
+            task_count=job.task_count,
+            digest=job.digest,
+            running=tuple(running),
+            results=tuple(results),
+            dropped=dropped,
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget records of ids that entries refuse for their age."""
+        while self._order:
+            record = self._order[0]
+            if now - record.started_at <= self._kept_s:
+                break
+            if record.result is None:
+                break
+            self._order.popleft()
+            del self._jobs[record.task.submission_id].starts[record.task.index]
+        for submission_id in list(self._jobs):
+            job = self._jobs[submission_id]
+            if now - job.noted_at <= self._kept_s:
+                break
+            if not job.starts:
+                del self._jobs[submission_id]
+
+    def unreported(self) -> int:
+        """Count finished tasks whose result no entry was sent."""
+        return sum(
+            record.result is not None and not record.is_reported
+            for record in self._order
+        )
+
+
+def _nothing(submission_id: SubmissionId) -> RecoveredJob:
+    return RecoveredJob(
+        submission_id=submission_id,
+        customer=CustomerName(""),
+        kind="",
+        task_count=0,
+        digest=b"",
+        running=(),
+        results=(),
+        dropped=(),
+    )
--- /dev/null
+++ b/src/fulmarscale/agent/target.py
@@ -0,0 +1,219 @@
+"""The target beside an agent, over HTTP."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TYPE_CHECKING
+
+import httpx
+import msgspec
+
+from fulmarscale.agent.inputs import TargetLost
+from fulmarscale.agent.inputs import TargetSeen
+from fulmarscale.agent.inputs import TaskEnded
+from fulmarscale.errors import Outcome
+from fulmarscale.errors import ResultCode
+from fulmarscale.wire.messages import TaskResult
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarscale.agent.actions import StartTask
+
+ANNOUNCE_PATH: Final = "/announce"
+RUN_PATH: Final = "/run"
+ANNOUNCE_TIMEOUT_S: Final = 1.0
+
+HAND_TO_TARGET_LIMIT_S: Final = 0.25
+"""How long after the decision a start may still be handed over."""
+
+
+class TargetAnnouncement(msgspec.Struct, frozen=True):
+    """What a target says about itself."""
+
+    slots: int
+    """Tasks that it runs side by side."""
+    connections: int
+    """Connections that it accepts."""
+    leaving: bool = False
+    """Whether it is about to leave."""
+
+
+class RunBody(msgspec.Struct, frozen=True):
+    """A request to run a task."""
+
+    submission_id: str
+    """The submission."""
+    index: int
+    """The task's position in the job."""
+    kind: str
+    """The task's kind."""
+    payload: msgspec.Raw
+    """The payload."""
+
+
+class RunAnswer(msgspec.Struct, frozen=True):
+    """A target's answer to a run."""
+
+    submission_id: str
+    """The submission, as in the request."""
+    index: int
+    """The task's position, as in the request."""
+    ok: bool
+    """Whether the task succeeded."""
+    result: msgspec.Raw = msgspec.Raw(b"null")
+    """The result."""
+
+
+class Target:
+    """A client of the target."""
+
+    def __init__(
+        self, url: str, result_bytes: int, clock: Callable[[], float]
+    ) -> None:
+        self._url = url
+        self._result_bytes = result_bytes
+        self._clock = clock
+        self._client: httpx.AsyncClient | None = None
+        self._probe: httpx.AsyncClient | None = None
+
+    async def start(self) -> None:
+        """Open connections."""
+        self._probe = httpx.AsyncClient(
+            base_url=self._url, timeout=ANNOUNCE_TIMEOUT_S
+        )
+
+    async def close(self) -> None:
+        """Close connections."""
+        for client in (self._client, self._probe):
+            if client is not None:
+                await client.aclose()
+
+    async def announcement(self) -> TargetAnnouncement:
+        """Ask the target about itself.
+
+        :raises httpx.HTTPError: if it does not answer.
+        :raises msgspec.MsgspecError: if the answer makes no sense.
+        """
+        assert self._probe is not None
+        response = await self._probe.get(ANNOUNCE_PATH)
+        response.raise_for_status()
+        found = msgspec.json.decode(response.content, type=TargetAnnouncement)
+        if self._client is None:
+            # One connection stays free for the announcement.
+            limits = httpx.Limits(
+                max_connections=max(1, found.connections - 1),
+                max_keepalive_connections=found.slots,
+            )
+            self._client = httpx.AsyncClient(
+                base_url=self._url, limits=limits, timeout=None
+            )
+        return found
+
+    async def look(self) -> TargetSeen | TargetLost:
+        """See whether the target serves."""
+        try:
+            found = await self.announcement()
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return TargetLost()
+        return TargetSeen(found.slots, found.leaving)
+
+    async def run(self, start: StartTask, decided_at: float) -> TaskEnded:
+        """Run a task and report what became of it.
+
+        :param start: the task.
+        :param decided_at: monotonic time of the decision to start it.
+        """
+        began_at = self._clock()
+        if self._client is None or (
+            began_at - decided_at > HAND_TO_TARGET_LIMIT_S
+        ):
+            # Paused since the decision: the conditions may have changed.
+            return self._not_reached(start)
+        try:
+            return await self._run(start, began_at)
+        except (httpx.ConnectError, httpx.ConnectTimeout):
+            return self._not_reached(start)
+        except httpx.TimeoutException:
+            return self._unknown(start, ResultCode.TARGET_TIMEOUT, began_at)
+        except httpx.HTTPError:
+            code = ResultCode.TARGET_CONNECTION_LOST
+            return self._unknown(start, code, began_at)
+
+    async def _run(self, start: StartTask, began_at: float) -> TaskEnded:
+        assert self._client is not None
+        body = RunBody(
+            submission_id=start.task.submission_id,
+            index=start.task.index,
+            kind=start.kind,
+            payload=msgspec.Raw(start.payload),
+        )
+        timeout = httpx.Timeout(max(0.001, start.deadline_in_s), pool=None)
+        async with self._client.stream(
+            "POST",
+            RUN_PATH,
+            content=msgspec.json.encode(body),
+            timeout=timeout,
+        ) as response:
+            content = bytearray()
+            async for chunk in response.aiter_bytes():
+                content += chunk
+                if len(content) > self._result_bytes:
+                    code = ResultCode.ANSWER_TOO_LARGE
+                    return self._unknown(start, code, began_at)
+        if response.status_code != httpx.codes.OK:
+            return self._ended(
+                start, Outcome.FAILED, ResultCode.TASK_FAILED, b"", began_at
+            )
+        return self._read_answer(start, bytes(content), began_at)
+
+    def _read_answer(
+        self, start: StartTask, content: bytes, began_at: float
+    ) -> TaskEnded:
+        try:
+            answer = msgspec.json.decode(content, type=RunAnswer)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            code = ResultCode.TARGET_BAD_ANSWER
+            return self._unknown(start, code, began_at)
+        matches = (
+            answer.submission_id == start.task.submission_id
+            and answer.index == start.task.index
+        )
+        if not matches:
+            # An answer to another request tells nothing about this one.
+            code = ResultCode.TARGET_BAD_ANSWER
+            return self._unknown(start, code, began_at)
+        if not answer.ok:
+            return self._ended(
+                start, Outcome.FAILED, ResultCode.TASK_FAILED, b"", began_at
+            )
+        result = bytes(answer.result)
+        return self._ended(
+            start, Outcome.DONE, ResultCode.OK, result, began_at
+        )
+
+    def _unknown(
+        self, start: StartTask, code: ResultCode, began_at: float
+    ) -> TaskEnded:
+        return self._ended(start, Outcome.OUTCOME_UNKNOWN, code, b"", began_at)
+
+    def _ended(
+        self,
+        start: StartTask,
+        outcome: Outcome,
+        code: ResultCode,
+        result: bytes,
+        began_at: float,
+    ) -> TaskEnded:
+        run_s = self._clock() - began_at
+        return TaskEnded(TaskResult(start.task, outcome, code, result, run_s))
+
+    def _not_reached(self, start: StartTask) -> TaskEnded:
+        result = TaskResult(
+            start.task,
+            Outcome.FAILED,
+            ResultCode.TARGET_CONNECTION_LOST,
+            b"",
+            0.0,
+        )
+        return TaskEnded(result, reached=False)
--- /dev/null
+++ b/src/fulmarscale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each program."""
--- /dev/null
+++ b/src/fulmarscale/cli/agent.py
@@ -0,0 +1,52 @@
+"""The program `fulmar-agent`."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from typing import TYPE_CHECKING
+
+import click
+
+from fulmarscale.agent.process import AgentProcess
+from fulmarscale.agent.target import Target
+from fulmarscale.cli._common import ExitCode
+from fulmarscale.cli._common import read_settings
+from fulmarscale.cli._common import settings_options
+from fulmarscale.cli._common import stop_event
+from fulmarscale.cli._common import wait_first
+from fulmarscale.logs import configure_logs
+from fulmarscale.logs import EventLog
+from fulmarscale.platform.http_table import HttpTable
+from fulmarscale.settings import AgentSettings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+async def run(settings: AgentSettings) -> ExitCode:
+    """Run an agent until it is told to stop."""
+    log = EventLog("fulmar-agent", settings.name)
+    table = HttpTable(settings.platform.url, settings.platform.timeout_s)
+    target = Target(settings.target_url, settings.result_bytes, time.monotonic)
+    process = AgentProcess(settings, table, target, log)
+    stop = stop_event()
+    await process.start()
+    await wait_first(stop, process.failed)
+    if not process.failed.is_set():
+        await process.drain()
+    await process.close()
+    return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
+
+
+@click.command()
+@settings_options
+def main(settings_path: Path, check_settings: bool) -> None:
+    """Start tasks on the target beside this process."""
+    settings = read_settings(settings_path, AgentSettings)
+    if check_settings:
+        click.echo("the settings are valid")
+        return
+    configure_logs()
+    sys.exit(asyncio.run(run(settings)))
--- /dev/null
+++ b/src/fulmarscale/cli/entry.py
@@ -0,0 +1,97 @@
+"""The program `fulmar-entry`."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import contextmanager
+import sys
+import time
+from typing import Final
+from typing import TYPE_CHECKING
+
+import click
+import uvicorn
+
+from fulmarscale.cli._common import ExitCode
+from fulmarscale.cli._common import read_settings
+from fulmarscale.cli._common import settings_options
+from fulmarscale.cli._common import stop_event
+from fulmarscale.cli._common import wait_first
+from fulmarscale.entry.http import HttpSide
+from fulmarscale.entry.http import make_app
+from fulmarscale.entry.process import EntryProcess
+from fulmarscale.logs import configure_logs
+from fulmarscale.logs import EventLog
+from fulmarscale.metrics import EntryMetrics
+from fulmarscale.platform.http_table import HttpTable
+from fulmarscale.settings import EntrySettings
+from fulmarscale.settings import split_address
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+KEEP_ALIVE_S: Final = 75
+"""How long an idle connection of a caller is kept."""
+
+
+class Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the program."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture nothing."""
+        yield
+
+
+def make_server(side: HttpSide, settings: EntrySettings) -> Server:
+    """Make the HTTP server."""
+    host, port = split_address(settings.http_address)
+    tls = settings.tls
+    config = uvicorn.Config(
+        make_app(side, settings.input.body_bytes),
+        host=host,
+        port=port,
+        loop="asyncio",
+        http="h11",
+        lifespan="off",
+        access_log=False,
+        log_config=None,
+        limit_concurrency=settings.input.connections,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        ssl_certfile=tls.certificate if tls is not None else None,
+        ssl_keyfile=tls.key if tls is not None else None,
+    )
+    return Server(config)
+
+
+async def run(settings: EntrySettings) -> ExitCode:
+    """Run an entry until it is told to stop."""
+    log = EventLog("fulmar-entry", settings.name)
+    table = HttpTable(settings.platform.url, settings.platform.timeout_s)
+    process = EntryProcess(settings, table, log)
+    metrics = EntryMetrics(process.core, time.monotonic)
+    side = HttpSide(process, settings, metrics, log)
+    server = make_server(side, settings)
+    stop = stop_event()
+    await process.start()
+    serving = asyncio.create_task(server.serve())
+    await wait_first(stop, process.failed)
+    if not process.failed.is_set():
+        await process.leave()
+    server.should_exit = True
+    await serving
+    await process.close()
+    return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
+
+
+@click.command()
+@settings_options
+def main(settings_path: Path, check_settings: bool) -> None:
+    """Take in jobs from callers and see them answered."""
+    settings = read_settings(settings_path, EntrySettings)
+    if check_settings:
+        click.echo("the settings are valid")
+        return
+    configure_logs()
+    sys.exit(asyncio.run(run(settings)))
--- /dev/null
+++ b/src/fulmarscale/control/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about leases, the entry list and configuration."""
--- /dev/null
+++ b/src/fulmarscale/entry/admit.py
@@ -0,0 +1,239 @@
+"""Contract limits: one holder grants a customer's task starts.
+
+The holder of a customer's quota is an entry chosen by rendezvous hash. It
+keeps the only token bucket, so the sum over all entries never exceeds the
+contract, and all of it can be used through a single entry. No write to the
+table is needed.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from fulmarscale.control.actions import SendPeer
+from fulmarscale.control.takeover import ALWAYS_S
+from fulmarscale.control.takeover import FIRST_VERSION
+from fulmarscale.wire.messages import QuotaLevel
+from fulmarscale.wire.messages import QuotaPastAnswer
+from fulmarscale.wire.messages import QuotaPastAsk
+
+if TYPE_CHECKING:
+    from fulmarscale.control.configuration import Contract
+    from fulmarscale.control.entry_list import EntryList
+    from fulmarscale.control.entry_list import Member
+    from fulmarscale.control.entry_list import Tenure
+    from fulmarscale.control.lease import LeaseKeeper
+    from fulmarscale.control.takeover import PastKeeper
+    from fulmarscale.control.timings import Timings
+    from fulmarscale.entry.outbox import Outbox
+    from fulmarscale.ids import CustomerName
+
+
+RESEND_S = 0.3
+"""Time after which an unanswered ask is sent again."""
+
+
+class LevelKey(NamedTuple):
+    """Names a level that was told at a change of the holder."""
+
+    customer: CustomerName
+    """The customer."""
+    list_version: int
+    """The version with which the quota went over."""
+
+
+class Grant(NamedTuple):
+    """What the holder says to a request for task starts."""
+
+    granted: bool
+    """Whether the tasks may start."""
+    known: bool
+    """Whether this entry holds the quota now; if not, ask again."""
+
+
+class TokenBucket:
+    """A token bucket whose tokens are tasks."""
+
+    def __init__(self, level: float, filled_at: float) -> None:
+        self._level = level
+        self._filled_at = filled_at
+
+    def level(self, contract: Contract, now: float) -> float:
+        """Fill the bucket up to now and give its level."""
+        elapsed_s = max(0.0, now - self._filled_at)
+        filled = self._level + elapsed_s * contract.rate
+        self._level = min(float(contract.burst), filled)
+        self._filled_at = max(now, self._filled_at)
+        return self._level
+
+    def take(self, tokens: int, contract: Contract, now: float) -> bool:
+        """Take tokens if there are enough.
+
+        :param tokens: the number of tasks.
+        :param contract: the limits in force.
+        :param now: monotonic time.
+        :returns: whether they were taken.
+        """
+        if tokens > self.level(contract, now):
+            return False
+        self._level -= tokens
+        return True
+
+
+class QuotaKeeper:
+    """The buckets of the customers whose quota this entry holds."""
+
+    def __init__(
+        self,
+        lease: LeaseKeeper,
+        past: PastKeeper,
+        timings: Timings,
+        outbox: Outbox,
+    ) -> None:
+        self._lease = lease
+        self._past = past
+        self._timings = timings
+        self._out = outbox
+        self._buckets: dict[CustomerName, TokenBucket] = {}
+        self._versions: dict[CustomerName, int] = {}
+        self._levels: dict[LevelKey, float] = {}
+        self._asked_at: dict[CustomerName, float] = {}
+        self._is_stopped = False
+
+    def clear(self) -> None:
+        """Forget all, as a new incarnation does."""
+        self._buckets.clear()
+        self._versions.clear()
+        self._levels.clear()
+        self._asked_at.clear()
+
+    def stop(self) -> None:
+        """Grant nothing more: the levels are being handed over."""
+        self._is_stopped = True
+
+    def holder(
+        self, customer: CustomerName, entry_list: EntryList | None = None
+    ) -> Member | None:
+        """Find the entry that holds a customer's quota.
+
+        :param customer: the customer.
+        :param entry_list: the list to look in; the present one if none.
+        """
+        entry_list = entry_list or self._lease.entry_list
+        return entry_list.owner(_quota_key(customer))
+
+    def take(self, customer: CustomerName, tokens: int, now: float) -> Grant:
+        """Grant task starts from this entry's bucket.
+
+        :param customer: the customer.
+        :param tokens: the number of tasks.
+        :param now: monotonic time.
+        """
+        row = self._lease.configuration.contract(customer)
+        if row is None or self._is_stopped or not self._lease.is_held(now):
+            return Grant(granted=False, known=False)
+        bucket = self._bucket(customer, row.contract, now)
+        if bucket is None:
+            return Grant(granted=False, known=False)
+        return Grant(bucket.take(tokens, row.contract, now), known=True)
+
+    def levels(self, now: float) -> list[QuotaLevel]:
+        """Give the levels of all buckets, for a hand-over."""
+        found = []
+        for customer, bucket in self._buckets.items():
+            row = self._lease.configuration.contract(customer)
+            if row is not None:
+                level = bucket.level(row.contract, now)
+                found.append(QuotaLevel(customer, level))
+        return found
+
+    def receive_levels(
+        self, list_version: int, levels: tuple[QuotaLevel, ...]
+    ) -> None:
+        """Take in levels from a leaving holder."""
+        for found in levels:
+            key = LevelKey(found.customer, list_version)
+            self._levels[key] = found.level
+
+    def receive_past_ask(
+        self, sender: Member, ask: QuotaPastAsk, now: float
+    ) -> None:
+        """Tell a quota's new holder the level, as the prior one."""
+        if self._lease.entry_list.version < ask.list_version:
+            # This entry might still grant; the asker asks again.
+            return
+        level = 0.0
+        bucket = self._buckets.get(ask.customer)
+        version = self._versions.get(ask.customer, 0)
+        row = self._lease.configuration.contract(ask.customer)
+        if row is not None:
+            if bucket is not None and version < ask.list_version:
+                level = bucket.level(row.contract, now)
+            elif self._was_untouched(ask):
+                level = float(row.contract.burst)
+        answer = QuotaPastAnswer(ask.customer, ask.list_version, level)
+        self._out.add(SendPeer(sender, answer))
+
+    def receive_past_answer(self, answer: QuotaPastAnswer) -> None:
+        """Take in the level from the prior holder."""
+        key = LevelKey(answer.customer, answer.list_version)
+        self._levels[key] = answer.level
+
+    def _was_untouched(self, ask: QuotaPastAsk) -> bool:
+        # As the first holder ever, without a bucket: nothing was granted.
+        key = _quota_key(ask.customer)
+        since_s = self._past.known_since_s(key, ask.list_version - 1)
+        return since_s == ALWAYS_S
+
+    def _bucket(
+        self, customer: CustomerName, contract: Contract, now: float
+    ) -> TokenBucket | None:
+        key = _quota_key(customer)
+        tenure = self._lease.history.tenure(self._lease.entry, key)
+        if tenure is None:
+            return None
+        if self._versions.get(customer) == tenure.list_version:
+            return self._buckets[customer]
+        bucket = self._make_bucket(customer, contract, tenure, now)
+        if bucket is not None:
+            self._buckets[customer] = bucket
+            self._versions[customer] = tenure.list_version
+        return bucket
+
+    def _make_bucket(
+        self,
+        customer: CustomerName,
+        contract: Contract,
+        tenure: Tenure,
+        now: float,
+    ) -> TokenBucket | None:
+        if tenure.list_version == FIRST_VERSION:
+            return TokenBucket(float(contract.burst), now)
+        level_key = LevelKey(customer, tenure.list_version)
+        level = self._levels.pop(level_key, None)
+        if level is not None:
+            return TokenBucket(level, now)
+        # The prior holder may have granted all, until it stopped.
+        stopped_at = tenure.gained_at + self._timings.takeover_wait_s
+        if now >= stopped_at:
+            return TokenBucket(0.0, stopped_at)
+        self._ask_prior(customer, tenure, now)
+        return None
+
+    def _ask_prior(
+        self, customer: CustomerName, tenure: Tenure, now: float
+    ) -> None:
+        if tenure.prior is None:
+            return
+        prior = self._lease.entry_list.find(tenure.prior)
+        asked_at = self._asked_at.get(customer, float("-inf"))
+        if prior is None or now - asked_at < RESEND_S:
+            return
+        self._asked_at[customer] = now
+        ask = QuotaPastAsk(customer, tenure.list_version)
+        self._out.add(SendPeer(prior, ask))
+
+
+def _quota_key(customer: CustomerName) -> str:
+    return f"quota:{customer}"
--- /dev/null
+++ b/src/fulmarscale/entry/agents.py
@@ -0,0 +1,155 @@
+"""What an entry knows of the agents that are connected to it."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from fulmarscale.wire.messages import AgentState
+from fulmarscale.wire.messages import AgentToken
+
+if TYPE_CHECKING:
+    from fulmarscale.ids import AgentId
+    from fulmarscale.ids import DataCentreName
+    from fulmarscale.ids import TaskRef
+    from fulmarscale.wire.messages import Announce
+    from fulmarscale.wire.messages import FromAgent
+
+KEPT_TOKENS = 96
+"""Tokens kept for each agent while no confirmation passes them."""
+
+TOKEN_SPACING_S = 0.02
+"""Tokens that come faster than this are not kept."""
+
+FAILURES_TO_QUARANTINE = 3
+"""Failures in a row after which an agent gets only probes."""
+
+FIRST_QUARANTINE_S = 0.5
+"""Time to the first probe of a failing agent."""
+
+LONGEST_QUARANTINE_S = 30.0
+"""The longest time between probes."""
+
+
+class HeldToken(NamedTuple):
+    """A token and when it came."""
+
+    received_at: float
+    """Monotonic time of the receipt."""
+    token: AgentToken
+    """The token."""
+
+
+class AgentView:
+    """One connected agent."""
+
+    def __init__(self, session: int, announce: Announce, now: float) -> None:
+        self._agent = announce.agent
+        self._session = session
+        self._data_centre = announce.data_centre
+        self._kinds = frozenset(announce.kinds)
+        self.connected_at = now
+        self.state = AgentState.SERVING
+        self.slots = 0
+        self.others = 0
+        self.outstanding: set[TaskRef] = set()
+        self.heard_at = now
+        self.sent_at = now
+        self.sent_list_version = -1
+        self.sent_closed_version = -1
+        self.sent_echo: AgentToken | None = None
+        self._tokens: deque[HeldToken] = deque()
+        self._failures = 0
+        self._quarantine_s = 0.0
+        self._probe_at = 0.0
+
+    @property
+    def agent(self) -> AgentId:
+        """The agent."""
+        return self._agent
+
+    @property
+    def session(self) -> int:
+        """The stream on which the agent is connected."""
+        return self._session
+
+    @property
+    def data_centre(self) -> DataCentreName:
+        """Where the agent is."""
+        return self._data_centre
+
+    @property
+    def load(self) -> int:
+        """Tasks known to run or wait there."""
+        return self.others + len(self.outstanding)
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether the agent fails what it starts."""
+        return self._failures >= FAILURES_TO_QUARANTINE
+
+    def serves(self, kind: str) -> bool:
+        """Tell whether the target takes tasks of a kind."""
+        return not self._kinds or kind in self._kinds
+
+    def room(self, now: float, ahead: int) -> int:
+        """Count the tasks that the agent may be given now.
+
+        :param now: monotonic time.
+        :param ahead: tasks that may wait there beyond the free slots.
+        """
+        if self.state is not AgentState.SERVING or self.slots == 0:
+            return 0
+        if self.is_quarantined:
+            may_probe = now >= self._probe_at and not self.outstanding
+            return 1 if may_probe else 0
+        return max(0, self.slots + ahead - self.load)
+
+    def receive(self, message: FromAgent, now: float) -> None:
+        """Take in the token and load that come with every message."""
+        self.heard_at = now
+        self.state = message.state
+        self.slots = message.load.slots
+        self.others = max(0, message.load.busy - message.load.own)
+        self._keep_token(HeldToken(now, message.token))
+
+    def best_echo(self, confirmed_at: float) -> AgentToken | None:
+        """Give the newest token held before the last confirmation."""
+        while len(self._tokens) > 1 and (
+            self._tokens[1].received_at <= confirmed_at
+        ):
+            self._tokens.popleft()
+        if not self._tokens:
+            return None
+        oldest = self._tokens[0]
+        return oldest.token if oldest.received_at <= confirmed_at else None
+
+    def _keep_token(self, held: HeldToken) -> None:
+        if self._tokens:
+            newest_at = self._tokens[-1].received_at
+            if held.received_at - newest_at < TOKEN_SPACING_S:
+                return
+        self._tokens.append(held)
+        if len(self._tokens) > KEPT_TOKENS:
+            self._tokens.popleft()
+
+    def note_success(self) -> None:
+        """Note a task that the target completed."""
+        self._failures = 0
+        self._quarantine_s = 0.0
+
+    def note_failure(self, now: float) -> bool:
+        """Note a task that the target failed.
+
+        :returns: whether the agent is now newly quarantined.
+        """
+        self._failures += 1
+        if not self.is_quarantined:
+            return False
+        self._quarantine_s = min(
+            LONGEST_QUARANTINE_S,
+            max(FIRST_QUARANTINE_S, 2 * self._quarantine_s),
+        )
+        self._probe_at = now + self._quarantine_s
+        return self._failures == FAILURES_TO_QUARANTINE
--- /dev/null
+++ b/src/fulmarscale/entry/answers.py
@@ -0,0 +1,88 @@
+"""The form in which answers and errors go back to callers."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fulmarscale.errors import ResultCode
+
+if TYPE_CHECKING:
+    from fulmarscale.wire.messages import JobAnswer
+    from fulmarscale.wire.messages import TaskAnswer
+
+NO_RESULT: Final = msgspec.Raw(b"null")
+
+STATUS: Final = {
+    ResultCode.BODY_INVALID: 400,
+    ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.ID_INVALID: 400,
+    ResultCode.ID_IN_FUTURE: 425,
+    ResultCode.ID_REUSED: 409,
+    ResultCode.KEY_INVALID: 401,
+    ResultCode.SUBMISSION_NOT_FOUND: 404,
+    ResultCode.KIND_NOT_IDEMPOTENT: 422,
+    ResultCode.TOO_MANY_REQUESTS: 429,
+    ResultCode.VERSION_CONFLICT: 412,
+    ResultCode.VERSION_MISSING: 428,
+    ResultCode.CONTRACT_INVALID: 422,
+    ResultCode.ROW_NOT_FOUND: 404,
+    ResultCode.STORE_UNAVAILABLE: 503,
+    ResultCode.CHANGE_UNKNOWN: 504,
+    ResultCode.NO_LEASE: 503,
+    ResultCode.ROUTE_NOT_FOUND: 404,
+}
+"""HTTP status of each refusal; all others are internal errors."""
+
+
+class TaskView(msgspec.Struct, frozen=True):
+    """One task in an answer to a caller."""
+
+    index: int
+    """The position of the task in the job."""
+    outcome: str
+    """What became of it."""
+    code: int
+    """The numbered cause."""
+    result: msgspec.Raw
+    """The result, if the whole job is done."""
+
+
+class AnswerView(msgspec.Struct, frozen=True):
+    """An answer to a caller."""
+
+    submission_id: str
+    """The submission."""
+    outcome: str
+    """What became of it."""
+    code: int
+    """The numbered cause."""
+    tasks: tuple[TaskView, ...]
+    """One for each task, by index."""
+
+
+def encode_answer(answer: JobAnswer) -> bytes:
+    """Encode an answer as JSON."""
+    view = AnswerView(
+        submission_id=answer.submission_id,
+        outcome=answer.outcome.value,
+        code=answer.code.value,
+        tasks=tuple(_view_task(task) for task in answer.tasks),
+    )
+    return msgspec.json.encode(view)
+
+
+def status_of(code: ResultCode) -> int:
+    """Give the HTTP status of a refusal."""
+    return STATUS.get(code, 500)
+
+
+def _view_task(task: TaskAnswer) -> TaskView:
+    return TaskView(
+        index=task.index,
+        outcome=task.outcome.value,
+        code=task.code.value,
+        result=msgspec.Raw(task.result) if task.result else NO_RESULT,
+    )
--- /dev/null
+++ b/src/fulmarscale/entry/change.py
@@ -0,0 +1,147 @@
+"""Carries operators' changes to the table.
+
+While a change is under way this entry gives no promise to its peers, so
+that no peer can go on with the old configuration past its lease. A change
+whose answer is lost is written again, which is idempotent, until the table
+says what became of it.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fulmarscale.control.actions import AnswerOperator
+from fulmarscale.control.actions import ChangeResult
+from fulmarscale.control.actions import WriteChange
+from fulmarscale.errors import ResultCode
+from fulmarscale.events import Event
+
+if TYPE_CHECKING:
+    from fulmarscale.control.actions import RowChange
+    from fulmarscale.control.lease import LeaseKeeper
+    from fulmarscale.entry.inputs import ChangeRequested
+    from fulmarscale.entry.inputs import ChangeWritten
+    from fulmarscale.entry.outbox import Outbox
+    from fulmarscale.ids import RequestId
+    from fulmarscale.platform.table import TableReading
+
+OPERATOR_WAIT_S = 5.0
+"""How long an operator waits for the table's word on a change."""
+
+REWRITE_S = 0.3
+"""Time between writes of a change whose answer was lost."""
+
+
+class ChangeState(Enum):
+    """Where a change stands."""
+
+    WRITING = "writing"
+    """Sent to the table, no answer yet."""
+    LOST = "lost"
+    """The table's answer was lost; it is to be written again."""
+    WRITTEN = "written"
+    """The table answered; the new configuration is not yet adopted."""
+
+
+class PendingChange:
+    """One change under way."""
+
+    def __init__(
+        self, request: RequestId, change: RowChange, now: float
+    ) -> None:
+        self.request: RequestId | None = request
+        self.change = change
+        self.state = ChangeState.WRITING
+        self.result: ChangeResult | None = None
+        self.requested_at = now
+        self.changed_at = now
+
+
+class ChangeKeeper:
+    """The operators' changes that this entry carries."""
+
+    def __init__(self, lease: LeaseKeeper, outbox: Outbox) -> None:
+        self._lease = lease
+        self._out = outbox
+        self._pending: dict[str, PendingChange] = {}
+
+    @property
+    def pending(self) -> int:
+        """The number of changes under way."""
+        return len(self._pending)
+
+    def request(self, requested: ChangeRequested, now: float) -> None:
+        """Begin a change, unless the table does not answer."""
+        if not self._lease.is_table_fresh(now):
+            result = ChangeResult(ResultCode.STORE_UNAVAILABLE, 0)
+            self._out.add(AnswerOperator(requested.request, result))
+            return
+        change = requested.change
+        pending = PendingChange(requested.request, change, now)
+        self._pending[change.change_id] = pending
+        self._lease.begin_change()
+        self._out.add(WriteChange(change))
+
+    def receive_written(self, written: ChangeWritten, now: float) -> None:
+        """Take in the table's answer, or its absence."""
+        pending = self._pending.get(written.change_id)
+        if pending is None or pending.state is ChangeState.WRITTEN:
+            return
+        pending.changed_at = now
+        if written.result is None:
+            pending.state = ChangeState.LOST
+            return
+        pending.state = ChangeState.WRITTEN
+        pending.result = written.result
+        self._out.extend(self._lease.confirm_soon(now))
+
+    def receive_reading(self, reading: TableReading) -> None:
+        """End changes that the adopted configuration shows."""
+        for change_id in list(self._pending):
+            pending = self._pending[change_id]
+            if pending.state is not ChangeState.WRITTEN:
+                continue
+            started_at = reading.started_at
+            if started_at is None or started_at < pending.changed_at:
+                continue
+            if self._lease.configuration.version < (
+                reading.configuration_version
+            ):
+                continue
+            self._end(change_id, pending)
+
+    def tick(self, now: float) -> None:
+        """Write lost changes again; answer operators that wait too long."""
+        for pending in list(self._pending.values()):
+            if pending.state is ChangeState.LOST:
+                self._rewrite(pending, now)
+            waited_s = now - pending.requested_at
+            if pending.request is not None and waited_s > OPERATOR_WAIT_S:
+                result = ChangeResult(ResultCode.CHANGE_UNKNOWN, 0)
+                self._out.add(AnswerOperator(pending.request, result))
+                pending.request = None
+
+    def _rewrite(self, pending: PendingChange, now: float) -> None:
+        if now - pending.changed_at < REWRITE_S:
+            return
+        pending.state = ChangeState.WRITING
+        pending.changed_at = now
+        self._out.add(WriteChange(pending.change))
+
+    def _end(self, change_id: str, pending: PendingChange) -> None:
+        del self._pending[change_id]
+        self._lease.end_change()
+        result = pending.result
+        if result is None:
+            return
+        accepted = result.code is ResultCode.OK
+        event = Event.CHANGE_ACCEPTED if accepted else Event.CHANGE_REFUSED
+        self._out.log(
+            event,
+            change_id=change_id,
+            code=result.code.value,
+            row_version=result.row_version,
+        )
+        if pending.request is not None:
+            self._out.add(AnswerOperator(pending.request, result))
--- /dev/null
+++ b/src/fulmarscale/entry/core.py
@@ -0,0 +1,339 @@
+"""All decisions of an entry, free of input and output, clock and chance.
+
+A driver hands in what happens, with the monotonic time, and carries out
+the actions that come back. The same code runs in the processes and under
+virtual time in the tests.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fulmarscale.control.actions import SendPeer
+from fulmarscale.control.counters import Count
+from fulmarscale.control.counters import Counters
+from fulmarscale.control.lease import LeaseKeeper
+from fulmarscale.control.takeover import PastKeeper
+from fulmarscale.control.takeover import Verdict
+from fulmarscale.entry.admit import QuotaKeeper
+from fulmarscale.entry.change import ChangeKeeper
+from fulmarscale.entry.gather import Gatherer
+from fulmarscale.entry.inputs import AgentAnnounced
+from fulmarscale.entry.inputs import AgentClosed
+from fulmarscale.entry.inputs import AgentReceived
+from fulmarscale.entry.inputs import CallReceived
+from fulmarscale.entry.inputs import ChangeRequested
+from fulmarscale.entry.inputs import ChangeWritten
+from fulmarscale.entry.inputs import LeaveRequested
+from fulmarscale.entry.inputs import PeerReceived
+from fulmarscale.entry.inputs import TableRead
+from fulmarscale.entry.inputs import Tick
+from fulmarscale.entry.leave import Leaver
+from fulmarscale.entry.leave import LeaveState
+from fulmarscale.entry.outbox import Outbox
+from fulmarscale.entry.own import Owner
+from fulmarscale.entry.place import LeastLoad
+from fulmarscale.entry.place import PlacementPolicy
+from fulmarscale.entry.place import Placer
+from fulmarscale.entry.records import Records
+from fulmarscale.entry.recover import Recovery
+from fulmarscale.entry.run_times import RunTimes
+from fulmarscale.events import Event
+from fulmarscale.ids import EntryId
+from fulmarscale.ids import mint_submission_id
+from fulmarscale.wire.messages import Forward
+from fulmarscale.wire.messages import ForwardAnswer
+from fulmarscale.wire.messages import HandOver
+from fulmarscale.wire.messages import HandOverAck
+from fulmarscale.wire.messages import JoinAck
+from fulmarscale.wire.messages import JoinRequest
+from fulmarscale.wire.messages import LeaseAsk
+from fulmarscale.wire.messages import LeasePromise
+from fulmarscale.wire.messages import PastAnswer
+from fulmarscale.wire.messages import PastAsk
+from fulmarscale.wire.messages import QuotaAsk
+from fulmarscale.wire.messages import QuotaGrant
+from fulmarscale.wire.messages import QuotaPastAnswer
+from fulmarscale.wire.messages import QuotaPastAsk
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from fulmarscale.control.actions import Action
+    from fulmarscale.control.entry_list import Member
+    from fulmarscale.control.timings import Timings
+    from fulmarscale.entry.inputs import EntryInput
+    from fulmarscale.entry.job import Job
+    from fulmarscale.entry.limits import EntryLimits
+    from fulmarscale.ids import SubmissionId
+
+MINT_TRIES = 64
+"""Ids drawn in search of one that this entry may serve itself."""
+
+
+class EntryCore:
+    """The decisions of one entry."""
+
+    def __init__(
+        self,
+        member: Member,
+        timings: Timings,
+        limits: EntryLimits,
+        random: Random,
+        policy: PlacementPolicy | None = None,
+    ) -> None:
+        self._timings = timings
+        self._random = random
+        self._counters = Counters()
+        self._out = Outbox(self._counters)
+        self._lease = LeaseKeeper(member, timings, random)
+        self._past = PastKeeper(self._lease, timings)
+        self._quota = QuotaKeeper(self._lease, self._past, timings, self._out)
+        self._records = Records(timings, limits.records)
+        self._run_times = RunTimes()
+        self._placer = Placer(policy or LeastLoad(random), limits.ahead)
+        self._changes = ChangeKeeper(self._lease, self._out)
+        self._gatherer = Gatherer(
+            lease=self._lease,
+            records=self._records,
+            placer=self._placer,
+            run_times=self._run_times,
+            outbox=self._out,
+            counters=self._counters,
+            finish=self._finish_job,
+        )
+        self._recovery = Recovery(
+            records=self._records,
+            gatherer=self._gatherer,
+            placer=self._placer,
+            timings=timings,
+            outbox=self._out,
+            counters=self._counters,
+        )
+        self._owner = Owner(
+            lease=self._lease,
+            past=self._past,
+            quota=self._quota,
+            records=self._records,
+            recovery=self._recovery,
+            gatherer=self._gatherer,
+            placer=self._placer,
+            run_times=self._run_times,
+            timings=timings,
+            outbox=self._out,
+            counters=self._counters,
+            largest_queue=limits.queued_tasks,
+        )
+        self._leaver = Leaver(
+            lease=self._lease,
+            past=self._past,
+            quota=self._quota,
+            records=self._records,
+            owner=self._owner,
+            changes=self._changes,
+            outbox=self._out,
+        )
+        self._hand_over_parts: dict[HandOverPartKey, set[int]]
+        self._hand_over_parts = defaultdict(set)
+        self._known_entry = member.entry
+        self._had_lease = False
+
+    @property
+    def lease(self) -> LeaseKeeper:
+        """The entry's lease and its view of the site."""
+        return self._lease
+
+    @property
+    def counters(self) -> Counters:
+        """Counts of what happened."""
+        return self._counters
+
+    @property
+    def gatherer(self) -> Gatherer:
+        """The agents' side, for status."""
+        return self._gatherer
+
+    @property
+    def queued_tasks(self) -> int:
+        """Tasks that wait for an agent."""
+        return self._placer.waiting
+
+    @property
+    def record_count(self) -> int:
+        """Submissions that the entry has a record of."""
+        return len(self._records)
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the balancer may send callers here."""
+        if self._leaver.state is not LeaveState.SERVING:
+            return False
+        closed = self._lease.configuration.closed
+        if self._lease.member.data_centre in closed:
+            return False
+        return self._lease.is_held(now)
+
+    def mint(self, count: int, now: float) -> list[SubmissionId]:
+        """Make ids that this entry can serve itself, where it can.
+
+        :param count: how many.
+        :param now: monotonic time.
+        :returns: the ids; none without the platform's time.
+        """
+        wall_time_s = self._lease.wall_time_s(now)
+        if wall_time_s is None:
+            return []
+        return [self._mint_one(wall_time_s, now) for _ in range(count)]
+
+    def handle(self, event: EntryInput, now: float) -> list[Action]:
+        """Decide on what happened.
+
+        :param event: what happened.
+        :param now: monotonic time in seconds.
+        :returns: the actions to carry out, in order.
+        """
+        match event:
+            case Tick():
+                self._tick(now)
+            case TableRead():
+                self._receive_reading(event, now)
+            case PeerReceived():
+                self._receive_peer(event, now)
+            case AgentAnnounced():
+                self._gatherer.announce(event.session, event.announce, now)
+            case AgentReceived():
+                self._receive_agent(event, now)
+            case AgentClosed():
+                self._gatherer.close(event.session)
+            case CallReceived():
+                self._owner.receive_call(event, now)
+            case ChangeRequested():
+                self._changes.request(event, now)
+            case ChangeWritten():
+                self._changes.receive_written(event, now)
+            case LeaveRequested():
+                self._leaver.begin()
+        self._settle_views(now)
+        return self._out.drain()
+
+    def _tick(self, now: float) -> None:
+        self._out.extend(self._lease.tick(now))
+        self._changes.tick(now)
+        self._owner.tick(now)
+        self._leaver.tick(now)
+        self._gatherer.tick(now)
+        self._gatherer.place(now)
+
+    def _receive_reading(self, event: TableRead, now: float) -> None:
+        self._out.extend(self._lease.receive_reading(event.reading, now))
+        self._changes.receive_reading(event.reading)
+
+    def _receive_agent(self, event: AgentReceived, now: float) -> None:
+        view = self._gatherer.view(event.session)
+        self._gatherer.receive(event.session, event.message, now)
+        if view is not None:
+            for found in event.message.recovered:
+                self._recovery.receive(view, found, now)
+        self._gatherer.place(now)
+
+    def _receive_peer(self, event: PeerReceived, now: float) -> None:
+        message = event.message
+        if isinstance(message, JoinRequest):
+            actions = self._lease.receive_join_request(message, now)
+            self._out.extend(actions)
+            return
+        if event.to != self._lease.entry:
+            self._counters.add(Count.WASTED_PEER)
+            return
+        sender = event.sender
+        match message:
+            case LeaseAsk():
+                self._out.add(self._lease.receive_ask(sender, message, now))
+            case LeasePromise():
+                self._out.extend(self._lease.receive_promise(message, now))
+            case JoinAck():
+                self._lease.receive_join_ack(message)
+            case Forward():
+                self._owner.receive_forward(sender, message, now)
+            case ForwardAnswer():
+                self._owner.receive_forward_answer(message, now)
+            case PastAsk():
+                self._owner.receive_past_ask(sender, message, now)
+            case PastAnswer():
+                self._owner.receive_past_answer(message, now)
+            case HandOver():
+                self._receive_hand_over(sender, message, now)
+            case HandOverAck():
+                self._leaver.receive_ack(message)
+            case QuotaAsk():
+                self._owner.receive_quota_ask(sender, message, now)
+            case QuotaGrant():
+                self._owner.receive_quota_grant(message, now)
+            case QuotaPastAsk():
+                self._quota.receive_past_ask(sender, message, now)
+            case QuotaPastAnswer():
+                self._quota.receive_past_answer(message)
+
+    def _receive_hand_over(
+        self, sender: Member, message: HandOver, now: float
+    ) -> None:
+        for kept in message.records:
+            self._records.keep(kept, now)
+        key = HandOverPartKey(message.of, message.list_version)
+        parts = self._hand_over_parts[key]
+        parts.add(message.part)
+        if len(parts) < message.parts:
+            return
+        self._past.receive_hand_over(
+            message.of, message.list_version, message.known_since_s
+        )
+        self._quota.receive_levels(message.list_version, message.quotas)
+        self._out.log(Event.HAND_OVER_RECEIVED, entry=message.of.name)
+        ack = HandOverAck(message.of, message.list_version, self._lease.entry)
+        self._out.add(SendPeer(sender, ack))
+
+    def _settle_views(self, now: float) -> None:
+        """Follow what the event changed in the lease."""
+        if self._lease.entry != self._known_entry:
+            self._begin_incarnation(now)
+        self._gatherer.refresh_views(now)
+        self._gatherer.echo(now)
+        has_lease = self._lease.is_held(now)
+        if has_lease != self._had_lease:
+            event = Event.LEASE_GAINED if has_lease else Event.LEASE_LOST
+            self._out.log(event, entry=self._lease.entry.name)
+            self._had_lease = has_lease
+
+    def _begin_incarnation(self, now: float) -> None:
+        self._known_entry = self._lease.entry
+        self._records.clear()
+        self._placer.clear()
+        self._past.clear()
+        self._quota.clear()
+        self._recovery.clear()
+        self._owner.clear()
+        self._hand_over_parts.clear()
+        self._gatherer.clear(now)
+
+    def _finish_job(self, job: Job, now: float) -> None:
+        self._owner.finish(job, now)
+
+    def _mint_one(self, wall_time_s: float, now: float) -> SubmissionId:
+        submission_id = mint_submission_id(wall_time_s, self._random)
+        for _ in range(MINT_TRIES):
+            past = self._past.decide(submission_id, now)
+            if past.verdict is Verdict.FRESH:
+                break
+            submission_id = mint_submission_id(wall_time_s, self._random)
+        return submission_id
+
+
+class HandOverPartKey(msgspec.Struct, frozen=True):
+    """Names a hand-over whose parts are coming in."""
+
+    of: EntryId
+    """The leaving entry."""
+    list_version: int
+    """The version of the list without it."""
--- /dev/null
+++ b/src/fulmarscale/entry/gather.py
@@ -0,0 +1,456 @@
+"""Sends tasks to agents and gathers what becomes of them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from fulmarscale.control.actions import CloseSession
+from fulmarscale.control.actions import SendAgent
+from fulmarscale.control.counters import Count
+from fulmarscale.entry.agents import AgentView
+from fulmarscale.entry.job import TaskState
+from fulmarscale.errors import Outcome
+from fulmarscale.errors import ResultCode
+from fulmarscale.events import Event
+from fulmarscale.ids import TaskRef
+from fulmarscale.wire.messages import ClosedDataCentres
+from fulmarscale.wire.messages import JobDispatch
+from fulmarscale.wire.messages import NotStartedReason
+from fulmarscale.wire.messages import TaskSpec
+from fulmarscale.wire.messages import ToAgent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarscale.control.counters import Counters
+    from fulmarscale.control.lease import LeaseKeeper
+    from fulmarscale.entry.job import Job
+    from fulmarscale.entry.job import Task
+    from fulmarscale.entry.outbox import Outbox
+    from fulmarscale.entry.place import Placement
+    from fulmarscale.entry.place import Placer
+    from fulmarscale.entry.records import Records
+    from fulmarscale.entry.run_times import RunTimes
+    from fulmarscale.ids import AgentId
+    from fulmarscale.ids import SubmissionId
+    from fulmarscale.wire.messages import Announce
+    from fulmarscale.wire.messages import FromAgent
+    from fulmarscale.wire.messages import NotStarted
+    from fulmarscale.wire.messages import RecoveredJob
+    from fulmarscale.wire.messages import TaskResult
+
+CONFIRM_SPACING_S = 0.02
+"""The least time between confirmations begun for waiting pairs."""
+
+WARM_AFTER_S = 0.4
+"""Silence after which a pair's token is refreshed."""
+
+WARM_RATE = 50.0
+"""Tokens a second that an entry refreshes, over all its agents."""
+
+
+class Gatherer:
+    """The agents' side of an entry."""
+
+    def __init__(
+        self,
+        lease: LeaseKeeper,
+        records: Records,
+        placer: Placer,
+        run_times: RunTimes,
+        outbox: Outbox,
+        counters: Counters,
+        finish: Callable[[Job, float], None],
+    ) -> None:
+        self._lease = lease
+        self._records = records
+        self._placer = placer
+        self._run_times = run_times
+        self._out = outbox
+        self._counters = counters
+        self._finish = finish
+        self._views: dict[int, AgentView] = {}
+        self._sessions: dict[AgentId, int] = {}
+        self._detached: dict[AgentId, set[TaskRef]] = {}
+        self._echo_wanted: set[int] = set()
+        self._confirm_begun_at = float("-inf")
+        self._echoed_at = float("-inf")
+        self._warm_credit = 0.0
+        self._warmed_at: float | None = None
+        self._first_agent_at: float | None = None
+
+    @property
+    def views(self) -> list[AgentView]:
+        """The connected agents."""
+        return list(self._views.values())
+
+    @property
+    def first_agent_at(self) -> float | None:
+        """When the first agent connected."""
+        return self._first_agent_at
+
+    def view(self, session: int) -> AgentView | None:
+        """Find a connected agent by its stream."""
+        return self._views.get(session)
+
+    def clear(self, now: float) -> None:
+        """Forget all tasks, as a new incarnation does."""
+        self._detached.clear()
+        for view in self._views.values():
+            view.outstanding.clear()
+            view.sent_list_version = -1
+        self.refresh_views(now)
+
+    def announce(self, session: int, announce: Announce, now: float) -> None:
+        """Take in a newly connected agent."""
+        if self._first_agent_at is None:
+            self._first_agent_at = now
+        agent = announce.agent
+        self._replace_older(agent, now)
+        view = AgentView(session, announce, now)
+        self._views[session] = view
+        self._sessions[agent] = session
+        view.outstanding = self._detached.pop(agent, set())
+        self._out.log(
+            Event.AGENT_CONNECTED,
+            agent=agent.name,
+            data_centre=announce.data_centre,
+        )
+        # The first message asks for the word on all that the agent may
+        # hold; it precedes new tasks on the same stream.
+        ids = {ref.submission_id for ref in view.outstanding}
+        self._send(view, now, recover=tuple(sorted(ids)), wants_token=True)
+
+    def close(self, session: int) -> None:
+        """Note that an agent's stream ended."""
+        view = self._views.pop(session, None)
+        self._echo_wanted.discard(session)
+        if view is None:
+            return
+        if self._sessions.get(view.agent) == session:
+            del self._sessions[view.agent]
+        if view.outstanding:
+            self._detached[view.agent] = view.outstanding
+        self._out.log(Event.AGENT_LOST, agent=view.agent.name)
+
+    def receive(self, session: int, message: FromAgent, now: float) -> None:
+        """Take in a message of an agent."""
+        view = self._views.get(session)
+        if view is None:
+            self._counters.add(Count.WASTED_RESULT)
+            return
+        self._counters.add(Count.MESSAGES_FROM_AGENTS)
+        view.receive(message, now)
+        for result in message.results:
+            self._take_result(view, result, now)
+        for not_started in message.not_started:
+            self._take_not_started(view, not_started, now)
+        if message.wants_echo:
+            self._echo_wanted.add(session)
+            self._confirm_soon(now)
+
+    def settle_recovered(
+        self, view: AgentView, job: Job, found: RecoveredJob, now: float
+    ) -> None:
+        """Bring a job up to date with an agent's word after a break."""
+        results = {result.task.index: result for result in found.results}
+        running = set(found.running)
+        for task in job.tasks:
+            if task.state is not TaskState.SENT or task.agent != view.agent:
+                continue
+            if task.index in results:
+                self._take_result(view, results[task.index], now)
+            elif task.index in running:
+                task.session = view.session
+            elif task.session != view.session:
+                view.outstanding.discard(job.ref(task))
+                self.take_back(job, task, NotStartedReason.NEVER_RECEIVED, now)
+
+    def take_back(
+        self, job: Job, task: Task, reason: NotStartedReason, now: float
+    ) -> None:
+        """Queue a task again that an agent says it never started."""
+        self._counters.add(Count.TASKS_BOUNCED)
+        task.requeue()
+        if job.is_cancelled:
+            job.settle(task, Outcome.NOT_RUN, ResultCode.CANCELLED)
+        elif now >= job.deadline_at or reason is NotStartedReason.DEADLINE:
+            job.settle(task, Outcome.NOT_RUN, ResultCode.DEADLINE_PASSED)
+        else:
+            job.bounces += 1
+            self._placer.push(job, task)
+        self._finish_if_settled(job, now)
+
+    def adopt_running(self, view: AgentView, job: Job, task: Task) -> None:
+        """Note a task that runs for a job recovered from agents."""
+        task.send(view.agent, view.session)
+        view.outstanding.add(job.ref(task))
+
+    def cancel(self, job: Job, now: float) -> None:
+        """Stop a job: queued tasks vanish, running ones are stopped."""
+        job.is_cancelled = True
+        agents = set()
+        for task in job.tasks:
+            if task.state is TaskState.QUEUED:
+                job.settle(task, Outcome.NOT_RUN, ResultCode.CANCELLED)
+            elif task.state is TaskState.SENT and task.agent is not None:
+                agents.add(task.agent)
+        for agent in sorted(agents):
+            view = self._view_of(agent)
+            if view is not None:
+                self._send(view, now, cancel=(job.submission_id,))
+        self._finish_if_settled(job, now)
+
+    def give_up(self, job: Job, now: float) -> None:
+        """End a job whose time is over; what was sent is unknown."""
+        for task in job.tasks:
+            if task.state is TaskState.SETTLED:
+                continue
+            if task.agent is not None:
+                self._forget(task.agent, job.ref(task))
+            job.settle(task, Outcome.OUTCOME_UNKNOWN, ResultCode.ANSWER_LATE)
+        self._finish_if_settled(job, now)
+
+    def end_queued(self, job: Job, now: float) -> None:
+        """End the tasks of a job that were not sent by its deadline."""
+        for task in job.tasks:
+            if task.state is TaskState.QUEUED:
+                job.settle(task, Outcome.NOT_RUN, ResultCode.DEADLINE_PASSED)
+        self._finish_if_settled(job, now)
+
+    def ask_all(
+        self, submission_id: SubmissionId, now: float
+    ) -> dict[int, AgentId]:
+        """Ask all agents for their records of a submission.
+
+        :returns: the streams asked, and the agents behind them.
+        """
+        asked = {}
+        for view in self.views:
+            self._send(view, now, recover=(submission_id,))
+            asked[view.session] = view.agent
+        return asked
+
+    def refresh_views(self, now: float) -> None:
+        """Tell agents of a changed list or changed data centres."""
+        for view in self.views:
+            if self._is_behind(view):
+                self._send(view, now)
+
+    def echo(self, now: float) -> None:
+        """Send fresher echoes, after a confirmation, where they are due."""
+        if self._lease.confirmed_at <= self._echoed_at:
+            return
+        self._echoed_at = self._lease.confirmed_at
+        for session in sorted(self._echo_wanted):
+            view = self._views[session]
+            echo = view.best_echo(self._lease.confirmed_at)
+            if echo is None or echo == view.sent_echo:
+                continue
+            self._echo_wanted.discard(session)
+            self._counters.add(Count.WASTED_ECHO)
+            self._send(view, now)
+        if self._echo_wanted:
+            self._confirm_soon(now)
+
+    def tick(self, now: float) -> None:
+        """Refresh the tokens of the pairs that were silent longest."""
+        if self._warmed_at is not None:
+            elapsed_s = now - self._warmed_at
+            credit = self._warm_credit + elapsed_s * WARM_RATE
+            self._warm_credit = min(WARM_RATE / 2, credit)
+        self._warmed_at = now
+        if self._echo_wanted:
+            self._confirm_soon(now)
+        if self._warm_credit < 1 or not self._lease.is_held(now):
+            return
+        silent = [
+            view
+            for view in self._views.values()
+            if now - max(view.heard_at, view.sent_at) > WARM_AFTER_S
+        ]
+        silent.sort(key=lambda view: (view.sent_at, view.session))
+        for view in silent[: int(self._warm_credit)]:
+            self._warm_credit -= 1
+            self._counters.add(Count.WASTED_ECHO)
+            self._send(view, now, wants_token=True)
+
+    def place(self, now: float) -> None:
+        """Send queued tasks to agents with room."""
+        if self._placer.waiting == 0 or not self._lease.is_held(now):
+            return
+        closed = set(self._lease.configuration.closed)
+        usable = [v for v in self.views if v.data_centre not in closed]
+        placements = self._placer.place(usable, now)
+        batches: dict[int, dict[SubmissionId, list[Placement]]]
+        batches = defaultdict(lambda: defaultdict(list))
+        for placement in placements:
+            self._mark_sent(placement)
+            batch = batches[placement.view.session]
+            batch[placement.job.submission_id].append(placement)
+        for session, by_job in batches.items():
+            jobs = tuple(_dispatch(placed, now) for placed in by_job.values())
+            self._send(self._views[session], now, jobs=jobs)
+
+    def _mark_sent(self, placement: Placement) -> None:
+        view = placement.view
+        placement.task.send(view.agent, view.session)
+        view.outstanding.add(placement.job.ref(placement.task))
+        self._counters.add(Count.TASKS_SENT)
+
+    def _take_result(
+        self, view: AgentView, result: TaskResult, now: float
+    ) -> None:
+        view.outstanding.discard(result.task)
+        job = self._records.find(result.task.submission_id)
+        task = _task_of(job, result.task)
+        if job is None or task is None or not _is_at(task, view):
+            self._counters.add(Count.WASTED_RESULT)
+            return
+        self._note_health(view, result, now)
+        if result.outcome is Outcome.DONE:
+            self._run_times.learn(job.kind, result.run_s)
+        job.settle(task, result.outcome, result.code, result.result)
+        self._finish_if_settled(job, now)
+
+    def _note_health(
+        self, view: AgentView, result: TaskResult, now: float
+    ) -> None:
+        if result.outcome is Outcome.DONE:
+            view.note_success()
+        elif result.code is ResultCode.TASK_STOPPED:
+            return
+        elif view.note_failure(now):
+            self._out.log(Event.AGENT_QUARANTINED, agent=view.agent.name)
+
+    def _take_not_started(
+        self, view: AgentView, not_started: NotStarted, now: float
+    ) -> None:
+        job = self._records.find(not_started.submission_id)
+        if not_started.reason is NotStartedReason.TARGET_UNREACHABLE:
+            view.note_failure(now)
+        for index in not_started.indexes:
+            ref = TaskRef(not_started.submission_id, index)
+            view.outstanding.discard(ref)
+            task = _task_of(job, ref)
+            if job is None or task is None or not _is_at(task, view):
+                self._counters.add(Count.WASTED_RESULT)
+                continue
+            self.take_back(job, task, not_started.reason, now)
+
+    def _replace_older(self, agent: AgentId, now: float) -> None:
+        for known in [*self._sessions, *self._detached]:
+            if known.name != agent.name:
+                continue
+            session = self._sessions.get(known)
+            if session is not None:
+                self._out.add(CloseSession(session))
+                self.close(session)
+            if known != agent:
+                self._lose(known, now)
+
+    def _lose(self, agent: AgentId, now: float) -> None:
+        # The agent came back without memory: what it held is unknown.
+        lost = sorted(self._detached.pop(agent, ()))
+        if lost:
+            self._out.log(Event.AGENT_REPLACED, agent=agent.name)
+        for ref in lost:
+            job = self._records.find(ref.submission_id)
+            task = _task_of(job, ref)
+            if job is None or task is None or task.agent != agent:
+                continue
+            if task.state is not TaskState.SENT:
+                continue
+            job.settle(task, Outcome.OUTCOME_UNKNOWN, ResultCode.AGENT_LOST)
+            self._finish_if_settled(job, now)
+
+    def _forget(self, agent: AgentId, ref: TaskRef) -> None:
+        view = self._view_of(agent)
+        if view is not None:
+            view.outstanding.discard(ref)
+        detached = self._detached.get(agent)
+        if detached is not None:
+            detached.discard(ref)
+            if not detached:
+                del self._detached[agent]
+
+    def _view_of(self, agent: AgentId) -> AgentView | None:
+        session = self._sessions.get(agent)
+        return self._views.get(session) if session is not None else None
+
+    def _finish_if_settled(self, job: Job, now: float) -> None:
+        if job.unsettled == 0 and job.answer is None:
+            self._finish(job, now)
+
+    def _confirm_soon(self, now: float) -> None:
+        if now - self._confirm_begun_at < CONFIRM_SPACING_S:
+            return
+        self._confirm_begun_at = now
+        self._out.extend(self._lease.confirm_soon(now))
+
+    def _is_behind(self, view: AgentView) -> bool:
+        return (
+            view.sent_list_version < self._lease.entry_list.version
+            or view.sent_closed_version < self._lease.configuration.version
+        )
+
+    def _send(
+        self,
+        view: AgentView,
+        now: float,
+        *,
+        wants_token: bool = False,
+        jobs: tuple[JobDispatch, ...] = (),
+        cancel: tuple[SubmissionId, ...] = (),
+        recover: tuple[SubmissionId, ...] = (),
+    ) -> None:
+        """Send one message; changed views always go along, first."""
+        entry_list = None
+        if view.sent_list_version < self._lease.entry_list.version:
+            entry_list = self._lease.entry_list
+            view.sent_list_version = entry_list.version
+        closed = None
+        configuration = self._lease.configuration
+        if view.sent_closed_version < configuration.version:
+            closed = ClosedDataCentres(
+                configuration.version, configuration.closed
+            )
+            view.sent_closed_version = configuration.version
+        echo = view.best_echo(self._lease.confirmed_at)
+        view.sent_echo = echo
+        view.sent_at = now
+        message = ToAgent(
+            entry=self._lease.entry,
+            echo=echo,
+            entry_list=entry_list,
+            closed=closed,
+            wants_token=wants_token,
+            jobs=jobs,
+            cancel=cancel,
+            recover=recover,
+        )
+        self._out.add(SendAgent(view.agent, view.session, message))
+
+
+def _task_of(job: Job | None, ref: TaskRef) -> Task | None:
+    if job is None or ref.index >= len(job.tasks):
+        return None
+    return job.tasks[ref.index]
+
+
+def _is_at(task: Task, view: AgentView) -> bool:
+    return task.state is TaskState.SENT and task.agent == view.agent
+
+
+def _dispatch(placed: list[Placement], now: float) -> JobDispatch:
+    job = placed[0].job
+    return JobDispatch(
+        submission_id=job.submission_id,
+        customer=job.customer,
+        kind=job.kind,
+        task_count=len(job.tasks),
+        digest=job.digest,
+        deadline_in_s=job.deadline_at - now,
+        tasks=tuple(TaskSpec(p.task.index, p.task.payload) for p in placed),
+    )
--- /dev/null
+++ b/src/fulmarscale/entry/http.py
@@ -0,0 +1,467 @@
+"""An entry's HTTP side, for callers, operators and the balancer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+import uuid
+
+from litestar import delete
+from litestar import get
+from litestar import Litestar
+from litestar import post
+from litestar import put
+from litestar import Request
+from litestar import Response
+from litestar.exceptions import HTTPException
+import msgspec
+
+from fulmarscale import VERSION
+from fulmarscale.control.actions import RowChange
+from fulmarscale.control.configuration import Contract
+from fulmarscale.control.configuration import DataCentreState
+from fulmarscale.entry.answers import encode_answer
+from fulmarscale.entry.answers import status_of
+from fulmarscale.entry.receive import check_operator
+from fulmarscale.entry.receive import find_customer
+from fulmarscale.entry.receive import read_bearer
+from fulmarscale.entry.receive import read_job
+from fulmarscale.entry.receive import read_submission_id
+from fulmarscale.entry.status import describe
+from fulmarscale.errors import FulmarError
+from fulmarscale.errors import Outcome
+from fulmarscale.errors import ResultCode
+from fulmarscale.events import Event
+from fulmarscale.ids import CustomerName
+from fulmarscale.ids import DataCentreName
+from fulmarscale.settings import Name
+from fulmarscale.wire.messages import CallKind
+
+if TYPE_CHECKING:
+    from fulmarscale.control.configuration import Configuration
+    from fulmarscale.control.configuration import ContractRow
+    from fulmarscale.entry.process import EntryProcess
+    from fulmarscale.logs import EventLog
+    from fulmarscale.metrics import EntryMetrics
+    from fulmarscale.settings import EntrySettings
+    from fulmarscale.wire.messages import JobAnswer
+
+JSON: Final = "application/json"
+PROBLEM_JSON: Final = "application/problem+json"
+MOST_IDS: Final = 1000
+SHOW_WAIT_S: Final = 5.0
+
+
+class DataCentreBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The state of a data centre as an operator sends it."""
+
+    state: DataCentreState
+    """The new state."""
+
+
+class HttpSide:
+    """What the route handlers share."""
+
+    def __init__(
+        self,
+        process: EntryProcess,
+        settings: EntrySettings,
+        metrics: EntryMetrics,
+        log: EventLog,
+    ) -> None:
+        self._process = process
+        self._settings = settings
+        self._metrics = metrics
+        self._log = log
+
+    @property
+    def process(self) -> EntryProcess:
+        """The entry process."""
+        return self._process
+
+    @property
+    def metrics(self) -> EntryMetrics:
+        """The entry's metrics."""
+        return self._metrics
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self._process.core.lease.configuration
+
+    def customer(self, request: Request) -> ContractRow:
+        """Find the customer that a request comes from."""
+        key = read_bearer(request.headers.get("authorization"))
+        return find_customer(key, self.configuration)
+
+    def check_operator(self, request: Request) -> None:
+        """Check that a request comes from an operator."""
+        key = read_bearer(request.headers.get("authorization"))
+        check_operator(key, self._settings.operator_key_hashes)
+
+    async def read_body(self, request: Request) -> bytes:
+        """Read a request's body within its limits.
+
+        :raises FulmarError: BODY_TOO_LARGE or BODY_INVALID.
+        """
+        limits = self._settings.input
+        declared = request.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > limits.body_bytes:
+            raise self._too_large()
+        body = bytearray()
+        try:
+            async with asyncio.timeout(limits.body_timeout_s):
+                async for chunk in request.stream():
+                    body += chunk
+                    if len(body) > limits.body_bytes:
+                        raise self._too_large()
+        except TimeoutError as error:
+            raise FulmarError(
+                ResultCode.BODY_INVALID, "the body took too long"
+            ) from error
+        return bytes(body)
+
+    async def submit(
+        self, row: ContractRow, submission_id: str | None, body: bytes
+    ) -> Response[bytes]:
+        """Carry out a submission."""
+        if self._process.calls >= self._settings.input.calls:
+            raise FulmarError(
+                ResultCode.TOO_MANY_REQUESTS, "too many calls under way"
+            )
+        checked_id = read_submission_id(submission_id)
+        job = read_job(checked_id, body, row, self._settings.input)
+        began_at = time.monotonic()
+        answer = await self._process.call(
+            CallKind.SUBMIT, checked_id, row.name, job.deadline_in_s, job
+        )
+        self._note_answer(row, answer, time.monotonic() - began_at)
+        return _answer_response(answer)
+
+    async def ask(
+        self, call: CallKind, row: ContractRow, submission_id: str
+    ) -> Response[bytes]:
+        """Show or cancel a submission."""
+        checked_id = read_submission_id(submission_id)
+        answer = await self._process.call(
+            call, checked_id, row.name, SHOW_WAIT_S
+        )
+        return _answer_response(answer)
+
+    async def change(self, change: RowChange) -> int:
+        """Carry out an operator's change.
+
+        :returns: the row's new version.
+        :raises FulmarError: if it was not accepted or that is not known.
+        """
+        result = await self._process.change(change)
+        if result.code is ResultCode.VERSION_CONFLICT:
+            raise VersionConflictError(result.row_version)
+        if result.code is not ResultCode.OK:
+            raise FulmarError(result.code, "the table did not answer")
+        return result.row_version
+
+    @property
+    def in_force_ms(self) -> int:
+        """When an accepted change is in force everywhere."""
+        return int(1000 * self._settings.timings.takeover_wait_s)
+
+    def mint(self, count: int) -> list[str]:
+        """Make submission ids.
+
+        :raises FulmarError: NO_LEASE before the platform's time is known.
+        """
+        if not 1 <= count <= MOST_IDS:
+            raise FulmarError(
+                ResultCode.BODY_INVALID, f"count is 1 to {MOST_IDS}"
+            )
+        ids = self._process.core.mint(count, time.monotonic())
+        if not ids:
+            raise FulmarError(ResultCode.NO_LEASE, "try again")
+        return [str(submission_id) for submission_id in ids]
+
+    def handle_error(
+        self, request: Request, error: Exception
+    ) -> Response[bytes]:
+        """Turn an error into a problem document with a numbered code."""
+        known = self._to_known(error)
+        self._metrics.note_error(known.code.value)
+        problem: dict[str, Any] = {
+            "type": "about:blank",
+            "title": known.code.name.lower().replace("_", " "),
+            "status": status_of(known.code),
+            "code": known.code.value,
+            "detail": known.detail,
+        }
+        headers = {}
+        if isinstance(known, VersionConflictError):
+            problem["current_version"] = known.version
+            headers["etag"] = f'"{known.version}"'
+        return Response(
+            content=msgspec.json.encode(problem),
+            status_code=status_of(known.code),
+            media_type=PROBLEM_JSON,
+            headers=headers,
+        )
+
+    def _to_known(self, error: Exception) -> FulmarError:
+        if isinstance(error, FulmarError):
+            return error
+        if isinstance(error, HTTPException):
+            return _from_http_error(error)
+        self._log.write_error(Event.UNEXPECTED_ERROR, error)
+        return FulmarError(ResultCode.INTERNAL, type(error).__name__)
+
+    def _note_answer(
+        self, row: ContractRow, answer: JobAnswer, response_s: float
+    ) -> None:
+        promised_s = row.contract.response_time_ms / 1000
+        kept = answer.outcome is Outcome.DONE and response_s <= promised_s
+        self._metrics.note_answer(
+            row.name,
+            self._settings.data_centre,
+            answer.outcome.value,
+            response_s,
+            kept=kept,
+        )
+
+    def _too_large(self) -> FulmarError:
+        limit = self._settings.input.body_bytes
+        detail = f"a body has at most {limit} bytes"
+        return FulmarError(ResultCode.BODY_TOO_LARGE, detail)
+
+
+class VersionConflictError(FulmarError):
+    """Another operator changed the row first."""
+
+    def __init__(self, version: int) -> None:
+        super().__init__(
+            ResultCode.VERSION_CONFLICT, f"the version is now {version}"
+        )
+        self._version = version
+
+    @property
+    def version(self) -> int:
+        """The row's version now."""
+        return self._version
+
+
+def make_app(side: HttpSide, limits_bytes: int) -> Litestar:
+    """Make the application.
+
+    :param side: what the handlers share.
+    :param limits_bytes: the largest body that is read at all.
+    """
+    return Litestar(
+        route_handlers=[
+            *_job_routes(side),
+            *_contract_routes(side),
+            *_data_centre_routes(side),
+            *_status_routes(side),
+        ],
+        exception_handlers={Exception: side.handle_error},
+        logging_config=None,
+        openapi_config=None,
+        request_max_body_size=limits_bytes + 1,
+    )
+
+
+def _job_routes(side: HttpSide) -> list[Any]:
+    @post("/v1/jobs", status_code=200)
+    async def submit_job(request: Request) -> Response[bytes]:
+        row = side.customer(request)
+        body = await side.read_body(request)
+        submission_id = request.headers.get("idempotency-key")
+        return await side.submit(row, submission_id, body)
+
+    @get("/v1/jobs/{submission_id:str}")
+    async def show_job(
+        request: Request, submission_id: str
+    ) -> Response[bytes]:
+        row = side.customer(request)
+        return await side.ask(CallKind.SHOW, row, submission_id)
+
+    @delete("/v1/jobs/{submission_id:str}", status_code=200)
+    async def cancel_job(
+        request: Request, submission_id: str
+    ) -> Response[bytes]:
+        row = side.customer(request)
+        return await side.ask(CallKind.CANCEL, row, submission_id)
+
+    @post("/v1/submission-ids", status_code=200)
+    async def mint_ids(request: Request, count: int = 1) -> Response[bytes]:
+        side.customer(request)
+        return _json_response({"ids": side.mint(count)})
+
+    return [submit_job, show_job, cancel_job, mint_ids]
+
+
+def _contract_routes(side: HttpSide) -> list[Any]:
+    @get("/v1/contracts")
+    async def list_contracts(request: Request) -> Response[bytes]:
+        side.check_operator(request)
+        return _json_response({"contracts": side.configuration.contracts})
+
+    @get("/v1/contracts/{customer:str}")
+    async def show_contract(
+        request: Request, customer: str
+    ) -> Response[bytes]:
+        side.check_operator(request)
+        row = side.configuration.contract(CustomerName(customer))
+        if row is None:
+            raise _not_found(customer)
+        return _json_response(row.contract, version=row.version)
+
+    @put("/v1/contracts/{customer:str}")
+    async def set_contract(request: Request, customer: str) -> Response[bytes]:
+        side.check_operator(request)
+        _check_name(customer)
+        expected = _expected_version(request)
+        contract = _decode(await side.read_body(request), Contract)
+        version = await side.change(
+            RowChange(
+                change_id=uuid.uuid4().hex,
+                customer=CustomerName(customer),
+                data_centre=None,
+                contract=contract,
+                state=None,
+                expected_version=expected,
+            )
+        )
+        return _json_response(contract, version, side.in_force_ms)
+
+    return [list_contracts, show_contract, set_contract]
+
+
+def _data_centre_routes(side: HttpSide) -> list[Any]:
+    @get("/v1/data-centres")
+    async def list_data_centres(request: Request) -> Response[bytes]:
+        side.check_operator(request)
+        rows = side.configuration.data_centres
+        return _json_response({"data_centres": rows})
+
+    @get("/v1/data-centres/{name:str}")
+    async def show_data_centre(request: Request, name: str) -> Response[bytes]:
+        side.check_operator(request)
+        row = side.configuration.data_centre(DataCentreName(name))
+        if row is None:
+            raise _not_found(name)
+        return _json_response({"state": row.state}, version=row.version)
+
+    @put("/v1/data-centres/{name:str}")
+    async def set_data_centre(request: Request, name: str) -> Response[bytes]:
+        side.check_operator(request)
+        _check_name(name)
+        expected = _expected_version(request)
+        body = _decode(await side.read_body(request), DataCentreBody)
+        version = await side.change(
+            RowChange(
+                change_id=uuid.uuid4().hex,
+                customer=None,
+                data_centre=DataCentreName(name),
+                contract=None,
+                state=body.state,
+                expected_version=expected,
+            )
+        )
+        return _json_response(body, version, side.in_force_ms)
+
+    return [list_data_centres, show_data_centre, set_data_centre]
+
+
+def _status_routes(side: HttpSide) -> list[Any]:
+    @get("/v1/status")
+    async def show_status(request: Request) -> Response[bytes]:
+        side.check_operator(request)
+        status = describe(side.process.core, time.monotonic(), VERSION)
+        return _json_response(status)
+
+    @get("/metrics")
+    async def show_metrics() -> Response[bytes]:
+        return Response(side.metrics.render(), media_type="text/plain")
+
+    @get("/healthz")
+    async def show_health() -> Response[bytes]:
+        return _json_response({"healthy": True})
+
+    @get("/readyz")
+    async def show_readiness() -> Response[bytes]:
+        ready = side.process.is_ready
+        return Response(
+            content=msgspec.json.encode({"ready": ready}),
+            status_code=200 if ready else 503,
+            media_type=JSON,
+        )
+
+    return [show_status, show_metrics, show_health, show_readiness]
+
+
+def _answer_response(answer: JobAnswer) -> Response[bytes]:
+    headers = {}
+    if answer.retry_after_s > 0:
+        headers["retry-after"] = str(max(1, round(answer.retry_after_s)))
+    return Response(
+        content=encode_answer(answer), media_type=JSON, headers=headers
+    )
+
+
+def _json_response(
+    content: object, version: int | None = None, in_force_ms: int = 0
+) -> Response[bytes]:
+    headers = {}
+    if version is not None:
+        headers["etag"] = f'"{version}"'
+    if in_force_ms:
+        headers["fulmarscale-in-force-ms"] = str(in_force_ms)
+    return Response(
+        content=msgspec.json.encode(content),
+        media_type=JSON,
+        headers=headers,
+    )
+
+
+def _expected_version(request: Request) -> int:
+    if request.headers.get("if-none-match", "").strip() == "*":
+        return 0
+    text = request.headers.get("if-match")
+    if text is None:
+        raise FulmarError(
+            ResultCode.VERSION_MISSING,
+            "send If-Match with the version, or If-None-Match: *",
+        )
+    digits = text.strip().strip('"')
+    if not digits.isdecimal():
+        raise VersionConflictError(0)
+    return int(digits)
+
+
+def _check_name(name: str) -> None:
+    try:
+        msgspec.convert(name, Name)
+    except msgspec.ValidationError as error:
+        detail = f"not a name: {error}"
+        raise FulmarError(ResultCode.CONTRACT_INVALID, detail) from error
+
+
+def _decode(body: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise FulmarError(ResultCode.CONTRACT_INVALID, str(error)) from error
+
+
+def _not_found(name: str) -> FulmarError:
+    return FulmarError(ResultCode.ROW_NOT_FOUND, f"there is no {name}")
+
+
+def _from_http_error(error: HTTPException) -> FulmarError:
+    if error.status_code == 413:
+        return FulmarError(ResultCode.BODY_TOO_LARGE, error.detail)
+    if error.status_code in (404, 405):
+        return FulmarError(ResultCode.ROUTE_NOT_FOUND, error.detail)
+    if error.status_code < 500:
+        return FulmarError(ResultCode.BODY_INVALID, error.detail)
+    return FulmarError(ResultCode.INTERNAL, "an internal error")
--- /dev/null
+++ b/src/fulmarscale/entry/job.py
@@ -0,0 +1,207 @@
+"""A submission's record: the state of its tasks and its answer."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from fulmarscale.errors import Outcome
+from fulmarscale.errors import require
+from fulmarscale.errors import ResultCode
+from fulmarscale.ids import TaskRef
+from fulmarscale.wire.messages import JobAnswer
+from fulmarscale.wire.messages import TaskAnswer
+
+if TYPE_CHECKING:
+    from fulmarscale.control.entry_list import Member
+    from fulmarscale.ids import AgentId
+    from fulmarscale.ids import CustomerName
+    from fulmarscale.ids import RequestId
+    from fulmarscale.ids import SubmissionId
+
+
+class TaskState(Enum):
+    """Where a task of a job stands."""
+
+    QUEUED = "queued"
+    """At this entry, not given to any agent."""
+    SENT = "sent"
+    """Given to an agent; it may start at any moment."""
+    LOST = "lost"
+    """It may have started where no word can be had."""
+    SETTLED = "settled"
+    """Its outcome is known or given up."""
+
+
+class CallerReply(NamedTuple):
+    """A caller that waits at this entry."""
+
+    request: RequestId
+    """The caller's request."""
+
+
+class PeerReply(NamedTuple):
+    """A caller that waits at another entry."""
+
+    peer: Member
+    """The other entry."""
+    request: int
+    """Its name for the request."""
+
+
+ReplyTo = CallerReply | PeerReply
+
+
+class Task:
+    """One task of a job."""
+
+    __slots__ = (
+        "agent",
+        "code",
+        "index",
+        "outcome",
+        "payload",
+        "result",
+        "session",
+        "state",
+    )
+
+    def __init__(self, index: int, payload: bytes) -> None:
+        self.index = index
+        self.payload = payload
+        self.state = TaskState.QUEUED
+        self.agent: AgentId | None = None
+        self.session = 0
+        self.outcome = Outcome.OUTCOME_UNKNOWN
+        self.code = ResultCode.AGENT_LOST
+        self.result = b""
+
+    def send(self, agent: AgentId, session: int) -> None:
+        """Note that the task goes to an agent."""
+        require(
+            self.state is TaskState.QUEUED, "only a queued task may be sent"
+        )
+        self.state = TaskState.SENT
+        self.agent = agent
+        self.session = session
+
+    def requeue(self) -> None:
+        """Note an agent's word that it never started the task."""
+        require(
+            self.state in (TaskState.SENT, TaskState.LOST),
+            "a settled task must not be queued again",
+        )
+        self.state = TaskState.QUEUED
+        self.agent = None
+
+    def settle(
+        self, outcome: Outcome, code: ResultCode, result: bytes = b""
+    ) -> None:
+        """Note what became of the task."""
+        require(
+            self.state is not TaskState.SETTLED,
+            "a settled task must not change",
+        )
+        if outcome is Outcome.NOT_RUN:
+            require(
+                self.state is TaskState.QUEUED,
+                "only a task that no agent holds is known not to run",
+            )
+        self.state = TaskState.SETTLED
+        self.outcome = outcome
+        self.code = code
+        self.result = result
+        self.payload = b""
+
+
+class Job:
+    """The record of one submission at its owner."""
+
+    def __init__(
+        self,
+        submission_id: SubmissionId,
+        customer: CustomerName,
+        kind: str,
+        digest: bytes,
+        payloads: tuple[bytes, ...],
+        received_at: float,
+        deadline_at: float,
+    ) -> None:
+        self.submission_id = submission_id
+        self.customer = customer
+        self.kind = kind
+        self.digest = digest
+        self.received_at = received_at
+        self.deadline_at = deadline_at
+        self.tasks = [Task(i, p) for i, p in enumerate(payloads)]
+        self.waiters: dict[ReplyTo, None] = {}
+        self.is_cancelled = False
+        self.is_recovered = False
+        self.bounces = 0
+        self._unsettled = len(payloads)
+        self._answer: JobAnswer | None = None
+
+    @property
+    def answer(self) -> JobAnswer | None:
+        """The final answer, once there is one."""
+        return self._answer
+
+    @property
+    def unsettled(self) -> int:
+        """The number of tasks without an outcome."""
+        return self._unsettled
+
+    def ref(self, task: Task) -> TaskRef:
+        """Name a task of this job."""
+        return TaskRef(self.submission_id, task.index)
+
+    def settle(
+        self,
+        task: Task,
+        outcome: Outcome,
+        code: ResultCode,
+        result: bytes = b"",
+    ) -> None:
+        """Note what became of a task."""
+        task.settle(outcome, code, result)
+        self._unsettled -= 1
+
+    def finish(self) -> JobAnswer:
+        """Make the final answer, once all tasks are settled."""
+        require(self._unsettled == 0, "an answer must cover all tasks")
+        if self._answer is None:
+            self._answer = self._make_answer()
+            for task in self.tasks:
+                task.result = b""
+        return self._answer
+
+    def adopt_answer(self, answer: JobAnswer) -> None:
+        """Take over a final answer from another entry."""
+        require(self._answer is None, "an answer must not change")
+        self._answer = answer
+        self.tasks.clear()
+        self._unsettled = 0
+
+    def _make_answer(self) -> JobAnswer:
+        outcome, code = self._summarise()
+        complete = outcome is Outcome.DONE
+        tasks = tuple(
+            TaskAnswer(
+                index=task.index,
+                outcome=task.outcome,
+                code=task.code,
+                result=task.result if complete else b"",
+            )
+            for task in self.tasks
+        )
+        return JobAnswer(self.submission_id, outcome, code, tasks)
+
+    def _summarise(self) -> tuple[Outcome, ResultCode]:
+        outcomes = {task.outcome for task in self.tasks}
+        if outcomes == {Outcome.DONE}:
+            return Outcome.DONE, ResultCode.OK
+        first = next(t for t in self.tasks if t.outcome is not Outcome.DONE)
+        if outcomes == {Outcome.NOT_RUN}:
+            return Outcome.NOT_RUN, first.code
+        return Outcome.FAILED, ResultCode.JOB_INCOMPLETE
--- /dev/null
+++ b/src/fulmarscale/entry/leave.py
@@ -0,0 +1,173 @@
+"""Planned leaving: finish, hand the records over, then leave the list."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fulmarscale.control.actions import Left
+from fulmarscale.control.actions import SendPeer
+from fulmarscale.control.entry_list import EntryList
+from fulmarscale.events import Event
+from fulmarscale.wire.messages import HandOver
+
+if TYPE_CHECKING:
+    from fulmarscale.control.entry_list import Member
+    from fulmarscale.control.lease import LeaseKeeper
+    from fulmarscale.control.takeover import PastKeeper
+    from fulmarscale.entry.admit import QuotaKeeper
+    from fulmarscale.entry.change import ChangeKeeper
+    from fulmarscale.entry.outbox import Outbox
+    from fulmarscale.entry.own import Owner
+    from fulmarscale.entry.records import Records
+    from fulmarscale.ids import EntryId
+    from fulmarscale.wire.messages import HandOverAck
+    from fulmarscale.wire.messages import KeptRecord
+    from fulmarscale.wire.messages import QuotaLevel
+
+PART_RECORDS = 500
+"""Records in one part of a hand-over."""
+
+RESEND_S = 0.5
+"""Time between tries to hand over or to leave the list."""
+
+HAND_OVER_LIMIT_S = 5.0
+"""How long successors have to acknowledge; then it leaves without them."""
+
+
+class LeaveState(Enum):
+    """Where a leaving entry stands."""
+
+    SERVING = "serving"
+    FINISHING = "finishing"
+    HANDING_OVER = "handing_over"
+    LEFT = "left"
+
+
+class Leaver:
+    """Takes this entry out of service without a cut-off request."""
+
+    def __init__(
+        self,
+        lease: LeaseKeeper,
+        past: PastKeeper,
+        quota: QuotaKeeper,
+        records: Records,
+        owner: Owner,
+        changes: ChangeKeeper,
+        outbox: Outbox,
+    ) -> None:
+        self._lease = lease
+        self._past = past
+        self._quota = quota
+        self._records = records
+        self._owner = owner
+        self._changes = changes
+        self._out = outbox
+        self._state = LeaveState.SERVING
+        self._version = 0
+        self._acks: set[EntryId] = set()
+        self._began_at = 0.0
+        self._sent_at = float("-inf")
+
+    @property
+    def state(self) -> LeaveState:
+        """Where the entry stands."""
+        return self._state
+
+    def begin(self) -> None:
+        """Begin to leave."""
+        if self._state is not LeaveState.SERVING:
+            return
+        self._state = LeaveState.FINISHING
+        self._lease.begin_leave()
+        self._owner.stop_accepting()
+
+    def receive_ack(self, ack: HandOverAck) -> None:
+        """Note a successor that holds its records."""
+        if ack.of == self._lease.entry and ack.list_version == self._version:
+            self._acks.add(ack.receiver)
+
+    def tick(self, now: float) -> None:
+        """Go on with leaving."""
+        if self._state is LeaveState.FINISHING:
+            self._finish(now)
+        if self._state is LeaveState.HANDING_OVER:
+            self._hand_over(now)
+
+    def _finish(self, now: float) -> None:
+        if self._records.open_jobs or self._changes.pending:
+            return
+        self._state = LeaveState.HANDING_OVER
+        self._quota.stop()
+        self._began_at = now
+
+    def _hand_over(self, now: float) -> None:
+        if not self._lease.is_member:
+            self._leave_when_done(now)
+            return
+        current = self._lease.entry_list
+        if current.version + 1 != self._version:
+            self._version = current.version + 1
+            self._acks.clear()
+            self._sent_at = float("-inf")
+        if now - self._sent_at < RESEND_S and not self._is_acked(current):
+            return
+        late = now - self._began_at > HAND_OVER_LIMIT_S
+        if self._is_acked(current) or late:
+            if now - self._sent_at >= RESEND_S or not late:
+                self._sent_at = now
+                self._out.extend(self._lease.leave())
+            return
+        self._sent_at = now
+        self._send_records(current, now)
+
+    def _is_acked(self, current: EntryList) -> bool:
+        successors = current.without(self._lease.entry)
+        return all(member.entry in self._acks for member in successors)
+
+    def _leave_when_done(self, now: float) -> None:
+        late = now - self._began_at > 2 * HAND_OVER_LIMIT_S
+        if self._owner.calls and not late:
+            return
+        self._state = LeaveState.LEFT
+        self._out.log(Event.ENTRY_LEFT, entry=self._lease.entry.name)
+        self._out.add(Left())
+
+    def _send_records(self, current: EntryList, now: float) -> None:
+        members = current.without(self._lease.entry)
+        after = EntryList(self._version, members)
+        by_owner: dict[Member, list[KeptRecord]] = defaultdict(list)
+        for kept in self._records.answered():
+            owner = after.owner(kept.answer.submission_id)
+            if owner is not None:
+                by_owner[owner].append(kept)
+        for member in members:
+            quotas = tuple(
+                found
+                for found in self._quota.levels(now)
+                if self._quota.holder(found.customer, after) == member
+            )
+            self._send_parts(member, by_owner[member], quotas)
+
+    def _send_parts(
+        self,
+        to: Member,
+        records: list[KeptRecord],
+        quotas: tuple[QuotaLevel, ...],
+    ) -> None:
+        parts = max(1, -(-len(records) // PART_RECORDS))
+        known_since_s = self._past.known_since_for_all_s()
+        for part in range(parts):
+            first = part * PART_RECORDS
+            message = HandOver(
+                of=self._lease.entry,
+                list_version=self._version,
+                known_since_s=known_since_s,
+                records=tuple(records[first : first + PART_RECORDS]),
+                quotas=quotas,
+                part=part,
+                parts=parts,
+            )
+            self._out.add(SendPeer(to, message))
--- /dev/null
+++ b/src/fulmarscale/entry/limits.py
@@ -0,0 +1,18 @@
+"""Limits of an entry, from its settings."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class EntryLimits(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Limits of an entry's memory and of its eagerness."""
+
+    records: int = 100_000
+    """Submissions that an entry has a record of."""
+    queued_tasks: int = 100_000
+    """Tasks that wait for an agent."""
+    ahead: int = 0
+    """Tasks sent to an agent beyond its free slots."""
--- /dev/null
+++ b/src/fulmarscale/entry/process.py
@@ -0,0 +1,333 @@
+"""Connects an entry's decisions to streams, the table and callers."""
+
+from __future__ import annotations
+
+import asyncio
+from random import SystemRandom
+import time
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+from fulmarscale.control.actions import AnswerCaller
+from fulmarscale.control.actions import AnswerOperator
+from fulmarscale.control.actions import CloseSession
+from fulmarscale.control.actions import Left
+from fulmarscale.control.actions import Log
+from fulmarscale.control.actions import ReadTable
+from fulmarscale.control.actions import SendAgent
+from fulmarscale.control.actions import SendPeer
+from fulmarscale.control.actions import WriteChange
+from fulmarscale.control.actions import WriteEntryList
+from fulmarscale.control.entry_list import Member
+from fulmarscale.control.lease import INCARNATION_BITS
+from fulmarscale.entry.core import EntryCore
+from fulmarscale.entry.inputs import AgentAnnounced
+from fulmarscale.entry.inputs import AgentClosed
+from fulmarscale.entry.inputs import AgentReceived
+from fulmarscale.entry.inputs import CallReceived
+from fulmarscale.entry.inputs import ChangeRequested
+from fulmarscale.entry.inputs import ChangeWritten
+from fulmarscale.entry.inputs import LeaveRequested
+from fulmarscale.entry.inputs import PeerReceived
+from fulmarscale.entry.inputs import TableRead
+from fulmarscale.entry.inputs import Tick
+from fulmarscale.errors import FulmarError
+from fulmarscale.errors import InvariantError
+from fulmarscale.events import Event
+from fulmarscale.ids import DataCentreName
+from fulmarscale.ids import EntryId
+from fulmarscale.ids import RequestId
+from fulmarscale.settings import client_tls
+from fulmarscale.settings import server_tls
+from fulmarscale.settings import split_address
+from fulmarscale.wire.messages import PeerEnvelope
+from fulmarscale.wire.streams import Outgoing
+from fulmarscale.wire.streams import PeerLink
+from fulmarscale.wire.streams import StreamHandler
+from fulmarscale.wire.streams import StreamServer
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from fulmarscale.control.actions import Action
+    from fulmarscale.control.actions import ChangeResult
+    from fulmarscale.control.actions import RowChange
+    from fulmarscale.entry.inputs import EntryInput
+    from fulmarscale.ids import CustomerName
+    from fulmarscale.ids import SubmissionId
+    from fulmarscale.logs import EventLog
+    from fulmarscale.platform.table import Table
+    from fulmarscale.settings import EntrySettings
+    from fulmarscale.wire.messages import Announce
+    from fulmarscale.wire.messages import CallKind
+    from fulmarscale.wire.messages import FromAgent
+    from fulmarscale.wire.messages import JobAnswer
+    from fulmarscale.wire.messages import JobRequest
+
+TICK_S: Final = 0.05
+TABLE_LOG_S: Final = 10.0
+"""The least time between log lines about a failing table."""
+
+LEAVE_LIMIT_S: Final = 75.0
+"""How long a planned stop may take, past the longest deadline."""
+
+
+class EntryProcess(StreamHandler):
+    """One entry process, without its HTTP side."""
+
+    def __init__(
+        self, settings: EntrySettings, table: Table, log: EventLog
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._log = log
+        random = SystemRandom()
+        scheme = "http" if settings.tls is None else "https"
+        member = Member(
+            entry=EntryId(settings.name, random.getrandbits(INCARNATION_BITS)),
+            address=settings.stream_address,
+            url=f"{scheme}://{settings.http_address}",
+            data_centre=DataCentreName(settings.data_centre),
+        )
+        self._core = EntryCore(
+            member, settings.timings, settings.limits, random
+        )
+        self._server = StreamServer(
+            self, settings.secret, server_tls(settings.tls)
+        )
+        self._links: dict[str, PeerLink] = {}
+        self._sessions: dict[int, Outgoing] = {}
+        self._session_number = 0
+        self._request_number = 0
+        self._callers: dict[RequestId, asyncio.Future[AnswerCaller]] = {}
+        self._operators: dict[RequestId, asyncio.Future[ChangeResult]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._left = asyncio.Event()
+        self._failed = asyncio.Event()
+        self._is_stopping = False
+        self._table_logged_at = float("-inf")
+
+    @property
+    def core(self) -> EntryCore:
+        """The decisions."""
+        return self._core
+
+    @property
+    def calls(self) -> int:
+        """The number of callers that wait."""
+        return len(self._callers)
+
+    @property
+    def failed(self) -> asyncio.Event:
+        """Set when an invariant was about to be broken."""
+        return self._failed
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        if self._is_stopping:
+            return False
+        return self._core.is_ready(time.monotonic())
+
+    async def start(self) -> None:
+        """Connect and begin to join."""
+        await self._table.start()
+        host, port = split_address(self._settings.stream_address)
+        await self._server.start(host, port)
+        self._spawn(self._tick_forever())
+        self._log.write(Event.PROCESS_STARTED)
+
+    async def leave(self) -> None:
+        """Leave the list as planned; cuts off no request."""
+        self._is_stopping = True
+        self._log.write(Event.STOP_REQUESTED)
+        await asyncio.sleep(self._settings.drain_s)
+        self.dispatch(LeaveRequested())
+        try:
+            async with asyncio.timeout(LEAVE_LIMIT_S):
+                await self._left.wait()
+        except TimeoutError:
+            return
+
+    async def close(self) -> None:
+        """End all streams and connections."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in self._links.values():
+            await link.close()
+        await self._server.close()
+        await self._table.close()
+        self._log.write(Event.PROCESS_STOPPED)
+
+    async def call(
+        self,
+        call: CallKind,
+        submission_id: SubmissionId,
+        customer: CustomerName,
+        wait_s: float,
+        job: JobRequest | None = None,
+    ) -> JobAnswer:
+        """Carry out a caller's request and wait for the answer.
+
+        :raises FulmarError: if the request is refused.
+        """
+        request = self._next_request()
+        future: asyncio.Future[AnswerCaller] = asyncio.Future()
+        self._callers[request] = future
+        try:
+            self.dispatch(
+                CallReceived(
+                    request, call, submission_id, customer, wait_s, job
+                )
+            )
+            action = await future
+        finally:
+            del self._callers[request]
+        if action.error is not None:
+            raise FulmarError(action.error, "the request was refused")
+        assert action.answer is not None
+        return action.answer
+
+    async def change(self, change: RowChange) -> ChangeResult:
+        """Carry out an operator's change and wait for the result."""
+        request = self._next_request()
+        future: asyncio.Future[ChangeResult] = asyncio.Future()
+        self._operators[request] = future
+        try:
+            self.dispatch(ChangeRequested(request, change))
+            return await future
+        finally:
+            del self._operators[request]
+
+    def open_agent(self, outgoing: Outgoing, announce: Announce) -> int:
+        """Take in a new agent stream."""
+        self._session_number += 1
+        session = self._session_number
+        self._sessions[session] = outgoing
+        self.dispatch(AgentAnnounced(session, announce))
+        return session
+
+    def receive_agent(self, session: int, message: FromAgent) -> None:
+        """Take in an agent's message."""
+        self.dispatch(AgentReceived(session, message))
+
+    def close_agent(self, session: int) -> None:
+        """Note the end of an agent stream."""
+        if self._sessions.pop(session, None) is not None:
+            self.dispatch(AgentClosed(session))
+
+    def receive_peer(self, sender: Member, envelope: PeerEnvelope) -> None:
+        """Take in another entry's message."""
+        self.dispatch(PeerReceived(sender, envelope.to, envelope.message))
+
+    def dispatch(self, event: EntryInput) -> None:
+        """Hand an event to the decisions and carry out the actions."""
+        if self._failed.is_set():
+            return
+        try:
+            actions = self._core.handle(event, time.monotonic())
+        except InvariantError as error:
+            self._log.write_error(Event.INVARIANT_BROKEN, error)
+            self._failed.set()
+            return
+        for action in actions:
+            self._perform(action)
+
+    def _perform(self, action: Action) -> None:
+        match action:
+            case SendAgent():
+                outgoing = self._sessions.get(action.session)
+                if outgoing is not None:
+                    outgoing.put(action.message)
+            case SendPeer():
+                self._send_peer(action)
+            case AnswerCaller():
+                _resolve(self._callers.get(action.request), action)
+            case AnswerOperator():
+                future = self._operators.get(action.request)
+                _resolve(future, action.result)
+            case ReadTable():
+                self._spawn(self._read_table(action))
+            case WriteEntryList():
+                self._spawn(self._write_entry_list(action))
+            case WriteChange():
+                self._spawn(self._write_change(action.change))
+            case CloseSession():
+                outgoing = self._sessions.get(action.session)
+                if outgoing is not None:
+                    outgoing.end()
+            case Log():
+                self._log.write(action.event, **action.fields)
+            case Left():
+                self._left.set()
+
+    def _send_peer(self, action: SendPeer) -> None:
+        link = self._links.get(action.to.address)
+        if link is None:
+            link = PeerLink(
+                action.to.address,
+                self._settings.secret,
+                client_tls(self._settings.tls),
+            )
+            self._links[action.to.address] = link
+            link.start()
+        envelope = PeerEnvelope(action.to.entry, action.message)
+        link.put(self._core.lease.member, envelope)
+
+    async def _read_table(self, action: ReadTable) -> None:
+        try:
+            reading = await self._table.read(
+                action.started_at, action.configuration_version
+            )
+        except FulmarError as error:
+            self._note_table_failure(error)
+            return
+        self.dispatch(TableRead(reading))
+
+    async def _write_entry_list(self, action: WriteEntryList) -> None:
+        try:
+            await self._table.write_entry_list(
+                action.expected_version, action.members
+            )
+        except FulmarError as error:
+            # The write may have taken effect: the next reading shows it.
+            self._note_table_failure(error)
+        known = self._core.lease.configuration.version
+        await self._read_table(ReadTable(time.monotonic(), known))
+
+    async def _write_change(self, change: RowChange) -> None:
+        try:
+            result = await self._table.write_change(change)
+        except FulmarError as error:
+            self._note_table_failure(error)
+            self.dispatch(ChangeWritten(change.change_id, None))
+            return
+        self.dispatch(ChangeWritten(change.change_id, result))
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self.dispatch(Tick())
+            await asyncio.sleep(TICK_S)
+
+    def _note_table_failure(self, error: FulmarError) -> None:
+        now = time.monotonic()
+        if now - self._table_logged_at < TABLE_LOG_S:
+            return
+        self._table_logged_at = now
+        self._log.write(Event.TABLE_FAILED, detail=error.detail)
+
+    def _next_request(self) -> RequestId:
+        self._request_number += 1
+        return RequestId(self._request_number)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _resolve(future: asyncio.Future[Any] | None, value: object) -> None:
+    if future is not None and not future.done():
+        future.set_result(value)
--- /dev/null
+++ b/src/fulmarscale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/src/fulmarscale/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between processes, their codec and streams."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around fulmarscale, for tests."""
