Run the decision code under virtual time with faults; mend two breaches

Ruled out: a late promise from before the change (all promises were asked after it), and the checker (the change was in the table for 5 s).

Change: promises are not counted while a change is under way, and the table's answer to a write carries the new configuration, which is adopted before promises are given again. So the site goes on, on the new configuration, when the table fails right after accepting a change.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from pathlib import Path
 import tempfile
 from typing import TYPE_CHECKING
@@ -35,6 +36,11 @@
             site.close()
 
 
+def before_all(context: Context) -> None:
+    """Keep the test client's own log lines out of the report."""
+    logging.getLogger("httpx").setLevel(logging.WARNING)
+
+
 def before_tag(context: Context, tag: Tag) -> None:
     """Set up what a scenario's tag names.
 
--- a/src/fulmarscale/control/actions.py
+++ b/src/fulmarscale/control/actions.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fulmarscale.control.configuration import Configuration
 from fulmarscale.control.configuration import Contract
 from fulmarscale.control.configuration import DataCentreState
 from fulmarscale.control.entry_list import Member
@@ -111,6 +112,8 @@
     """OK, VERSION_CONFLICT, STORE_UNAVAILABLE or CHANGE_UNKNOWN."""
     row_version: int
     """The row's version now, if known, or 0."""
+    configuration: Configuration | None = None
+    """The configuration after the change, if the table answered."""
 
 
 class AnswerOperator(Action):
--- a/src/fulmarscale/control/lease.py
+++ b/src/fulmarscale/control/lease.py
@@ -298,7 +298,8 @@
 
     def _count_promises(self) -> list[Action]:
         needed = self._needed()
-        if not self.is_member or not needed:
+        if not self.is_member or not needed or self._pending_changes:
+            # Peers don't know yet of a change that this entry carries.
             return []
         # The oldest of all promises, not a majority: a change is accepted
         # with the knowledge of a single entry.
--- a/src/fulmarscale/entry/change.py
+++ b/src/fulmarscale/entry/change.py
@@ -24,7 +24,6 @@
     from fulmarscale.entry.inputs import ChangeWritten
     from fulmarscale.entry.outbox import Outbox
     from fulmarscale.ids import RequestId
-    from fulmarscale.platform.table import TableReading
 
 OPERATOR_WAIT_S = 5.0
 """How long an operator waits for the table's word on a change."""
@@ -40,8 +39,6 @@
     """Sent to the table, no answer yet."""
     LOST = "lost"
     """The table's answer was lost; it is to be written again."""
-    WRITTEN = "written"
-    """The table answered; the new configuration is not yet adopted."""
 
 
 class PendingChange:
@@ -53,7 +50,6 @@
         self.request: RequestId | None = request
         self.change = change
         self.state = ChangeState.WRITING
-        self.result: ChangeResult | None = None
         self.requested_at = now
         self.changed_at = now
 
@@ -86,30 +82,13 @@
     def receive_written(self, written: ChangeWritten, now: float) -> None:
         """Take in the table's answer, or its absence."""
         pending = self._pending.get(written.change_id)
-        if pending is None or pending.state is ChangeState.WRITTEN:
+        if pending is None:
             return
-        pending.changed_at = now
         if written.result is None:
             pending.state = ChangeState.LOST
+            pending.changed_at = now
             return
-        pending.state = ChangeState.WRITTEN
-        pending.result = written.result
-        self._out.extend(self._lease.confirm_soon(now))
-
-    def receive_reading(self, reading: TableReading) -> None:
-        """End changes that the adopted configuration shows."""
-        for change_id in list(self._pending):
-            pending = self._pending[change_id]
-            if pending.state is not ChangeState.WRITTEN:
-                continue
-            started_at = reading.started_at
-            if started_at is None or started_at < pending.changed_at:
-                continue
-            if self._lease.configuration.version < (
-                reading.configuration_version
-            ):
-                continue
-            self._end(change_id, pending)
+        self._end(written.change_id, pending, written.result)
 
     def tick(self, now: float) -> None:
         """Write lost changes again; answer operators that wait too long."""
@@ -129,12 +108,15 @@
         pending.changed_at = now
         self._out.add(WriteChange(pending.change))
 
-    def _end(self, change_id: str, pending: PendingChange) -> None:
+    def _end(
+        self, change_id: str, pending: PendingChange, result: ChangeResult
+    ) -> None:
+        # Adopted before promises are given again: the table may fail now.
+        if result.configuration is not None:
+            configuration = result.configuration
+            self._out.extend(self._lease.adopt_configuration(configuration))
         del self._pending[change_id]
         self._lease.end_change()
-        result = pending.result
-        if result is None:
-            return
         accepted = result.code is ResultCode.OK
         event = Event.CHANGE_ACCEPTED if accepted else Event.CHANGE_REFUSED
         self._out.log(
--- a/src/fulmarscale/entry/core.py
+++ b/src/fulmarscale/entry/core.py
@@ -228,7 +228,6 @@
 
     def _receive_reading(self, event: TableRead, now: float) -> None:
         self._out.extend(self._lease.receive_reading(event.reading, now))
-        self._changes.receive_reading(event.reading)
 
     def _receive_agent(self, event: AgentReceived, now: float) -> None:
         view = self._gatherer.view(event.session)
--- a/src/fulmarscale/platform/http_table.py
+++ b/src/fulmarscale/platform/http_table.py
@@ -28,6 +28,11 @@
 CONFIGURATION_KEY: Final = "fulmarscale/configuration"
 CONTRACT_PREFIX: Final = "fulmarscale/contract/"
 DATA_CENTRE_PREFIX: Final = "fulmarscale/data-centre/"
+CONFIGURATION_READS: Final = (
+    CONFIGURATION_KEY,
+    CONTRACT_PREFIX,
+    DATA_CENTRE_PREFIX,
+)
 TRANSACTION_PATH: Final = "/v1/transactions"
 
 KEPT_CHANGE_IDS: Final = 8
@@ -133,11 +138,11 @@
         self, started_at: float | None, known_version: int
     ) -> TableReading:
         """Read the entry list and, if it is newer, the configuration."""
-        reads = (ENTRIES_KEY, CONFIGURATION_KEY)
+        reads: tuple[str, ...] = (ENTRIES_KEY, CONFIGURATION_KEY)
         answer = await self._transact(Transaction(reads=reads))
         row = answer.find(CONFIGURATION_KEY)
         if row is not None and row.version > known_version:
-            reads += (CONTRACT_PREFIX, DATA_CENTRE_PREFIX)
+            reads = (ENTRIES_KEY, *CONFIGURATION_READS)
             answer = await self._transact(Transaction(reads=reads))
             return _reading(answer, started_at, with_configuration=True)
         return _reading(answer, started_at, with_configuration=False)
@@ -157,17 +162,17 @@
 
     async def write_change(self, change: RowChange) -> ChangeResult:
         """Write an operator's change; repeating it is idempotent."""
+        before = await self._transact(Transaction(reads=CONFIGURATION_READS))
         key = _row_key(change)
-        row = (await self._transact(Transaction(reads=(key,)))).find(key)
+        row = before.find(key)
         version = row.version if row is not None else 0
         if version != change.expected_version:
-            return _result_of(change, row)
-        known = _change_ids(row)
-        new_value = _row_value(change, known)
+            return _result_of(change, before)
+        new_value = _row_value(change, _change_ids(row))
         change_value = msgspec.Raw(msgspec.json.encode(change.change_id))
-        answer = await self._transact(
+        after = await self._transact(
             Transaction(
-                reads=(key,),
+                reads=CONFIGURATION_READS,
                 checks=(TableCheck(key, version),),
                 writes=(
                     TableWrite(key, new_value),
@@ -175,7 +180,7 @@
                 ),
             )
         )
-        return _result_of(change, answer.find(key))
+        return _result_of(change, after)
 
     async def _transact(self, transaction: Transaction) -> TransactionAnswer:
         if self._client is None:
@@ -204,21 +209,19 @@
     if entries is not None:
         members = _decode(entries.value, tuple[Member, ...])
         entry_list = EntryList(entries.version, members)
-    row = answer.find(CONFIGURATION_KEY)
-    version = row.version if row is not None else 0
-    configuration = None
-    if with_configuration:
-        configuration = _configuration(answer, version)
+    configuration = _configuration(answer)
     return TableReading(
         started_at=started_at,
         wall_time_s=answer.time,
         entry_list=entry_list,
-        configuration_version=version,
-        configuration=configuration,
+        configuration_version=configuration.version,
+        configuration=configuration if with_configuration else None,
     )
 
 
-def _configuration(answer: TransactionAnswer, version: int) -> Configuration:
+def _configuration(answer: TransactionAnswer) -> Configuration:
+    row = answer.find(CONFIGURATION_KEY)
+    version = row.version if row is not None else 0
     contracts = []
     data_centres = []
     for row in answer.rows:
@@ -265,11 +268,12 @@
     return msgspec.Raw(msgspec.json.encode(stored))
 
 
-def _result_of(change: RowChange, row: TableRow | None) -> ChangeResult:
+def _result_of(change: RowChange, answer: TransactionAnswer) -> ChangeResult:
+    row = answer.find(_row_key(change))
     version = row.version if row is not None else 0
-    if change.change_id in _change_ids(row):
-        return ChangeResult(ResultCode.OK, version)
-    return ChangeResult(ResultCode.VERSION_CONFLICT, version)
+    made = change.change_id in _change_ids(row)
+    code = ResultCode.OK if made else ResultCode.VERSION_CONFLICT
+    return ChangeResult(code, version, _configuration(answer))
 
 
 def _decode(value: msgspec.Raw, kind: Any) -> Any:
--- /dev/null
+++ b/standins/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""The real decision code under virtual time, between small fakes."""
--- /dev/null
+++ b/standins/virtual/fake_table.py
@@ -0,0 +1,119 @@
+"""The platform's table under virtual time."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fulmarscale.control.actions import ChangeResult
+from fulmarscale.control.configuration import Configuration
+from fulmarscale.control.configuration import ContractRow
+from fulmarscale.control.configuration import DataCentreRow
+from fulmarscale.control.entry_list import EntryList
+from fulmarscale.errors import ResultCode
+from fulmarscale.platform.table import TableReading
+from standins.virtual.history import ChangeSeen
+
+if TYPE_CHECKING:
+    from fulmarscale.control.actions import RowChange
+    from fulmarscale.control.entry_list import Member
+    from standins.virtual.history import History
+
+WALL_START_S = 1_800_000_000.0
+"""The platform's Unix time at virtual time 0."""
+
+
+class TableMode(Enum):
+    """How the table behaves."""
+
+    UP = "up"
+    DOWN = "down"
+    SLOW = "slow"
+    LOSE_ANSWERS = "lose_answers"
+
+
+class FakeTable:
+    """Versioned rows, with every past version of the configuration."""
+
+    def __init__(self, history: History) -> None:
+        self._history = history
+        self.mode = TableMode.UP
+        self._entry_list = EntryList(0, ())
+        self._configuration = Configuration(0)
+        self._changes: dict[str, int] = {}
+        self._changed_at: list[float] = []
+
+    @property
+    def configuration(self) -> Configuration:
+        """The newest configuration."""
+        return self._configuration
+
+    @property
+    def entry_list(self) -> EntryList:
+        """The newest entry list."""
+        return self._entry_list
+
+    def version_at(self, time: float) -> int:
+        """Give the configuration version that was in force at a time."""
+        return sum(changed <= time for changed in self._changed_at)
+
+    def read(
+        self, started_at: float | None, known_version: int, now: float
+    ) -> TableReading:
+        """Read all rows."""
+        newer = self._configuration.version > known_version
+        return TableReading(
+            started_at=started_at,
+            wall_time_s=WALL_START_S + now,
+            entry_list=self._entry_list,
+            configuration_version=self._configuration.version,
+            configuration=self._configuration if newer else None,
+        )
+
+    def write_entry_list(
+        self, expected_version: int, members: tuple[Member, ...]
+    ) -> None:
+        """Replace the entry list, if it has the expected version."""
+        if self._entry_list.version == expected_version:
+            self._entry_list = EntryList(expected_version + 1, members)
+
+    def write_change(self, change: RowChange, now: float) -> ChangeResult:
+        """Write an operator's change, once."""
+        known = self._changes.get(change.change_id)
+        if known is not None:
+            return ChangeResult(ResultCode.OK, known, self._configuration)
+        version = self._row_version(change)
+        if version != change.expected_version:
+            return ChangeResult(
+                ResultCode.VERSION_CONFLICT, version, self._configuration
+            )
+        self._apply(change, version + 1, now)
+        self._changes[change.change_id] = version + 1
+        return ChangeResult(ResultCode.OK, version + 1, self._configuration)
+
+    def _row_version(self, change: RowChange) -> int:
+        row: ContractRow | DataCentreRow | None = None
+        if change.customer is not None:
+            row = self._configuration.contract(change.customer)
+        elif change.data_centre is not None:
+            row = self._configuration.data_centre(change.data_centre)
+        return row.version if row is not None else 0
+
+    def _apply(self, change: RowChange, version: int, now: float) -> None:
+        old = self._configuration
+        contracts = {row.name: row for row in old.contracts}
+        data_centres = {row.name: row for row in old.data_centres}
+        if change.customer is not None and change.contract is not None:
+            row = ContractRow(change.customer, version, change.contract)
+            contracts[change.customer] = row
+        if change.data_centre is not None and change.state is not None:
+            name = change.data_centre
+            data_centres[name] = DataCentreRow(name, version, change.state)
+            seen = ChangeSeen(now, name, change.state)
+            self._history.changes.append(seen)
+        self._configuration = Configuration(
+            old.version + 1,
+            tuple(contracts[name] for name in sorted(contracts)),
+            tuple(data_centres[name] for name in sorted(data_centres)),
+        )
+        self._changed_at.append(now)
