--- a/src/fulmarscale/agent/core.py
+++ b/src/fulmarscale/agent/core.py
@@ -87,6 +87,7 @@
         self._slots = 0
         self._is_target_up = False
         self._is_target_leaving = False
+        self._is_drain_ordered = False
         self._is_stopping = False
         self._stopping_since = 0.0
         self._is_drained = False
@@ -102,6 +103,11 @@
         """Counts of what happened."""
         return self._counters
 
+    @property
+    def closed(self) -> ClosedDataCentres:
+        """The data centres that the agent knows to be out."""
+        return self._closed
+
     @property
     def running(self) -> int:
         """Tasks that run now."""
@@ -115,11 +121,18 @@
     @property
     def state(self) -> AgentState:
         """Whether the agent takes new tasks."""
-        serves = self._is_target_up and not self._is_target_leaving
-        if serves and not self._is_stopping:
+        if self._is_target_up and not self._is_leaving:
             return AgentState.SERVING
         return AgentState.DRAINING
 
+    @property
+    def _is_leaving(self) -> bool:
+        return (
+            self._is_stopping
+            or self._is_target_leaving
+            or self._is_drain_ordered
+        )
+
     def handle(self, event: AgentInput, now: float) -> list[AgentAction]:
         """Decide on what happened.
 
@@ -174,6 +187,9 @@
         self._take_echo(message)
         if message.wants_token:
             link.must_send = True
+        if message.drain is not None:
+            self._is_drain_ordered = message.drain
+            self._log(Event.AGENT_DRAINING)
         if self._is_fenced(message.entry):
             self._refuse_fenced(link, message)
             return
@@ -312,7 +328,7 @@
     def _refusal(self) -> NotStartedReason | None:
         if self._data_centre in self._closed.names:
             return NotStartedReason.DATA_CENTRE_OUT
-        if self._is_stopping or self._is_target_leaving:
+        if self._is_leaving:
             return NotStartedReason.DRAINING
         if not self._is_target_up:
             return NotStartedReason.TARGET_UNREACHABLE
--- a/src/fulmarscale/control/entry_list.py
+++ b/src/fulmarscale/control/entry_list.py
@@ -150,6 +150,8 @@
                 break
             prior = _prior_owner(views, position, key)
             tenure = Tenure(view.adopted_at, view.entry_list.version, prior)
+            if prior != entry:
+                break
         return tenure
 
     def _upto(self, version: int | None) -> list[View]:
--- a/src/fulmarscale/control/lease.py
+++ b/src/fulmarscale/control/lease.py
@@ -240,6 +240,15 @@
         if ack.joiner == self.entry:
             self._join_acks.add(ack.of)
 
+    def forget(self, name: str) -> None:
+        """Join without the word of an entry that is gone for good.
+
+        :param name: the entry's name, by an operator's word.
+        """
+        for member in self.entry_list.members:
+            if member.entry.name == name:
+                self._join_acks.add(member.entry)
+
     def adopt_list(self, entry_list: EntryList, now: float) -> list[Action]:
         """Take over a newer list; an older one changes nothing."""
         if not self._history.adopt(entry_list, now):
--- a/src/fulmarscale/entry/core.py
+++ b/src/fulmarscale/entry/core.py
@@ -27,6 +27,8 @@
 from fulmarscale.entry.inputs import CallReceived
 from fulmarscale.entry.inputs import ChangeRequested
 from fulmarscale.entry.inputs import ChangeWritten
+from fulmarscale.entry.inputs import DrainOrdered
+from fulmarscale.entry.inputs import EntryForgotten
 from fulmarscale.entry.inputs import LeaveRequested
 from fulmarscale.entry.inputs import PeerReceived
 from fulmarscale.entry.inputs import TableRead
@@ -215,6 +217,10 @@
                 self._changes.receive_written(event, now)
             case LeaveRequested():
                 self._leaver.begin()
+            case DrainOrdered():
+                self._gatherer.drain(event.agent, now, draining=event.draining)
+            case EntryForgotten():
+                self._lease.forget(event.name)
         self._settle_views(now)
         return self._out.drain()
 
--- a/src/fulmarscale/entry/gather.py
+++ b/src/fulmarscale/entry/gather.py
@@ -202,6 +202,17 @@
                 self._send(view, now, cancel=(job.submission_id,))
         self._finish_if_settled(job, now)
 
+    def drain(self, name: str, now: float, *, draining: bool) -> bool:
+        """Tell an agent to take no new tasks, or to take them again.
+
+        :returns: whether the agent is connected.
+        """
+        for view in self.views:
+            if view.agent.name == name:
+                self._send(view, now, drain=draining)
+                return True
+        return False
+
     def give_up(self, job: Job, now: float) -> None:
         """End a job whose time is over; what was sent is unknown."""
         for task in job.tasks:
@@ -404,6 +415,7 @@
         jobs: tuple[JobDispatch, ...] = (),
         cancel: tuple[SubmissionId, ...] = (),
         recover: tuple[SubmissionId, ...] = (),
+        drain: bool | None = None,
     ) -> None:
         """Send one message; changed views always go along, first."""
         entry_list = None
@@ -429,6 +441,7 @@
             jobs=jobs,
             cancel=cancel,
             recover=recover,
+            drain=drain,
         )
         self._out.add(SendAgent(view.agent, view.session, message))
 
--- a/src/fulmarscale/entry/http.py
+++ b/src/fulmarscale/entry/http.py
@@ -38,6 +38,7 @@
 from fulmarscale.ids import CustomerName
 from fulmarscale.ids import DataCentreName
 from fulmarscale.settings import Name
+from fulmarscale.wire.messages import AgentState
 from fulmarscale.wire.messages import CallKind
 
 if TYPE_CHECKING:
@@ -62,6 +63,13 @@
     """The new state."""
 
 
+class AgentBody(msgspec.Struct, forbid_unknown_fields=True):
+    """The state of an agent as an operator sends it."""
+
+    state: AgentState
+    """The new state."""
+
+
 class HttpSide:
     """What the route handlers share."""
 
@@ -379,6 +387,20 @@
         status = describe(side.process.core, time.monotonic(), VERSION)
         return _json_response(status)
 
+    @put("/v1/agents/{name:str}")
+    async def set_agent(request: Request, name: str) -> Response[bytes]:
+        side.check_operator(request)
+        body = _decode(await side.read_body(request), AgentBody)
+        draining = body.state is AgentState.DRAINING
+        side.process.drain_agent(name, draining=draining)
+        return _json_response(body)
+
+    @post("/v1/entries/{name:str}/forget", status_code=200)
+    async def forget_entry(request: Request, name: str) -> Response[bytes]:
+        side.check_operator(request)
+        side.process.forget_entry(name)
+        return _json_response({"forgotten": name})
+
     @get("/metrics")
     async def show_metrics() -> Response[bytes]:
         return Response(side.metrics.render(), media_type="text/plain")
@@ -396,7 +418,14 @@
             media_type=JSON,
         )
 
-    return [show_status, show_metrics, show_health, show_readiness]
+    return [
+        show_status,
+        set_agent,
+        forget_entry,
+        show_metrics,
+        show_health,
+        show_readiness,
+    ]
 
 
 def _answer_response(answer: JobAnswer) -> Response[bytes]:
--- a/src/fulmarscale/entry/inputs.py
+++ b/src/fulmarscale/entry/inputs.py
@@ -101,6 +101,22 @@
     """The result; none if no answer came."""
 
 
+class DrainOrdered(msgspec.Struct, frozen=True):
+    """An operator tells an agent to take no new tasks, or to take them."""
+
+    agent: str
+    """The agent's name."""
+    draining: bool
+    """Whether it is to take none."""
+
+
+class EntryForgotten(msgspec.Struct, frozen=True):
+    """An operator says that an entry on the list is gone for good."""
+
+    name: str
+    """The entry's name."""
+
+
 class LeaveRequested(msgspec.Struct, frozen=True):
     """The process is to stop."""
 
@@ -116,5 +132,7 @@
     | ChangeRequested
     | ChangeWritten
     | LeaveRequested
+    | DrainOrdered
+    | EntryForgotten
 )
 """All that can happen to an entry."""
--- a/src/fulmarscale/entry/process.py
+++ b/src/fulmarscale/entry/process.py
@@ -28,12 +28,15 @@
 from fulmarscale.entry.inputs import CallReceived
 from fulmarscale.entry.inputs import ChangeRequested
 from fulmarscale.entry.inputs import ChangeWritten
+from fulmarscale.entry.inputs import DrainOrdered
+from fulmarscale.entry.inputs import EntryForgotten
 from fulmarscale.entry.inputs import LeaveRequested
 from fulmarscale.entry.inputs import PeerReceived
 from fulmarscale.entry.inputs import TableRead
 from fulmarscale.entry.inputs import Tick
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import InvariantError
+from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
 from fulmarscale.ids import DataCentreName
 from fulmarscale.ids import EntryId
@@ -201,6 +204,22 @@
         finally:
             del self._operators[request]
 
+    def drain_agent(self, name: str, *, draining: bool) -> None:
+        """Tell an agent to take no new tasks, or to take them again.
+
+        :raises FulmarError: ROW_NOT_FOUND if it is not connected.
+        """
+        views = self._core.gatherer.views
+        if not any(view.agent.name == name for view in views):
+            raise FulmarError(
+                ResultCode.ROW_NOT_FOUND, f"{name} is not connected"
+            )
+        self.dispatch(DrainOrdered(name, draining))
+
+    def forget_entry(self, name: str) -> None:
+        """Join without the word of an entry that is gone for good."""
+        self.dispatch(EntryForgotten(name))
+
     def open_agent(self, outgoing: Outgoing, announce: Announce) -> int:
         """Take in a new agent stream."""
         self._session_number += 1
--- a/src/fulmarscale/metrics.py
+++ b/src/fulmarscale/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry
@@ -12,6 +13,9 @@
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from fulmarscale.burn import RollingCounts
+from fulmarscale.burn import WINDOWS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -20,6 +24,9 @@
 
     from fulmarscale.entry.core import EntryCore
 
+WINDOW_METRIC = "fulmarscale_promise_window_answers"
+"""Answers within each window, by whether the promise was kept."""
+
 RESPONSE_BUCKETS_S = (
     0.01,
     0.025,
@@ -76,11 +83,42 @@
         )
 
 
+class WindowCollector(Collector):
+    """Exports the answers within each window of the burn report."""
+
+    def __init__(self, data_centre: str, clock: Callable[[], float]) -> None:
+        self._data_centre = data_centre
+        self._clock = clock
+        self._counts: dict[str, RollingCounts] = defaultdict(RollingCounts)
+
+    def note(self, customer: str, *, kept: bool) -> None:
+        """Count an answer."""
+        self._counts[customer].note(self._clock(), kept=kept)
+
+    def collect(self) -> Iterable[Metric]:
+        """Give the counts of all windows."""
+        family = GaugeMetricFamily(
+            WINDOW_METRIC,
+            "Answers in a window, by whether the promise was kept.",
+            labels=["customer", "data_centre", "window", "kept"],
+        )
+        now = self._clock()
+        for customer, counts in self._counts.items():
+            for window in WINDOWS:
+                count = counts.count(window, now)
+                labels = [customer, self._data_centre, window.name]
+                family.add_metric([*labels, "true"], count.kept)
+                family.add_metric([*labels, "false"], count.broken)
+        yield family
+
+
 class EntryMetrics:
     """All metrics of an entry."""
 
     def __init__(self, core: EntryCore, clock: Callable[[], float]) -> None:
         self._registry = CollectorRegistry()
+        self._windows = WindowCollector(core.lease.member.data_centre, clock)
+        self._registry.register(self._windows)
         self._registry.register(CoreCollector(core, clock))
         self._answers = Counter(
             "fulmarscale_answers",
@@ -126,6 +164,7 @@
         :param kept: whether the contract's promise was kept.
         """
         self._answers.labels(customer, outcome).inc()
+        self._windows.note(customer, kept=kept)
         text = "true" if kept else "false"
         self._promised.labels(customer, data_centre, text).inc()
         self._response.labels(customer).observe(response_s)
--- a/src/fulmarscale/wire/messages.py
+++ b/src/fulmarscale/wire/messages.py
@@ -210,6 +210,8 @@
     """Submissions to cancel."""
     recover: tuple[SubmissionId, ...] = ()
     """Submissions that the sender now owns or asks about."""
+    drain: bool | None = None
+    """An operator's word to take no new tasks, or to take them again."""
 
 
 class Hello(Message):
--- a/standins/virtual/nodes.py
+++ b/standins/virtual/nodes.py
@@ -137,6 +137,7 @@
         )
         self.is_leaving = False
         self._config_version = 0
+        self._list_version = 0
 
     def _tick_event(self) -> Any:
         self._check_configuration()
@@ -148,6 +149,9 @@
         if version < self._config_version:
             self.site.history.faults.append("the configuration reverted")
         self._config_version = version
+        if lease.entry_list.version < self._list_version:
+            self.site.history.faults.append("the entry list reverted")
+        self._list_version = lease.entry_list.version
         old = self.site.table.version_at(self.site.now - 4.0)
         if lease.is_held(self.clock) and version < old:
             fault = f"{self.name} acts on configuration {version} < {old}"
@@ -233,6 +237,7 @@
         self.wanted: set[str] = set()
         self._runs: dict[TaskRef, int] = {}
         self._run_number = 0
+        self._closed_version = -1
 
     def announce_target(self) -> None:
         """See the target for the first time."""
@@ -248,6 +253,10 @@
         self.site.scheduler.after(1.0, self._bootstrap)
 
     def _tick_event(self) -> Any:
+        version = self.core.closed.version
+        if version < self._closed_version:
+            self.site.history.faults.append("a closure reverted")
+        self._closed_version = version
         return AgentTick()
 
     def _decide(self, event: Any) -> list[Any]:
--- a/standins/virtual/site.py
+++ b/standins/virtual/site.py
@@ -52,7 +52,6 @@
     from fulmarscale.ids import SubmissionId
 
 INCARNATION_BITS = 48
-CUSTOMER = CustomerName("fjaervik")
 
 
 class VirtualOptions(msgspec.Struct, kw_only=True, frozen=True):
@@ -92,6 +91,8 @@
     """Spans that the safety rules rest on."""
     limits: EntryLimits = EntryLimits()
     """Limits of the entries."""
+    customer: CustomerName = CustomerName("fjaervik")
+    """The only customer."""
     contract: Contract = Contract(
         rate=100_000,
         burst=100_000,
@@ -100,7 +101,7 @@
         response_share=0.99,
         key_hashes=("0" * 64,),
     )
-    """The only customer's contract."""
+    """Its contract."""
 
 
 class VirtualSite:
@@ -246,7 +247,7 @@
         if call is CallKind.SUBMIT:
             job = JobRequest(
                 submission_id=submission_id,
-                customer=CUSTOMER,
+                customer=self.options.customer,
                 kind=kind,
                 deadline_in_s=deadline_s,
                 digest=submission_id.encode()[:8],
@@ -254,7 +255,12 @@
             )
         node.receive(
             CallReceived(
-                request, call, submission_id, CUSTOMER, deadline_s, job
+                request,
+                call,
+                submission_id,
+                self.options.customer,
+                deadline_s,
+                job,
             )
         )
 
@@ -369,7 +375,7 @@
     def _set_up(self) -> None:
         contract = RowChange(
             change_id="contract",
-            customer=CUSTOMER,
+            customer=self.options.customer,
             data_centre=None,
             contract=self.options.contract,
             state=None,
