--- a/features/steps/virtual_steps.py
+++ b/features/steps/virtual_steps.py
@@ -10,6 +10,10 @@
 from behave import then
 from behave import when
 
+from features.support.mutations import MUTATIONS
+from features.support.mutations import run_seed_without
+from features.support.mutations import without_rule
+from features.support.rule_cases import CASES
 from standins.virtual.chaos import PROBES
 from standins.virtual.chaos import ProfileName
 from standins.virtual.chaos import run_seed
@@ -20,7 +24,7 @@
 WORKERS = 8
 
 
-@when('seeds {first:d} to {last:d} run with "{profile}" faults')
+@when('seeds {first:d} to {last:d} run with "{profile:w}" faults')
 def run_seeds(context: Context, first: int, last: int, profile: str) -> None:
     seeds = range(first, last + 1)
     with ProcessPoolExecutor(WORKERS) as pool:
@@ -43,3 +47,56 @@
 def check_served(context: Context) -> None:
     unserved = [r.seed for r in context.results if r.served < PROBES // 2]
     assert not unserved, unserved
+
+
+@when('the case of "{rule}" runs')
+def run_case(context: Context, rule: str) -> None:
+    context.breaches = CASES[rule]()
+
+
+@when('the case of "{rule}" runs without the rule')
+def run_case_without(context: Context, rule: str) -> None:
+    with without_rule(rule):
+        context.breaches = CASES[rule]()
+
+
+@then("no promise is broken")
+def check_none_broken(context: Context) -> None:
+    assert not context.breaches, context.breaches[:3]
+
+
+@then("a promise is broken")
+def check_some_broken(context: Context) -> None:
+    assert context.breaches
+
+
+@when(
+    'seeds {first:d} to {last:d} run with "{profile:w}" faults'
+    ' without "{rule}"'
+)
+def run_seeds_without(
+    context: Context, first: int, last: int, profile: str, rule: str
+) -> None:
+    seeds = range(first, last + 1)
+    name = ProfileName(profile)
+    with ProcessPoolExecutor(WORKERS) as pool:
+        context.results = list(
+            pool.map(run_seed_without, seeds, repeat(name), repeat(rule))
+        )
+    context.rule = rule
+
+
+@then("some run breaks a promise or serves nothing")
+def check_caught(context: Context) -> None:
+    assert any(r.breaches or not r.served for r in context.results)
+
+
+@then("each rule has a scripted run or runs by chance")
+def check_all_rules_tested(context: Context) -> None:
+    tested = {
+        row["rule"]
+        for scenario in context.feature.scenarios
+        for examples in getattr(scenario, "examples", [])
+        for row in examples.table
+    }
+    assert tested == set(MUTATIONS), tested ^ set(MUTATIONS)
--- a/features/support/mutations.py
+++ b/features/support/mutations.py
@@ -24,11 +24,15 @@
 from fulmarscale.entry.records import Records
 from fulmarscale.wire.messages import NotStartedReason
 from standins.virtual import nodes
+from standins.virtual.chaos import run_seed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
 
+    from standins.virtual.chaos import ProfileName
+    from standins.virtual.chaos import RunResult
+
 
 def replace(target: Any, name: str, new: Any) -> Any:
     return mock.patch.object(target, name, new)
@@ -311,3 +315,9 @@
         for patch in MUTATIONS[name]():
             stack.enter_context(patch)
         yield
+
+
+def run_seed_without(seed: int, profile: ProfileName, rule: str) -> RunResult:
+    """Run one seed with a rule removed."""
+    with without_rule(rule):
+        return run_seed(seed, profile)
--- a/features/support/rule_cases.py
+++ b/features/support/rule_cases.py
@@ -445,6 +445,38 @@
     return script.site.history.check()
 
 
+def stream_breaks_with_tasks_waiting() -> list[str]:
+    """A stream breaks while tasks wait at its agent."""
+    script = Script(run_s=1.0, slots=1, ahead=6)
+    both = script.list_of(0, 1)
+    other = script.agent(1)
+    script.site.kill(other)
+    script.wait(0.5)
+    for _ in range(6):
+        script.submit(0, script.new_id((both, 0)), deadline_s=30.0)
+    script.site.restart(other)
+    script.wait(0.5)
+    for stream in script.site.streams.of_agent("agent-0"):
+        if stream.entry.name == "entry-0":
+            script.site.streams.break_stream(stream.session)
+    script.wait(12.0)
+    return script.site.history.check()
+
+
+def old_list_arrives_late() -> list[str]:
+    """A promise with an old list comes after a newer list."""
+    script = Script()
+    lease = script.entry(0).core.lease
+    member = lease.member
+    newer = EntryList(9, lease.entry_list.members)
+    older = EntryList(8, (member,))
+    lease.adopt_list(newer, script.entry(0).clock)
+    lease.adopt_list(older, script.entry(0).clock)
+    if lease.entry_list == newer:
+        return []
+    return [f"reverted to version {lease.entry_list.version}"]
+
+
 def _member(name: str, incarnation: int) -> Member:
     entry = EntryId(name, incarnation)
     return Member(entry, name, name, DataCentreName("dc-0"))
@@ -502,6 +534,9 @@
 CASES: dict[str, Callable[[], list[str]]] = {
     "wait at take-over": removed_while_confirmed,
     "token held before the confirmation": echo_without_confirmation,
+    "token at the agent": echo_without_confirmation,
+    "recovered tasks leave the queue": stream_breaks_with_tasks_waiting,
+    "list version only up": old_list_arrives_late,
     "incarnation of a token": echo_of_a_former_agent,
     "fence of removed entries": dispatch_of_a_removed_entry,
     "promises of all peers": minority_with_table,
