Serve small jobs by due time, let them wait at agents; failure features

Change: tasks go where a slot is known to be free, in order of a due time of 30 times the job's shortest time; jobs of up to 50 tasks may also wait at an agent, two from each entry, in the customers' turn.

--- a/Makefile
+++ b/Makefile
@@ -15,9 +15,9 @@
 	$(BIN)/python -m standins.demo
 
 lint: setup
-	$(BIN)/ruff format --check src standins features
-	$(BIN)/ruff check src standins features
-	$(BIN)/flake8 src standins features
+	$(BIN)/ruff format --check src standins features benches
+	$(BIN)/ruff check src standins features benches
+	$(BIN)/flake8 src standins features benches
 
 test: setup
 	$(BIN)/python -m features.run
--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with the policy under load and faults."""
--- /dev/null
+++ b/features/steps/failure_steps.py
@@ -0,0 +1,356 @@
+"""Steps that bring about failures of real processes."""
+
+from __future__ import annotations
+
+from collections import Counter
+import signal
+import threading
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+import httpx
+
+from features.steps.site_steps import remember_job
+from standins.site import wait_until
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from features.support.site_driver import Answer
+    from features.support.site_driver import SiteDriver
+
+LOAD_TASKS = 4
+LOAD_TASK_MS = 40
+LOAD_PAUSE_S = 0.05
+LOAD_DEADLINE_MS = 8000
+CALL_TRIES = 40
+
+
+class Load:
+    """Submits jobs without a break, as callers behind a balancer."""
+
+    def __init__(self, driver: SiteDriver) -> None:
+        self._driver = driver
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,))
+            for number in range(4)
+        ]
+        self.answers: list[tuple[str, Answer]] = []
+        self.cut_off: list[str] = []
+
+    def start(self) -> None:
+        for thread in self._threads:
+            thread.start()
+
+    def end(self) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number: int) -> None:
+        while not self._stop.is_set():
+            self._submit_one(number)
+            time.sleep(LOAD_PAUSE_S)
+
+    def _submit_one(self, number: int) -> None:
+        entry = self._ready_entry(number)
+        if entry is None:
+            return
+        try:
+            submission_id = self._driver.mint(entry)[0]
+        except httpx.HTTPError:
+            return
+        for _ in range(CALL_TRIES):
+            entry = self._ready_entry(number)
+            if entry is None:
+                continue
+            try:
+                answer = self._driver.submit(
+                    submission_id,
+                    [{"ms": LOAD_TASK_MS}] * LOAD_TASKS,
+                    entry=entry,
+                    deadline_ms=LOAD_DEADLINE_MS,
+                )
+            except httpx.ConnectError:
+                continue
+            except httpx.HTTPError:
+                # The connection broke with the request under way.
+                self.cut_off.append(submission_id)
+                return
+            self.answers.append((submission_id, answer))
+            return
+
+    def _ready_entry(self, number: int) -> int | None:
+        count = len(self._driver.site.state.entries)
+        for offset in range(count):
+            entry = (number + offset) % count
+            url = f"{self._driver.entry_url(entry)}/readyz"
+            try:
+                if httpx.get(url, timeout=2).status_code == 200:
+                    return entry
+            except httpx.HTTPError:
+                continue
+        time.sleep(0.1)
+        return None
+
+
+@given("jobs are submitted without a break")
+def begin_load(context: Context) -> None:
+    context.load = Load(context.driver)
+    context.load.start()
+    context.add_cleanup(context.load.end)
+    time.sleep(1)
+
+
+@when("the jobs end")
+def end_load(context: Context) -> None:
+    context.load.end()
+    assert len(context.load.answers) > 20, len(context.load.answers)
+
+
+@when('"{name}" is killed')
+def kill(context: Context, name: str) -> None:
+    context.driver.kill(name)
+
+
+@when('"{name}" is started again')
+def start_again(context: Context, name: str) -> None:
+    context.driver.site.restart(name)
+
+
+@when('"{name}" is paused for {seconds:d} seconds')
+def pause(context: Context, name: str, seconds: int) -> None:
+    context.driver.signal(name, signal.SIGSTOP)
+    time.sleep(seconds)
+    context.driver.signal(name, signal.SIGCONT)
+
+
+@when('"{name}" is restarted as planned')
+def restart_as_planned(context: Context, name: str) -> None:
+    context.driver.signal(name, signal.SIGTERM)
+    assert context.driver.site.wait(name, 60) == 0
+    context.driver.site.restart(name)
+    kind, number = name.split("-")
+    if kind == "entry":
+        context.driver.wait_ready(int(number))
+    context.driver.wait_agents(len(context.driver.site.state.agents))
+    time.sleep(1)
+
+
+@step('the platform is "{mode}"')
+def set_platform(context: Context, mode: str) -> None:
+    context.driver.set_platform(mode)
+
+
+@given('target {number:d} is "{mode}"')
+def set_target(context: Context, number: int, mode: str) -> None:
+    context.driver.set_target(number, mode)
+
+
+@when("entry {entry:d} serves again")
+def wait_served(context: Context, entry: int) -> None:
+    context.driver.wait_ready(entry)
+
+    def is_served() -> bool:
+        made = context.driver.mint(entry)[0]
+        answer = context.driver.submit(made, [{"ms": 10}], entry=entry)
+        return answer.outcome == "done"
+
+    wait_until(is_served, 30)
+
+
+@then("entry {entry:d} is ready again")
+def check_ready(context: Context, entry: int) -> None:
+    context.driver.wait_ready(entry)
+
+
+@when("200 jobs of 3 tasks are each submitted to both entries at once")
+def submit_twice(context: Context) -> None:
+    driver = context.driver
+    context.pairs = []
+    ids = driver.mint(0, 100) + driver.mint(1, 100)
+    for start in range(0, 200, 20):
+        batch = [
+            [
+                driver.later(driver.submit, made, [{"ms": 5}] * 3, entry=entry)
+                for entry in (0, 1)
+            ]
+            for made in ids[start : start + 20]
+        ]
+        context.pairs += [[f.result(60) for f in pair] for pair in batch]
+
+
+@then("both copies of each job got the same answer")
+def check_pairs(context: Context) -> None:
+    for first, second in context.pairs:
+        assert first.body == second.body, (first, second)
+
+
+@then("every job is done")
+def check_all_done(context: Context) -> None:
+    outcomes = Counter(first.outcome for first, _ in context.pairs)
+    assert outcomes == {"done": len(context.pairs)}, outcomes
+
+
+def check_true(body: dict[str, Any], started: set[tuple[str, int]]) -> None:
+    """Hold an answer against all starts that the targets saw."""
+    made = body["submission_id"]
+    ran = {index for other, index in started if other == made}
+    if body["outcome"] == "not_run":
+        assert not ran, body
+    for task in body["tasks"]:
+        if task["outcome"] == "not_run":
+            assert task["index"] not in ran, body
+        if task["outcome"] == "done":
+            assert task["index"] in ran, body
+
+
+def started_tasks(context: Context) -> set[tuple[str, int]]:
+    return {(s.submission_id, s.index) for s in context.driver.starts()}
+
+
+@then("every answer is true")
+def check_all_true(context: Context) -> None:
+    started = started_tasks(context)
+    for made, answer in context.load.answers:
+        assert answer.body.get("submission_id") == made, answer
+        check_true(answer.body, started)
+
+
+@then("the job's answer is true")
+def check_answer_true(context: Context) -> None:
+    check_true(context.answer.body, started_tasks(context))
+
+
+@then("no job was cut off")
+def check_none_cut_off(context: Context) -> None:
+    assert not context.load.cut_off, context.load.cut_off
+    outcomes = Counter(a.outcome for _, a in context.load.answers)
+    codes = Counter(a.body.get("code") for _, a in context.load.answers)
+    assert set(outcomes) == {"done"}, (outcomes, codes)
+
+
+@then('the job under way ends as "{outcome}"')
+def check_under_way_plain(context: Context, outcome: str) -> None:
+    context.answer = context.under_way.result(60)
+    assert context.answer.outcome == outcome, context.answer.body
+
+
+@then('its outcome is one of "{outcomes}"')
+def check_one_of(context: Context, outcomes: str) -> None:
+    assert context.answer.outcome in outcomes.split(", "), context.answer
+
+
+@when(
+    "a job of {count:d} tasks of {ms:d} ms is submitted to entry {entry:d}"
+    " with an id of its own"
+)
+def submit_own_id(context: Context, count: int, ms: int, entry: int) -> None:
+    remember_job(context, count, ms, entry)
+    context.answer = context.driver.submit(
+        context.submission_id,
+        context.payloads,
+        entry=entry,
+        deadline_ms=3000,
+    )
+
+
+@when(
+    "a job of {count:d} tasks of {ms:d} ms is submitted to entry {entry:d}"
+    " for {seconds:d} second"
+)
+@when(
+    "a job of {count:d} tasks of {ms:d} ms is submitted to entry {entry:d}"
+    " for {seconds:d} seconds"
+)
+def submit_for(
+    context: Context, count: int, ms: int, entry: int, seconds: int
+) -> None:
+    remember_job(context, count, ms, entry)
+    context.answer = context.driver.submit(
+        context.submission_id,
+        context.payloads,
+        entry=entry,
+        deadline_ms=seconds * 1000,
+    )
+
+
+@when("the job is cancelled at entry {entry:d}")
+def cancel(context: Context, entry: int) -> None:
+    driver = context.driver
+    url = f"{driver.entry_url(entry)}/v1/jobs/{context.submission_id}"
+    key = driver.site.state.customers["fjaervik"]
+    headers = {"authorization": f"Bearer {key}"}
+    answer = driver.request("DELETE", url, headers=headers)
+    assert answer.status == 200, answer
+
+
+@then('each of its tasks is "{outcome}" with code {code:d}')
+def check_tasks(context: Context, outcome: str, code: int) -> None:
+    found = {(t["outcome"], t["code"]) for t in context.answer.body["tasks"]}
+    assert found == {(outcome, code)}, context.answer.body
+
+
+@then("no task of it was started")
+def check_none_started(context: Context) -> None:
+    assert not context.driver.starts_of(context.submission_id)
+
+
+@then("target {number:d} started nothing")
+def check_target_idle(context: Context, number: int) -> None:
+    url = context.driver.site.state.targets[number].url
+    assert httpx.get(f"{url}/starts").json() == []
+
+
+@then('no task started in "{name}" later than {seconds:d} seconds after')
+def check_closed(context: Context, name: str, seconds: int) -> None:
+    limit = context.changed_at + seconds
+    late = [
+        start
+        for start in context.driver.starts()
+        if start.data_centre == name and start.started_at > limit
+    ]
+    assert not late, late
+
+
+@when('the operator begins to take "{name}" out')
+def begin_take_out(context: Context, name: str) -> None:
+    context.change = context.driver.later(
+        context.driver.set_data_centre, name, "out"
+    )
+
+
+@then("the operator's change is accepted once")
+def check_accepted_once(context: Context) -> None:
+    answer = context.change.result(30)
+    assert answer.status == 200, answer
+    assert answer.headers["etag"] == '"2"', answer
+
+
+@when('two operators change "{name}" from the same version at once')
+def race(context: Context, name: str) -> None:
+    driver = context.driver
+    path = f"/v1/data-centres/{name}"
+    version = driver.operator("GET", path).headers["etag"]
+    futures = [
+        driver.later(
+            driver.operator, "PUT", path, entry, version, {"state": state}
+        )
+        for entry, state in ((0, "out"), (1, "in"))
+    ]
+    context.race = [future.result(30) for future in futures]
+
+
+@then("one change is accepted and the other gets a conflict")
+def check_race(context: Context) -> None:
+    statuses = sorted(answer.status for answer in context.race)
+    assert statuses == [200, 412], context.race
+    loser = next(a for a in context.race if a.status == 412)
+    assert loser.body["code"] == 5001, loser
+    assert loser.body["current_version"] == 2, loser
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -49,7 +49,7 @@
 
 @when("the same job is submitted to entry {entry:d}")
 def submit_again(context: Context, entry: int) -> None:
-    context.first_answer = context.answer
+    context.first_answer = getattr(context, "answer", None)
     submit(context, entry)
 
 
--- a/features/support/rule_cases.py
+++ b/features/support/rule_cases.py
@@ -102,7 +102,7 @@
             run_s=(run_s, run_s),
             fail_share=0.0,
             timings=timings or Timings(),
-            limits=EntryLimits(ahead=ahead),
+            limits=EntryLimits(ahead=ahead, small_job=1000),
             customer=_find_customer(holders),
         )
         self.site = VirtualSite(1, options)
--- a/src/fulmarscale/agent/core.py
+++ b/src/fulmarscale/agent/core.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from fulmarscale.agent.actions import Drained
@@ -45,6 +46,7 @@
     from fulmarscale.agent.inputs import AgentInput
     from fulmarscale.control.timings import Timings
     from fulmarscale.ids import AgentId
+    from fulmarscale.ids import CustomerName
     from fulmarscale.ids import DataCentreName
     from fulmarscale.ids import EntryId
     from fulmarscale.ids import SubmissionId
@@ -81,6 +83,7 @@
         self._queue = TaskQueue()
         self._links = Links()
         self._running: set[TaskRef] = set()
+        self._customers: Counter[CustomerName] = Counter()
         self._entry_list = EntryList(0, ())
         self._closed = ClosedDataCentres(-1, ())
         self._echoes: dict[EntryId, float] = {}
@@ -250,6 +253,7 @@
                 QueuedTask(
                     ref=ref,
                     spec=spec,
+                    customer=job.customer,
                     kind=job.kind,
                     entry=entry,
                     deadline_at=now + job.deadline_in_s,
@@ -277,6 +281,7 @@
         if record is None or record.result is not None:
             return
         self._running.discard(result.task)
+        self._note_end(result.task)
         link = self._links.of(record.entry)
         if not event.reached:
             # No byte reached the target: the task provably did not start.
@@ -295,6 +300,11 @@
             record.is_reported = True
             link.results.append(result)
 
+    def _note_end(self, task: TaskRef) -> None:
+        job = self._records.job(task.submission_id)
+        if job is not None:
+            self._customers[job.customer] -= 1
+
     def _see_target(self, event: TargetSeen) -> None:
         if event.leaving and not self._is_target_leaving:
             self._log(Event.TARGET_LEAVING)
@@ -335,7 +345,9 @@
         return None
 
     def _start_ready(self, now: float) -> None:
-        for item in self._queue.items():
+        if not len(self._queue) or len(self._running) >= self._slots:
+            return
+        for item in self._queue.in_turn(self._customers):
             if len(self._running) >= self._slots:
                 return
             if self._is_fenced(item.entry):
@@ -362,6 +374,7 @@
     def _start(self, item: QueuedTask, now: float) -> None:
         self._records.start(item.ref, item.entry, now)
         self._running.add(item.ref)
+        self._customers[item.customer] += 1
         self._counters.add(Count.TASKS_STARTED)
         self._actions.append(
             StartTask(
--- a/src/fulmarscale/agent/task_queue.py
+++ b/src/fulmarscale/agent/task_queue.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from fulmarscale.ids import CustomerName
     from fulmarscale.ids import EntryId
     from fulmarscale.ids import SubmissionId
     from fulmarscale.ids import TaskRef
@@ -19,6 +21,8 @@
     """The task."""
     spec: TaskSpec
     """Its payload."""
+    customer: CustomerName
+    """The customer that submitted its job."""
     kind: str
     """Its kind."""
     entry: EntryId
@@ -48,6 +52,19 @@
         """List all tasks, oldest first."""
         return list(self._items.values())
 
+    def in_turn(self, running: Counter[CustomerName]) -> list[QueuedTask]:
+        """List all tasks, those of the least busy customers first.
+
+        :param running: the number of running tasks of each customer.
+        """
+        ahead = Counter(running)
+        ranked = []
+        for item in self._items.values():
+            ranked.append((ahead[item.customer], item))
+            ahead[item.customer] += 1
+        ranked.sort(key=lambda entry: entry[0])
+        return [item for _, item in ranked]
+
     def take(self, submission_id: SubmissionId) -> list[QueuedTask]:
         """Take out all tasks of a submission."""
         taken = [
--- a/src/fulmarscale/control/takeover.py
+++ b/src/fulmarscale/control/takeover.py
@@ -60,13 +60,13 @@
     """Whether the prior owner said that it has a record."""
 
 
-class HandOverKey(NamedTuple):
-    """Names one hand-over."""
+class ReceivedHandOver(NamedTuple):
+    """What is known from an entry that handed over all its records."""
 
-    of: EntryId
-    """The entry that left."""
     list_version: int
     """The version of the list without it."""
+    known_since_s: float
+    """Unix time; younger ids without a record never started there."""
 
 
 class PastKeeper:
@@ -75,7 +75,7 @@
     def __init__(self, lease: LeaseKeeper, timings: Timings) -> None:
         self._lease = lease
         self._timings = timings
-        self._hand_overs: dict[HandOverKey, float] = {}
+        self._hand_overs: dict[EntryId, ReceivedHandOver] = {}
         self._answers: dict[SubmissionId, PastAnswer] = {}
 
     def clear(self) -> None:
@@ -87,7 +87,8 @@
         self, of: EntryId, list_version: int, known_since_s: float
     ) -> None:
         """Note that a leaving entry has handed over all its records."""
-        self._hand_overs[HandOverKey(of, list_version)] = known_since_s
+        received = ReceivedHandOver(list_version, known_since_s)
+        self._hand_overs[of] = received
 
     def receive_answer(self, answer: PastAnswer) -> None:
         """Note what a prior owner said."""
@@ -157,10 +158,22 @@
         for member in before.entry_list.members:
             if view.entry_list.find(member.entry) is not None:
                 continue
-            key = HandOverKey(member.entry, view.entry_list.version)
-            bound_s = max(bound_s, self._hand_overs.get(key, gained_s))
+            handed_over_s = self._handed_over_s(
+                member.entry, view.entry_list.version
+            )
+            if handed_over_s is None:
+                handed_over_s = gained_s
+            bound_s = max(bound_s, handed_over_s)
         return bound_s
 
+    def _handed_over_s(self, of: EntryId, version: int) -> float | None:
+        # A hand-over holds all records of the leaving entry, so that it
+        # also covers keys that went over from it at an earlier version.
+        received = self._hand_overs.get(of)
+        if received is None or received.list_version < version:
+            return None
+        return received.known_since_s
+
     def _age_limit_s(self, gained_at: float) -> float:
         gained_at_s = self._lease.wall_time_s(gained_at)
         if gained_at_s is None:
@@ -172,8 +185,9 @@
         if tenure.list_version == FIRST_VERSION:
             return ALWAYS_S
         if tenure.prior is not None:
-            key = HandOverKey(tenure.prior, tenure.list_version)
-            handed_over_s = self._hand_overs.get(key)
+            handed_over_s = self._handed_over_s(
+                tenure.prior, tenure.list_version
+            )
             if handed_over_s is not None:
                 return handed_over_s
         return self._age_limit_s(tenure.gained_at)
--- a/src/fulmarscale/entry/agents.py
+++ b/src/fulmarscale/entry/agents.py
@@ -97,14 +97,17 @@
         """Count the tasks that the agent may be given now.
 
         :param now: monotonic time.
-        :param ahead: tasks that may wait there beyond the free slots.
+        :param ahead: tasks that may wait there beyond the free slots. An
+            entry with fewer tasks there may always send up to as many: it
+            hears too seldom from an agent that others keep busy.
         """
         if self.state is not AgentState.SERVING or self.slots == 0:
             return 0
         if self.is_quarantined:
             may_probe = now >= self._probe_at and not self.outstanding
             return 1 if may_probe else 0
-        return max(0, self.slots + ahead - self.load)
+        free = self.slots + ahead - self.load
+        return max(0, free, ahead - len(self.outstanding))
 
     def receive(self, message: FromAgent, now: float) -> None:
         """Take in the token and load that come with every message."""
--- a/src/fulmarscale/entry/core.py
+++ b/src/fulmarscale/entry/core.py
@@ -96,7 +96,9 @@
         self._quota = QuotaKeeper(self._lease, self._past, timings, self._out)
         self._records = Records(timings, limits.records)
         self._run_times = RunTimes()
-        self._placer = Placer(policy or LeastLoad(random), limits.ahead)
+        self._placer = Placer(
+            policy or LeastLoad(random), limits.ahead, limits.small_job
+        )
         self._changes = ChangeKeeper(self._lease, self._out)
         self._gatherer = Gatherer(
             lease=self._lease,
@@ -127,7 +129,7 @@
             timings=timings,
             outbox=self._out,
             counters=self._counters,
-            largest_queue=limits.queued_tasks,
+            limits=limits,
         )
         self._leaver = Leaver(
             lease=self._lease,
--- a/src/fulmarscale/entry/gather.py
+++ b/src/fulmarscale/entry/gather.py
@@ -43,7 +43,10 @@
 CONFIRM_SPACING_S = 0.02
 """The least time between confirmations begun for waiting pairs."""
 
-WARM_AFTER_S = 0.4
+LATE_SHARE = 0.5
+"""A task is not sent with less time left than this share of its mean."""
+
+WARM_AFTER_S = 0.8
 """Silence after which a pair's token is refreshed."""
 
 WARM_RATE = 50.0
@@ -297,6 +300,9 @@
         batches: dict[int, dict[SubmissionId, list[Placement]]]
         batches = defaultdict(lambda: defaultdict(list))
         for placement in placements:
+            if self._is_too_late(placement.job, now):
+                self._end_unsent(placement, now)
+                continue
             self._mark_sent(placement)
             batch = batches[placement.view.session]
             batch[placement.job.submission_id].append(placement)
@@ -304,6 +310,18 @@
             jobs = tuple(_dispatch(placed, now) for placed in by_job.values())
             self._send(self._views[session], now, jobs=jobs)
 
+    def _is_too_late(self, job: Job, now: float) -> bool:
+        mean_s = self._run_times.mean_s(job.kind)
+        if mean_s is None:
+            return False
+        return now + LATE_SHARE * mean_s > job.deadline_at
+
+    def _end_unsent(self, placement: Placement, now: float) -> None:
+        placement.job.settle(
+            placement.task, Outcome.NOT_RUN, ResultCode.DEADLINE_UNREACHABLE
+        )
+        self._finish_if_settled(placement.job, now)
+
     def _mark_sent(self, placement: Placement) -> None:
         view = placement.view
         placement.task.send(view.agent, view.session)
--- a/src/fulmarscale/entry/job.py
+++ b/src/fulmarscale/entry/job.py
@@ -134,6 +134,7 @@
         self.digest = digest
         self.received_at = received_at
         self.deadline_at = deadline_at
+        self.due_at = deadline_at
         self.tasks = [Task(i, p) for i, p in enumerate(payloads)]
         self.waiters: dict[ReplyTo, None] = {}
         self.is_cancelled = False
--- a/src/fulmarscale/entry/limits.py
+++ b/src/fulmarscale/entry/limits.py
@@ -14,5 +14,9 @@
     """Submissions that an entry has a record of."""
     queued_tasks: int = 100_000
     """Tasks that wait for an agent."""
-    ahead: int = 0
-    """Tasks sent to an agent beyond its free slots."""
+    ahead: int = 2
+    """Tasks of small jobs that may wait at an agent for a slot."""
+    small_job: int = 50
+    """The largest job whose tasks may wait at an agent."""
+    stretch: float = 30.0
+    """A job is due after this many times its shortest possible time."""
--- a/src/fulmarscale/entry/own.py
+++ b/src/fulmarscale/entry/own.py
@@ -11,6 +11,7 @@
 from fulmarscale.control.actions import SendPeer
 from fulmarscale.control.counters import Count
 from fulmarscale.control.takeover import Verdict
+from fulmarscale.entry.gather import LATE_SHARE
 from fulmarscale.entry.job import CallerReply
 from fulmarscale.entry.job import Job
 from fulmarscale.entry.job import PeerReply
@@ -39,6 +40,7 @@
     from fulmarscale.entry.gather import Gatherer
     from fulmarscale.entry.inputs import CallReceived
     from fulmarscale.entry.job import ReplyTo
+    from fulmarscale.entry.limits import EntryLimits
     from fulmarscale.entry.outbox import Outbox
     from fulmarscale.entry.place import Placer
     from fulmarscale.entry.records import Records
@@ -58,6 +60,9 @@
 RETRY_AFTER_S = 1.0
 """When a caller may ask again after an unknown outcome."""
 
+USUAL_RUN_S = 0.2
+"""The run time that is taken for a kind before any is known."""
+
 NO_TARGET_AFTER_S = 2.0
 """How long agents have had to connect before a kind is refused."""
 
@@ -116,7 +121,7 @@
         timings: Timings,
         outbox: Outbox,
         counters: Counters,
-        largest_queue: int,
+        limits: EntryLimits,
     ) -> None:
         self._lease = lease
         self._past = past
@@ -129,7 +134,7 @@
         self._timings = timings
         self._out = outbox
         self._counters = counters
-        self._largest_queue = largest_queue
+        self._limits = limits
         self._calls: dict[ReplyTo, Call] = {}
         self._forwards: dict[int, Call] = {}
         self._admitting: dict[int, Job] = {}
@@ -399,14 +404,27 @@
         if not granted:
             self._refuse(job, ResultCode.RATE_EXCEEDED, now)
             return
+        job.due_at = self._due_at(job)
         for task in job.tasks:
             if task.state is TaskState.QUEUED:
                 self._placer.push(job, task)
         self._gatherer.place(now)
 
+    def _due_at(self, job: Job) -> float:
+        """Give the time by which a job should end, for its size.
+
+        Each job may take the same multiple of its shortest possible time,
+        so that small jobs don't wait for large ones, which don't starve.
+        """
+        mean_s = self._run_times.mean_s(job.kind) or USUAL_RUN_S
+        slots = sum(view.slots for view in self._gatherer.views)
+        rounds = max(1.0, len(job.tasks) / max(1, slots))
+        due_at = job.received_at + self._limits.stretch * rounds * mean_s
+        return min(due_at, job.deadline_at)
+
     def _early_refusal(self, job: Job, now: float) -> ResultCode | None:
         """Name the reason for which a job can't end in time, if any."""
-        if self._placer.waiting + len(job.tasks) > self._largest_queue:
+        if self._placer.waiting + len(job.tasks) > self._limits.queued_tasks:
             return ResultCode.QUEUE_FULL
         views = self._gatherer.views
         first_at = self._gatherer.first_agent_at
@@ -418,10 +436,11 @@
         slots = sum(view.slots for view in able)
         if mean_s is None or slots == 0:
             return None
-        busy = sum(max(0, view.load - view.slots) for view in able)
-        waiting = self._placer.waiting + busy + len(job.tasks)
-        rounds = max(0.0, waiting / slots - 1)
-        if now + (rounds + 0.5) * mean_s > job.deadline_at:
+        load = sum(view.load for view in able) + self._placer.waiting
+        # What does not fit waits for half a run of what is running now.
+        over = load + len(job.tasks) - slots
+        rounds = LATE_SHARE + over / slots if over > 0 else 0.0
+        if now + (rounds + LATE_SHARE) * mean_s > job.deadline_at:
             return ResultCode.DEADLINE_UNREACHABLE
         return None
 
--- a/src/fulmarscale/entry/place.py
+++ b/src/fulmarscale/entry/place.py
@@ -4,6 +4,7 @@
 
 from abc import ABC
 from abc import abstractmethod
+from collections import Counter
 from collections import deque
 import heapq
 from typing import NamedTuple
@@ -20,6 +21,10 @@
     from fulmarscale.ids import CustomerName
 
 
+UNPLACED_LIMIT = 32
+"""Tasks passed over in one round before it ends."""
+
+
 class Candidate(NamedTuple):
     """An agent that may be given tasks."""
 
@@ -129,10 +134,10 @@
 
 
 class QueuedTask(NamedTuple):
-    """A task in a customer's queue, ordered by deadline."""
+    """A task in a customer's queue, ordered by when its job is due."""
 
-    deadline_at: float
-    """The deadline of its job."""
+    due_at: float
+    """When its job is due."""
     number: int
     """The order of arrival."""
     job: Job
@@ -141,11 +146,37 @@
     """The task."""
 
 
-class TaskQueue:
-    """Queued tasks, by deadline in each customer, customers in turn."""
+class CustomerQueue:
+    """One customer's queued tasks, those of small jobs apart."""
 
     def __init__(self) -> None:
-        self._queues: dict[CustomerName, list[QueuedTask]] = {}
+        self._small: list[QueuedTask] = []
+        self._large: list[QueuedTask] = []
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no task waits."""
+        return not self._small and not self._large
+
+    def push(self, item: QueuedTask, *, is_small: bool) -> None:
+        """Add a task."""
+        heapq.heappush(self._small if is_small else self._large, item)
+
+    def pop(self, *, only_small: bool) -> QueuedTask | None:
+        """Take the task that is due first."""
+        if only_small or not self._large:
+            return heapq.heappop(self._small) if self._small else None
+        if not self._small or self._large[0] < self._small[0]:
+            return heapq.heappop(self._large)
+        return heapq.heappop(self._small)
+
+
+class TaskQueue:
+    """Queued tasks, by due time in each customer, customers in turn."""
+
+    def __init__(self, small_job: int) -> None:
+        self._small_job = small_job
+        self._queues: dict[CustomerName, CustomerQueue] = {}
         self._turns: deque[CustomerName] = deque()
         self._number = 0
         self._waiting = 0
@@ -159,42 +190,57 @@
         """Add a queued task."""
         queue = self._queues.get(job.customer)
         if queue is None:
-            queue = self._queues[job.customer] = []
+            queue = self._queues[job.customer] = CustomerQueue()
             self._turns.append(job.customer)
         self._number += 1
-        item = QueuedTask(job.deadline_at, self._number, job, task)
-        heapq.heappush(queue, item)
+        item = QueuedTask(job.due_at, self._number, job, task)
+        is_small = len(job.tasks) <= self._small_job
+        queue.push(item, is_small=is_small)
         self._waiting += 1
 
-    def pop(self) -> QueuedTask | None:
-        """Take the next task of the customer whose turn it is."""
-        while self._turns:
+    def pop(self, *, only_small: bool) -> QueuedTask | None:
+        """Take the next task of the customer whose turn it is.
+
+        :param only_small: whether to pass over the tasks of large jobs.
+        """
+        for _ in range(len(self._turns)):
             customer = self._turns.popleft()
-            item = self._pop_queued(self._queues[customer])
-            if item is None:
+            queue = self._queues[customer]
+            item = self._pop_queued(queue, only_small=only_small)
+            if queue.is_empty:
                 del self._queues[customer]
-                continue
-            self._turns.append(customer)
-            return item
+            else:
+                self._turns.append(customer)
+            if item is not None:
+                return item
         return None
 
-    def _pop_queued(self, queue: list[QueuedTask]) -> QueuedTask | None:
-        while queue:
-            item = heapq.heappop(queue)
+    def _pop_queued(
+        self, queue: CustomerQueue, *, only_small: bool
+    ) -> QueuedTask | None:
+        while (item := queue.pop(only_small=only_small)) is not None:
             self._waiting -= 1
-            # Cancelled and expired tasks stay in the heap until here.
+            # Cancelled and expired tasks stay in the queue until here.
             if item.task.state is TaskState.QUEUED:
                 return item
         return None
 
 
 class Placer:
-    """Gives queued tasks to agents with room, late."""
+    """Gives queued tasks to agents with room, late.
+
+    Tasks go where a slot is known to be free. Only jobs of few tasks may
+    also wait at an agent: another entry's large job can keep every slot
+    busy, and its slots are free for a moment that this entry doesn't see.
+    """
 
-    def __init__(self, policy: PlacementPolicy, ahead: int) -> None:
+    def __init__(
+        self, policy: PlacementPolicy, ahead: int, small_job: int
+    ) -> None:
         self._policy = policy
         self._ahead = ahead
-        self._queue = TaskQueue()
+        self._small_job = small_job
+        self._queue = TaskQueue(small_job)
 
     @property
     def waiting(self) -> int:
@@ -203,7 +249,7 @@
 
     def clear(self) -> None:
         """Forget all tasks, as a new incarnation does."""
-        self._queue = TaskQueue()
+        self._queue = TaskQueue(self._small_job)
 
     def push(self, job: Job, task: Task) -> None:
         """Add a queued task."""
@@ -217,32 +263,48 @@
         """
         if self._queue.waiting == 0:
             return []
-        candidates = []
-        for view in views:
-            room = view.room(now, self._ahead)
-            if room > 0:
-                candidates.append(Candidate(view, room))
-        if not candidates:
+        placements = self._fill(_find_room(views, now, 0), only_small=False)
+        if self._ahead == 0 or self._queue.waiting == 0:
+            return placements
+        given = Counter(placement.view for placement in placements)
+        ahead = [
+            Candidate(found.view, found.room - given[found.view])
+            for found in _find_room(views, now, self._ahead)
+            if found.room > given[found.view]
+        ]
+        return placements + self._fill(ahead, only_small=True)
+
+    def _fill(
+        self, candidates: list[Candidate], *, only_small: bool
+    ) -> list[Placement]:
+        """Place tasks in turn until there is no room.
+
+        :param candidates: the agents with room.
+        :param only_small: whether to place tasks of small jobs only.
+        """
+        free = sum(candidate.room for candidate in candidates)
+        if free == 0:
             return []
         self._policy.open(candidates)
-        free = sum(candidate.room for candidate in candidates)
-        return self._fill(free)
-
-    def _fill(self, free: int) -> list[Placement]:
         placements: list[Placement] = []
         unplaced: list[QueuedTask] = []
-        while free > 0:
-            item = self._queue.pop()
+        while free > 0 and len(unplaced) <= UNPLACED_LIMIT:
+            item = self._queue.pop(only_small=only_small)
             if item is None:
                 break
             view = self._policy.choose(item.job.kind)
             if view is None:
                 unplaced.append(item)
-                if len(unplaced) > len(placements) + free:
-                    break
                 continue
             free -= 1
             placements.append(Placement(item.job, item.task, view))
         for item in unplaced:
             self._queue.push(item.job, item.task)
         return placements
+
+
+def _find_room(
+    views: list[AgentView], now: float, ahead: int
+) -> list[Candidate]:
+    rooms = [Candidate(view, view.room(now, ahead)) for view in views]
+    return [candidate for candidate in rooms if candidate.room > 0]
--- a/standins/virtual/chaos.py
+++ b/standins/virtual/chaos.py
@@ -135,7 +135,7 @@
             run_s=(0.1, 1.5),
             fail_share=0.0,
             start_freeze_share=0.02,
-            limits=EntryLimits(ahead=6),
+            limits=EntryLimits(ahead=6, small_job=1000),
         ),
     ),
 }
--- a/standins/virtual/site.py
+++ b/standins/virtual/site.py
@@ -92,7 +92,9 @@
     limits: EntryLimits = EntryLimits()
     """Limits of the entries."""
     customer: CustomerName = CustomerName("fjaervik")
-    """The only customer."""
+    """The customer of all jobs that name no other."""
+    others: tuple[CustomerName, ...] = ()
+    """Further customers, under equal contracts."""
     contract: Contract = Contract(
         rate=100_000,
         burst=100_000,
@@ -235,8 +237,10 @@
         answered: Callable[[AnswerCaller], None] | None = None,
         kind: str = "echo",
         payloads: tuple[bytes, ...] | None = None,
+        customer: CustomerName | None = None,
     ) -> None:
         """Play a caller of an entry."""
+        customer = customer or self.options.customer
         self._request += 1
         request = RequestId(self._request)
         self._asked[request] = submission_id
@@ -247,7 +251,7 @@
         if call is CallKind.SUBMIT:
             job = JobRequest(
                 submission_id=submission_id,
-                customer=self.options.customer,
+                customer=customer,
                 kind=kind,
                 deadline_in_s=deadline_s,
                 digest=submission_id.encode()[:8],
@@ -258,7 +262,7 @@
                 request,
                 call,
                 submission_id,
-                self.options.customer,
+                customer,
                 deadline_s,
                 job,
             )
@@ -373,15 +377,16 @@
         )
 
     def _set_up(self) -> None:
-        contract = RowChange(
-            change_id="contract",
-            customer=self.options.customer,
-            data_centre=None,
-            contract=self.options.contract,
-            state=None,
-            expected_version=0,
-        )
-        self.table.write_change(contract, 0.0)
+        for customer in (self.options.customer, *self.options.others):
+            contract = RowChange(
+                change_id=f"contract-{customer}",
+                customer=customer,
+                data_centre=None,
+                contract=self.options.contract,
+                state=None,
+                expected_version=0,
+            )
+            self.table.write_change(contract, 0.0)
         for number in range(self.options.data_centres):
             data_centre = RowChange(
                 change_id=f"dc-{number}",
