Refuse hostile input with numbered errors; mend deep nesting

Cause: a body nested 200,000 deep made the JSON decoder raise RecursionError, which was answered as 500, 9001. Change: it counts as malformed, 400 and 4001, also from targets.

--- /dev/null
+++ b/features/steps/hostile_steps.py
@@ -0,0 +1,281 @@
+"""Steps that send hostile and broken input."""
+
+from __future__ import annotations
+
+from random import Random
+import socket
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from behave import then
+import httpx
+from hypothesis import given as any_of
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+
+from fulmarscale.errors import ResultCode
+from fulmarscale.ids import mint_submission_id
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from behave.runner import Context
+
+    from features.support.site_driver import Answer
+    from features.support.site_driver import SiteDriver
+
+RANDOM = Random(7)
+GOOD_JOB: dict[str, Any] = {"kind": "echo", "tasks": [{"payload": 1}]}
+
+
+def new_id(ahead_s: float = 0.0) -> str:
+    return mint_submission_id(time.time() + ahead_s, RANDOM)
+
+
+class Sender:
+    """Sends one submission that has something wrong with it."""
+
+    def __init__(self, driver: SiteDriver) -> None:
+        self._driver = driver
+        self.key: str | None = driver.site.state.customers["fjaervik"]
+        self.made: str | None = new_id()
+        self.body = msgspec.json.encode(GOOD_JOB)
+
+    def change_job(self, **changes: Any) -> None:
+        self.body = msgspec.json.encode({**GOOD_JOB, **changes})
+
+    def send(self) -> Answer:
+        headers = {}
+        if self.key is not None:
+            headers["authorization"] = f"Bearer {self.key}"
+        if self.made is not None:
+            headers["idempotency-key"] = self.made
+        url = f"{self._driver.entry_url(0)}/v1/jobs"
+        return self._driver.request(
+            "POST", url, headers=headers, content=self.body
+        )
+
+
+def set_key(key: str | None) -> Callable[[Sender], None]:
+    return lambda sender: setattr(sender, "key", key)
+
+
+def set_id(made: Callable[[], str | None]) -> Callable[[Sender], None]:
+    return lambda sender: setattr(sender, "made", made())
+
+
+def set_body(body: bytes) -> Callable[[Sender], None]:
+    return lambda sender: setattr(sender, "body", body)
+
+
+def set_job(**changes: Any) -> Callable[[Sender], None]:
+    return lambda sender: sender.change_job(**changes)
+
+
+SUBMISSIONS: dict[str, Callable[[Sender], None]] = {
+    "no key": set_key(None),
+    "a wrong key": set_key("not-a-key"),
+    "the operators' key": set_key("operator-key-of-the-stand-in"),
+    "no id": set_id(lambda: None),
+    "an id that is no UUIDv7": set_id(
+        lambda: "6e2b1c1e-5a0b-4c59-9a0e-2f1f5b8b0a11"
+    ),
+    "an id in upper case": set_id(lambda: new_id().upper()),
+    "an id an hour in advance": set_id(lambda: new_id(3600)),
+    "an empty body": set_body(b""),
+    "random bytes": set_body(RANDOM.randbytes(2000)),
+    "a deeply nested body": set_body(
+        b'{"kind":"echo","tasks":[{"payload":' + b"[" * 200_000
+    ),
+    "an unknown field": set_job(colour="red"),
+    "no tasks": set_job(tasks=[]),
+    "too many tasks": set_job(tasks=[{}] * 10_001),
+    "a payload that is too long": set_job(tasks=[{"payload": "x" * 300_000}]),
+    "a body that is too long": set_body(b"[" + b"1," * 5_000_000),
+    "a deadline of 0": set_job(deadline_ms=0),
+    "a deadline of an hour": set_job(deadline_ms=3_600_000),
+    "a kind with spaces": set_job(kind="two words"),
+    "dispatch notes as idempotent": set_job(
+        kind="dispatch_note", idempotent=True
+    ),
+}
+"""What is wrong, by its name in the feature."""
+
+
+@then("these submissions are refused")
+def check_refused(context: Context) -> None:
+    for row in context.table:
+        sender = Sender(context.driver)
+        SUBMISSIONS[row["what"]](sender)
+        answer = sender.send()
+        found = (answer.status, answer.body.get("code"))
+        expected = (int(row["status"]), int(row["code"]))
+        assert found == expected, (row["what"], answer)
+
+
+@then("random bodies are refused with a numbered error")
+def check_random_bodies(context: Context) -> None:
+    json_values = strategies.recursive(
+        strategies.none() | strategies.integers() | strategies.text(),
+        lambda inner: (
+            strategies.lists(inner)
+            | strategies.dictionaries(strategies.text(), inner)
+        ),
+    )
+
+    @settings(
+        max_examples=100,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @any_of(json_values | strategies.binary())
+    def send_one(value: Any) -> None:
+        sender = Sender(context.driver)
+        sender.body = (
+            value
+            if isinstance(value, bytes)
+            else httpx.Request("POST", "http://x", json=value).content
+        )
+        answer = sender.send()
+        assert answer.status == 400, (value, answer)
+        assert answer.body["code"] == ResultCode.BODY_INVALID.value
+
+    send_one()
+
+
+@then("bytes that are no protocol do not stop an entry")
+def check_garbage_bytes(context: Context) -> None:
+    state = context.driver.site.state
+    path = context.driver.site.folder / "entry-0.json"
+    settings_read = msgspec.json.decode(path.read_bytes())
+    addresses = [
+        settings_read["stream_address"],
+        state.entries[0].url.removeprefix("http://"),
+    ]
+    for address in addresses:
+        host, port = address.split(":")
+        for _ in range(20):
+            with socket.create_connection((host, int(port)), 5) as conn:
+                conn.sendall(RANDOM.randbytes(3000))
+    context.driver.wait_ready(0)
+
+
+@then("an agent with a wrong secret is not let in")
+def check_wrong_secret(context: Context) -> None:
+    site = context.driver.site
+    path = site.folder / "agent-0.json"
+    changed = msgspec.json.decode(path.read_bytes())
+    changed["name"] = "intruder"
+    changed["secret"] = "a-secret-of-its-own-making"
+    path.with_name("intruder.json").write_bytes(msgspec.json.encode(changed))
+    site.run_agent("agent-intruder", path.with_name("intruder.json"))
+    time.sleep(3)
+    status = context.driver.operator("GET", "/v1/status").body
+    assert [a["name"] for a in status["agents"]] == ["agent-0"], status
+
+
+@then("a job of another customer stays its own")
+def check_other_customer(context: Context) -> None:
+    driver = context.driver
+    made = driver.mint(0, customer="fjaervik")[0]
+    own = driver.submit(made, [1], kind="echo", customer="fjaervik")
+    assert own.outcome == "done", own
+    other = driver.submit(made, [1], kind="echo", customer="lautoka")
+    assert (other.status, other.body["code"]) == (409, 4005), other
+    key = driver.site.state.customers["lautoka"]
+    shown = driver.request(
+        "GET",
+        f"{driver.entry_url(0)}/v1/jobs/{made}",
+        headers={"authorization": f"Bearer {key}"},
+    )
+    assert (shown.status, shown.body["code"]) == (404, 4007), shown
+
+
+@then("an id with another body is refused")
+def check_other_body(context: Context) -> None:
+    driver = context.driver
+    made = driver.mint(0)[0]
+    assert driver.submit(made, [1], kind="echo").outcome == "done"
+    other = driver.submit(made, [2], kind="echo")
+    assert (other.status, other.body["code"]) == (409, 4005), other
+    assert len(driver.starts_of(made)) == 1
+
+
+@then("an id of an hour ago has an unknown outcome")
+def check_old_id(context: Context) -> None:
+    made = new_id(-3600)
+    answer = context.driver.submit(made, [1], kind="echo")
+    assert answer.outcome == "outcome_unknown", answer
+    assert answer.body["code"] == ResultCode.ID_TOO_OLD.value, answer
+
+
+@then("no task was started but those of good jobs")
+def check_few_starts(context: Context) -> None:
+    assert len(context.driver.starts()) == 2, context.driver.starts()
+
+
+class OperatorRequest:
+    """An operator's request that has something wrong with it."""
+
+    def __init__(self, version: str) -> None:
+        self.method = "PUT"
+        self.path = "/v1/data-centres/vest-a"
+        self.key = "operator-key-of-the-stand-in"
+        self.version: str | None = version
+        self.body: Any = {"state": "out"}
+
+
+def spoil(request: OperatorRequest, what: str) -> None:
+    if what == "a customer's key":
+        request.key = "customer-key-of-fjaervik"
+    elif what == "no version":
+        request.version = None
+    elif what == "an old version":
+        request.version = '"77"'
+    elif what == "an unknown state":
+        request.body = {"state": "sideways"}
+    elif what == "a contract without keys":
+        request.path = "/v1/contracts/fjaervik"
+        request.body = {"rate": 1, "burst": 1, "key_hashes": []}
+    elif what == "an unknown customer":
+        request.method = "GET"
+        request.path = "/v1/contracts/nobody"
+    elif what == "an unknown route":
+        request.path = "/v1/nothing"
+
+
+@then("these operators' requests are refused")
+def check_operator_refused(context: Context) -> None:
+    driver = context.driver
+    path = "/v1/data-centres/vest-a"
+    version = driver.operator("GET", path).headers["etag"]
+    for row in context.table:
+        request = OperatorRequest(version)
+        spoil(request, row["what"])
+        headers = {"authorization": f"Bearer {request.key}"}
+        if request.version is not None:
+            headers["if-match"] = request.version
+        answer = driver.request(
+            request.method,
+            f"{driver.entry_url(0)}{request.path}",
+            headers=headers,
+            json=request.body,
+        )
+        found = (answer.status, answer.body.get("code"))
+        expected = (int(row["status"]), int(row["code"]))
+        assert found == expected, (row["what"], answer)
+    shown = driver.operator("GET", path)
+    assert shown.body == {"state": "in"}, shown
+
+
+@then("an unknown agent can't be drained")
+def check_unknown_agent(context: Context) -> None:
+    answer = context.driver.operator(
+        "PUT", "/v1/agents/nobody", body={"state": "draining"}
+    )
+    assert (answer.status, answer.body["code"]) == (404, 5004), answer
--- a/src/fulmarscale/agent/target.py
+++ b/src/fulmarscale/agent/target.py
@@ -172,7 +172,7 @@
     ) -> TaskEnded:
         try:
             answer = msgspec.json.decode(content, type=RunAnswer)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
             code = ResultCode.TARGET_BAD_ANSWER
             return self._unknown(start, code, began_at)
         matches = (
--- a/src/fulmarscale/entry/http.py
+++ b/src/fulmarscale/entry/http.py
@@ -27,6 +27,7 @@
 from fulmarscale.entry.answers import status_of
 from fulmarscale.entry.receive import check_operator
 from fulmarscale.entry.receive import find_customer
+from fulmarscale.entry.receive import MALFORMED
 from fulmarscale.entry.receive import read_bearer
 from fulmarscale.entry.receive import read_job
 from fulmarscale.entry.receive import read_submission_id
@@ -478,7 +479,7 @@
 def _decode(body: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise FulmarError(ResultCode.CONTRACT_INVALID, str(error)) from error
 
 
--- a/src/fulmarscale/entry/receive.py
+++ b/src/fulmarscale/entry/receive.py
@@ -22,6 +22,9 @@
 
 Kind = Annotated[str, msgspec.Meta(pattern="^[a-z0-9_.-]{1,64}$")]
 
+MALFORMED = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+"""What decoding raises for a text that is not what it should be."""
+
 NO_PAYLOAD = msgspec.Raw(b"null")
 """The payload of a task that gives none."""
 
@@ -117,7 +120,7 @@
     """
     try:
         job = msgspec.json.decode(body, type=JobBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except MALFORMED as error:
         raise FulmarError(ResultCode.BODY_INVALID, str(error)) from error
     if len(job.tasks) > limits.tasks:
         detail = f"a job has at most {limits.tasks} tasks"
--- a/standins/site.py
+++ b/standins/site.py
@@ -145,6 +145,15 @@
         """
         return self._spawn(name, self._commands[name])
 
+    def run_agent(self, name: str, settings_path: Path) -> int:
+        """Start one more agent from a settings file.
+
+        :returns: its process id.
+        """
+        executable = Path(sys.executable).parent / "fulmar-agent"
+        command = [str(executable), "--settings", str(settings_path)]
+        return self._spawn(name, command)
+
     def wait(self, name: str, timeout_s: float) -> int:
         """Wait for a process to end and give its exit code."""
         return self._processes[name].wait(timeout_s)
