--- a/features/environment.py
+++ b/features/environment.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from behave.model import Scenario
     from behave.model import Tag
     from behave.runner import Context
 
@@ -41,6 +42,19 @@
     logging.getLogger("httpx").setLevel(logging.WARNING)
 
 
+@fixture
+def scratch_folder(context: Context) -> Iterator[str]:
+    """Make a folder for one scenario."""
+    with tempfile.TemporaryDirectory(prefix="fulmarscale-") as folder:
+        context.folder = folder
+        yield folder
+
+
+def before_scenario(context: Context, scenario: Scenario) -> None:
+    """Give every scenario a folder."""
+    use_fixture(scratch_folder, context)
+
+
 def before_tag(context: Context, tag: Tag) -> None:
     """Set up what a scenario's tag names.
 
