--- /dev/null
+++ b/features/steps/liveness_steps.py
@@ -0,0 +1,224 @@
+"""Steps about serving again in time, under virtual time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support.rule_cases import Script
+from fulmarscale.control.configuration import Contract
+from fulmarscale.control.configuration import DataCentreState
+from fulmarscale.entry.inputs import EntryForgotten
+from fulmarscale.errors import Outcome
+from fulmarscale.wire.messages import CallKind
+from standins.virtual.fake_table import TableMode
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from fulmarscale.control.entry_list import EntryList
+    from fulmarscale.ids import SubmissionId
+    from standins.virtual.nodes import EntryNode
+
+PROBE_EVERY_S = 0.25
+PROBE_DEADLINE_S = 2.0
+RATE = 50
+BURST = 50
+
+
+@given("a steady virtual site of 3 entries")
+def make_site(context: Context) -> None:
+    context.script = Script(entries=3, agents=4)
+
+
+@when("virtual entry 0 is killed for good")
+def kill_entry(context: Context) -> None:
+    context.before = context.script.list_of(0, 1, 2)
+    context.script.site.kill(context.script.entry(0))
+
+
+def probe(
+    context: Context, entry: EntryNode, made: SubmissionId
+) -> list[bool]:
+    """Submit a job and note whether it is done."""
+    found: list[bool] = []
+    context.script.site.submit(
+        entry,
+        made,
+        1,
+        PROBE_DEADLINE_S,
+        answered=lambda action: found.append(
+            action.answer is not None and action.answer.outcome is Outcome.DONE
+        ),
+    )
+    return found
+
+
+def last_unserved_s(
+    context: Context,
+    duration_s: float,
+    owners: tuple[tuple[EntryList, int], ...] = (),
+) -> float:
+    """Submit at intervals; give the time of the last one not served."""
+    script = context.script
+    began_at = script.site.now
+    probes = []
+    while script.site.now < began_at + duration_s:
+        entry = script.site.random.choice(script.site.entries)
+        made = script.new_id(*owners)
+        asked_at = script.site.now - began_at
+        probes.append((asked_at, probe(context, entry, made)))
+        script.wait(PROBE_EVERY_S)
+    script.wait(PROBE_DEADLINE_S + 2)
+    return max((at for at, found in probes if found != [True]), default=0.0)
+
+
+@then("new submissions of its keys are served within {limit:d} seconds")
+def check_keys_served(context: Context, limit: int) -> None:
+    owners = ((context.before, 0),)
+    last_s = last_unserved_s(context, 12.0, owners=owners)
+    assert last_s <= limit, last_s
+    assert context.script.site.history.check() == []
+
+
+@then("new submissions are served within {limit:d} seconds")
+def check_served(context: Context, limit: int) -> None:
+    last_s = last_unserved_s(context, limit + 6.0)
+    assert last_s <= limit, last_s
+    assert context.script.site.history.check() == []
+
+
+@when("a data centre is taken out at virtual entry 1")
+def take_out(context: Context) -> None:
+    script = context.script
+    script.site.change_data_centre(
+        script.entry(1), "dc-0", DataCentreState.OUT
+    )
+
+
+@then("every entry and agent follows it within {limit:d} seconds")
+def check_followed(context: Context, limit: int) -> None:
+    script = context.script
+
+    def is_followed() -> bool:
+        version = script.site.table.configuration.version
+        return all(
+            node.core.lease.configuration.version == version
+            for node in script.site.entries
+        ) and all(
+            agent.core.closed.names == ("dc-0",)
+            for agent in script.site.agents
+        )
+
+    script.wait_for(is_followed, limit)
+
+
+@when("all virtual entries are killed and start again")
+def replace_all(context: Context) -> None:
+    script = context.script
+    for node in script.site.entries:
+        script.site.kill(node)
+    for number in range(3):
+        script.site.restart(script.entry(number))
+
+
+@when("all virtual entries are killed and others start under new names")
+def replace_by_others(context: Context) -> None:
+    script = context.script
+    for node in script.site.entries:
+        script.site.kill(node)
+    for number in range(3):
+        script.site.start_entry(f"other-{number}", "dc-0")
+
+
+@then("no new entry has a lease after {seconds:d} seconds")
+@then("no entry has a lease {seconds:d} seconds later")
+def check_no_lease(context: Context, seconds: int) -> None:
+    script = context.script
+    script.wait(seconds)
+    assert not any(
+        node.core.lease.is_held(node.clock) for node in script.site.entries
+    )
+
+
+@when("the operator says that the old ones are gone")
+def forget_old(context: Context) -> None:
+    for node in context.script.site.entries:
+        for number in range(3):
+            node.receive(EntryForgotten(f"entry-{number}"))
+
+
+@when("the virtual table is down")
+def table_down(context: Context) -> None:
+    context.script.site.table.mode = TableMode.DOWN
+    context.script.wait(2.0)
+
+
+@when("the virtual table is up")
+def table_up(context: Context) -> None:
+    context.script.site.table.mode = TableMode.UP
+
+
+@when("the virtual table is down for {seconds:d} seconds")
+def table_down_for(context: Context, seconds: int) -> None:
+    context.script.site.table.mode = TableMode.DOWN
+    context.last_s = last_unserved_s(context, float(seconds))
+
+
+@then("every submission meanwhile was done")
+def check_none_unserved(context: Context) -> None:
+    assert context.last_s == 0.0, context.last_s
+
+
+@given("a virtual site with a contract of 50 tasks a second")
+def make_limited_site(context: Context) -> None:
+    contract = Contract(
+        rate=RATE,
+        burst=BURST,
+        largest_job=BURST,
+        response_time_ms=1000,
+        response_share=0.99,
+        key_hashes=("0" * 64,),
+    )
+    context.script = Script(entries=3, agents=4, contract=contract)
+
+
+@when("more is asked for while entries leave and come back")
+def ask_for_more(context: Context) -> None:
+    script = context.script
+    site = script.site
+    context.began_at = site.now
+    for step in range(600):
+        if step % 150 == 75:
+            site.leave(site.random.choice(site.entries))
+        ready = [n for n in site.entries if n.core.is_ready(n.clock)]
+        if ready:
+            node = site.random.choice(ready)
+            made = node.core.mint(1, node.clock)[0]
+            site.submit(node, made, 5, 4.0, CallKind.SUBMIT)
+        script.wait(0.05)
+    context.ended_at = site.now
+    script.wait(6.0)
+
+
+@then("never more was started than the contract allows")
+def check_never_more(context: Context) -> None:
+    # The grants conform to the bucket; a start follows its grant by at
+    # most the wait for a free slot.
+    slack_s = 1.0
+    times = sorted(s.time for s in context.script.site.history.starts)
+    for first, start in enumerate(times):
+        for last in range(first, len(times), 10):
+            span_s = times[last] - start + slack_s
+            allowed = BURST + RATE * span_s
+            assert last - first + 1 <= allowed, (start, times[last])
+
+
+@then("at least {share:d} % of the contract was used")
+def check_used(context: Context, share: int) -> None:
+    span_s = context.ended_at - context.began_at
+    starts = len(context.script.site.history.starts)
+    assert starts >= share / 100 * RATE * span_s, (starts, span_s)
--- a/features/support/rule_cases.py
+++ b/features/support/rule_cases.py
@@ -10,6 +10,8 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from msgspec import structs
+
 from fulmarscale.agent.core import AgentCore
 from fulmarscale.agent.inputs import EntryOpened
 from fulmarscale.agent.inputs import EntryReceived
@@ -42,6 +44,7 @@
     from collections.abc import Callable
 
     from fulmarscale.control.actions import AnswerCaller
+    from fulmarscale.control.configuration import Contract
     from fulmarscale.ids import SubmissionId
 
 STEADY_S = 6.0
@@ -85,6 +88,7 @@
         ahead: int = 0,
         timings: Timings | None = None,
         holders: tuple[Holder, ...] = (),
+        contract: Contract | None = None,
     ) -> None:
         options = VirtualOptions(
             entries=entries,
@@ -105,6 +109,8 @@
             limits=EntryLimits(ahead=ahead, small_job=1000),
             customer=_find_customer(holders),
         )
+        if contract is not None:
+            options = structs.replace(options, contract=contract)
         self.site = VirtualSite(1, options)
         self.answers: list[AnswerCaller] = []
         self.wait(STEADY_S)
