--- a/features/support/rule_cases.py
+++ b/features/support/rule_cases.py
@@ -222,12 +222,15 @@
     script = Script(holders=(Holder((0, 1), 0),))
     script.site.network.cut_one_way("entry-0", "entry-1")
     both = script.list_of(0, 1)
-    script.wait_for(lambda: len(script.site.table.entry_list.members) == 1)
-    script.cut("entry-0", "entry-1")
-    script.cut("entry-0", STORE)
     # Each has an agent of its own, without the other's start records.
     script.cut("entry-0", "agent-1")
     script.cut("entry-1", "agent-0")
+    # Traffic keeps the echoes of the entry that is removed fresh.
+    while len(script.site.table.entry_list.members) > 1:
+        script.submit(0, script.new_id((both, 0)))
+        script.wait(STEP_S)
+    script.cut("entry-0", "entry-1")
+    script.cut("entry-0", STORE)
     # The caller's clock is ahead, as far as that is allowed.
     script.wait(0.6)
     return script.submit_to(script.new_id((both, 0), ahead_s=0.45), 0, 1)
--- a/src/fulmarscale/cli/_client.py
+++ b/src/fulmarscale/cli/_client.py
@@ -23,7 +23,6 @@
     from pathlib import Path
 
 
-
 class Reply(msgspec.Struct, frozen=True):
     """An entry's answer."""
 
--- a/src/fulmarscale/control/counters.py
+++ b/src/fulmarscale/control/counters.py
@@ -22,7 +22,7 @@
     MESSAGES_FROM_AGENTS = "messages_from_agents"
     MESSAGES_TO_PEERS = "messages_to_peers"
     WASTED_RESULT = "wasted_result"
-    WASTED_ECHO = "wasted_echo"
+    CONTROL_MESSAGES = "control_messages"
     WASTED_PEER = "wasted_peer"
     RECOVERIES = "recoveries"
     RECOVERED = "recovered"
--- a/src/fulmarscale/entry/core.py
+++ b/src/fulmarscale/entry/core.py
@@ -239,7 +239,7 @@
         self._changes.tick(now)
         self._owner.tick(now)
         self._leaver.tick(now)
-        self._gatherer.tick(now)
+        self._gatherer.freshness.tick(now)
         self._gatherer.place(now)
 
     def _receive_reading(self, event: TableRead, now: float) -> None:
@@ -314,7 +314,7 @@
         if self._lease.entry != self._known_entry:
             self._begin_incarnation(now)
         self._gatherer.refresh_views(now)
-        self._gatherer.echo(now)
+        self._gatherer.freshness.echo(now)
         has_lease = self._lease.is_held(now)
         if has_lease != self._had_lease:
             event = Event.LEASE_GAINED if has_lease else Event.LEASE_LOST
--- a/src/fulmarscale/entry/gather.py
+++ b/src/fulmarscale/entry/gather.py
@@ -9,6 +9,7 @@
 from fulmarscale.control.actions import SendAgent
 from fulmarscale.control.counters import Count
 from fulmarscale.entry.agents import AgentView
+from fulmarscale.entry.freshness import Freshness
 from fulmarscale.entry.job import TaskState
 from fulmarscale.errors import Outcome
 from fulmarscale.errors import ResultCode
@@ -40,18 +41,9 @@
     from fulmarscale.wire.messages import RecoveredJob
     from fulmarscale.wire.messages import TaskResult
 
-CONFIRM_SPACING_S = 0.02
-"""The least time between confirmations begun for waiting pairs."""
-
 LATE_SHARE = 0.5
 """A task is not sent with less time left than this share of its mean."""
 
-WARM_AFTER_S = 0.8
-"""Silence after which a pair's token is refreshed."""
-
-WARM_RATE = 14.0
-"""Tokens a second that an entry refreshes, over all its agents."""
-
 
 class Gatherer:
     """The agents' side of an entry."""
@@ -76,12 +68,10 @@
         self._views: dict[int, AgentView] = {}
         self._sessions: dict[AgentId, int] = {}
         self._detached: dict[AgentId, set[TaskRef]] = {}
-        self._echo_wanted: set[int] = set()
-        self._confirm_begun_at = float("-inf")
-        self._echoed_at = float("-inf")
         self._refreshed = (-1, -1)
-        self._warm_credit = 0.0
-        self._warmed_at: float | None = None
+        self._freshness = Freshness(
+            lease, self._views, outbox, counters, self._send
+        )
         self._first_agent_at: float | None = None
 
     @property
@@ -89,6 +79,11 @@
         """The connected agents."""
         return list(self._views.values())
 
+    @property
+    def freshness(self) -> Freshness:
+        """The echoes and tokens of the connected agents."""
+        return self._freshness
+
     @property
     def first_agent_at(self) -> float | None:
         """When the first agent connected."""
@@ -130,7 +125,7 @@
     def close(self, session: int) -> None:
         """Note that an agent's stream ended."""
         view = self._views.pop(session, None)
-        self._echo_wanted.discard(session)
+        self._freshness.forget(session)
         if view is None:
             return
         if self._sessions.get(view.agent) == session:
@@ -152,8 +147,7 @@
         for not_started in message.not_started:
             self._take_not_started(view, not_started, now)
         if message.wants_echo:
-            self._echo_wanted.add(session)
-            self._confirm_soon(now)
+            self._freshness.want(session, now)
 
     def settle_recovered(
         self, view: AgentView, job: Job, found: RecoveredJob, now: float
@@ -261,44 +255,6 @@
             if self._is_behind(view):
                 self._send(view, now)
 
-    def echo(self, now: float) -> None:
-        """Send fresher echoes, after a confirmation, where they are due."""
-        if self._lease.confirmed_at <= self._echoed_at:
-            return
-        self._echoed_at = self._lease.confirmed_at
-        for session in sorted(self._echo_wanted):
-            view = self._views[session]
-            echo = view.best_echo(self._lease.confirmed_at)
-            if echo is None or echo == view.sent_echo:
-                continue
-            self._echo_wanted.discard(session)
-            self._counters.add(Count.WASTED_ECHO)
-            self._send(view, now)
-        if self._echo_wanted:
-            self._confirm_soon(now)
-
-    def tick(self, now: float) -> None:
-        """Refresh the tokens of the pairs that were silent longest."""
-        if self._warmed_at is not None:
-            elapsed_s = now - self._warmed_at
-            credit = self._warm_credit + elapsed_s * WARM_RATE
-            self._warm_credit = min(WARM_RATE / 2, credit)
-        self._warmed_at = now
-        if self._echo_wanted:
-            self._confirm_soon(now)
-        if self._warm_credit < 1 or not self._lease.is_held(now):
-            return
-        silent = [
-            view
-            for view in self._views.values()
-            if now - max(view.heard_at, view.sent_at) > WARM_AFTER_S
-        ]
-        silent.sort(key=lambda view: (view.sent_at, view.session))
-        for view in silent[: int(self._warm_credit)]:
-            self._warm_credit -= 1
-            self._counters.add(Count.WASTED_ECHO)
-            self._send(view, now, wants_token=True)
-
     def place(self, now: float) -> None:
         """Send queued tasks to agents with room."""
         if self._placer.waiting == 0 or not self._lease.is_held(now):
@@ -421,12 +377,6 @@
         if job.unsettled == 0 and not job.is_answered:
             self._finish(job, now)
 
-    def _confirm_soon(self, now: float) -> None:
-        if now - self._confirm_begun_at < CONFIRM_SPACING_S:
-            return
-        self._confirm_begun_at = now
-        self._out.extend(self._lease.confirm_soon(now))
-
     def _is_behind(self, view: AgentView) -> bool:
         return (
             view.sent_list_version < self._lease.entry_list.version
