--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,82 @@
+"""Steps about one entry process."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+import time
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+from msgspec import structs
+
+from fulmarscale.control.actions import SendPeer
+from fulmarscale.control.entry_list import Member
+from fulmarscale.entry.core import EntryCore
+from fulmarscale.entry.inputs import Tick
+from fulmarscale.entry.process import EntryProcess
+from fulmarscale.events import Event
+from fulmarscale.ids import DataCentreName
+from fulmarscale.ids import EntryId
+from fulmarscale.logs import EventLog
+from fulmarscale.platform.http_table import HttpTable
+from fulmarscale.settings import EntrySettings
+from fulmarscale.settings import load_settings
+from fulmarscale.wire.messages import LeaseAsk
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+EXAMPLE = Path(__file__).parent.parent.parent / "etc/entry-fjaervik.json"
+CLOSED_ADDRESS = "127.0.0.1:9"
+
+
+@given("an entry process on its own")
+def make_process(context: Context) -> None:
+    settings = load_settings(EXAMPLE, EntrySettings)
+    settings = structs.replace(settings, drain_s=0.0)
+    context.log = mock.create_autospec(EventLog, instance=True)
+    table = HttpTable("http://127.0.0.1:9", 0.1)
+    context.process = EntryProcess(settings, table, context.log)
+
+
+@when("it has sent something to an entry that is not on the list")
+def send(context: Context) -> None:
+    gone = Member(
+        EntryId("gone", 1), CLOSED_ADDRESS, "", DataCentreName("vest-a")
+    )
+    context.action = SendPeer(gone, LeaseAsk(0.0, 0, 0))
+
+
+@then("the stream is kept at first and ended 60 seconds later")
+def check_ended(context: Context) -> None:
+    async def run() -> None:
+        process = context.process
+        process._send_peer(context.action)
+        assert process.links == 1
+        await process.close_unused_links(time.monotonic())
+        assert process.links == 1
+        await process.close_unused_links(time.monotonic() + 60)
+        assert process.links == 0
+
+    asyncio.run(run())
+
+
+@when("its decisions raise an error")
+def fail(context: Context) -> None:
+    with mock.patch.object(EntryCore, "handle", side_effect=KeyError):
+        try:
+            context.process.dispatch(Tick())
+        except KeyError:
+            return
+    raise AssertionError("the error was swallowed")
+
+
+@then("the process has failed and logged event 901")
+def check_failed(context: Context) -> None:
+    assert context.process.failed.is_set()
+    event, _ = context.log.write_error.call_args.args
+    assert event is Event.UNEXPECTED_ERROR
--- a/src/fulmarscale/agent/process.py
+++ b/src/fulmarscale/agent/process.py
@@ -160,6 +160,11 @@
             self._log.write_error(Event.INVARIANT_BROKEN, error)
             self._failed.set()
             return
+        except Exception as error:
+            # Decisions that failed half-way can't be trusted any more.
+            self._log.write_error(Event.UNEXPECTED_ERROR, error)
+            self._failed.set()
+            raise
         for action in actions:
             self._perform(action, now)
 
--- a/src/fulmarscale/entry/process.py
+++ b/src/fulmarscale/entry/process.py
@@ -69,6 +69,9 @@
     from fulmarscale.wire.messages import JobRequest
 
 TICK_S: Final = 0.05
+LINK_UNUSED_S: Final = 30.0
+"""Silence after which a stream to an unlisted entry is ended."""
+
 TABLE_LOG_S: Final = 10.0
 """The least time between log lines about a failing table."""
 
@@ -204,6 +207,24 @@
         finally:
             del self._operators[request]
 
+    @property
+    def links(self) -> int:
+        """The number of streams to other entries."""
+        return len(self._links)
+
+    async def close_unused_links(self, now: float) -> None:
+        """End streams to entries that are gone.
+
+        :param now: monotonic time.
+        """
+        members = self._core.lease.entry_list.members
+        addresses = {member.address for member in members}
+        for address, link in list(self._links.items()):
+            unused_s = now - link.used_at
+            if address not in addresses and unused_s > LINK_UNUSED_S:
+                del self._links[address]
+                await link.close()
+
     def drain_agent(self, name: str, *, draining: bool) -> None:
         """Tell an agent to take no new tasks, or to take them again.
 
@@ -251,6 +272,11 @@
             self._log.write_error(Event.INVARIANT_BROKEN, error)
             self._failed.set()
             return
+        except Exception as error:
+            # Decisions that failed half-way can't be trusted any more.
+            self._log.write_error(Event.UNEXPECTED_ERROR, error)
+            self._failed.set()
+            raise
         for action in actions:
             self._perform(action)
 
@@ -328,6 +354,7 @@
     async def _tick_forever(self) -> None:
         while True:
             self.dispatch(Tick())
+            await self.close_unused_links(time.monotonic())
             await asyncio.sleep(TICK_S)
 
     def _note_table_failure(self, error: FulmarError) -> None:
--- a/src/fulmarscale/wire/streams.py
+++ b/src/fulmarscale/wire/streams.py
@@ -7,6 +7,7 @@
 import asyncio
 from contextlib import suppress
 import hmac
+import time
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -201,6 +202,12 @@
         self._queue: asyncio.Queue[tuple[Member, PeerEnvelope]]
         self._queue = asyncio.Queue(QUEUE_LIMIT)
         self._task: asyncio.Task[None] | None = None
+        self._used_at = time.monotonic()
+
+    @property
+    def used_at(self) -> float:
+        """Monotonic time of the last message."""
+        return self._used_at
 
     def start(self) -> None:
         """Begin to connect."""
@@ -213,6 +220,7 @@
 
     def put(self, sender: Member, envelope: PeerEnvelope) -> None:
         """Queue a message; it is lost if too many wait."""
+        self._used_at = time.monotonic()
         with suppress(asyncio.QueueFull):
             self._queue.put_nowait((sender, envelope))
 
