--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -28,8 +28,6 @@
     """Processor time in seconds."""
     memory_mb: float
     """Resident memory in megabytes."""
-    sent_bytes: int
-    """Bytes written to sockets and files."""
 
 
 def usage(pid: int) -> Usage:
@@ -38,8 +36,7 @@
     cpu_s = (int(stat[11]) + int(stat[12])) / CLOCK_TICKS
     status = Path(f"/proc/{pid}/status").read_text()
     resident = status.split("VmRSS:")[1].split()[0]
-    written = Path(f"/proc/{pid}/io").read_text().split("wchar: ")[1]
-    return Usage(cpu_s, int(resident) / 1024, int(written.split()[0]))
+    return Usage(cpu_s, int(resident) / 1024)
 
 
 class Load:
@@ -127,13 +124,11 @@
     )
     for role, group in pids.items():
         cpu_s = sum(after[p].cpu_s - before[p].cpu_s for p in group)
-        sent = sum(after[p].sent_bytes - before[p].sent_bytes for p in group)
         memory = max(after[p].memory_mb for p in group)
         a_task = cpu_s / load.done * 1e6 if load.done else 0.0
         click.echo(
             f"  {role}: {100 * cpu_s / spent_s / len(group):.2f}% of a core"
-            f" each, {a_task:.0f} us a task, {memory:.1f} MB,"
-            f" {sent / spent_s / len(group) / 1000:.2f} KB/s sent each"
+            f" each, {a_task:.0f} us a task, {memory:.1f} MB"
         )
 
 
