Keep a record that is handed over during a search

Cause: reading: a search in the agents' records ended by adding the record that it had rebuilt, also over one that was handed over meanwhile, with its answer. Change: such a search adds nothing, and replacing a record is an invariant. The scenario failed first (the answer was replaced).

--- a/features/liveness.feature
+++ b/features/liveness.feature
@@ -40,3 +40,8 @@
     When more is asked for while entries leave and come back
     Then never more was started than the contract allows
     And at least 95 % of the contract was used
+
+  Scenario: Records that are handed over during a search stay as they are
+    Given a steady virtual site of 3 entries
+    When a submission is handed over to an entry that searches for it
+    Then the entry keeps the answer that was handed over
--- a/features/steps/liveness_steps.py
+++ b/features/steps/liveness_steps.py
@@ -222,3 +222,27 @@
     span_s = context.ended_at - context.began_at
     starts = len(context.script.site.history.starts)
     assert starts >= share / 100 * RATE * span_s, (starts, span_s)
+
+
+@when("a submission is handed over to an entry that searches for it")
+def hand_over_during_search(context: Context) -> None:
+    script = context.script
+    made = script.new_id((script.list_of(0, 1, 2), 0))
+    script.submit(0, made)
+    script.wait(1.0)
+    (kept,) = script.entry(0).core._records.answered()
+    searcher = script.entry(1)
+    searcher.core._recovery.start(made, searcher.clock)
+    for action in searcher.core._out.drain():
+        searcher._perform(action, searcher.clock)
+    searcher.core._records.keep(kept, searcher.clock)
+    context.kept = kept
+    script.wait(3.0)
+
+
+@then("the entry keeps the answer that was handed over")
+def check_kept(context: Context) -> None:
+    script = context.script
+    assert script.site.history.check() == []
+    (found,) = script.entry(1).core._records.answered()
+    assert found == context.kept, (found, context.kept)
--- a/src/fulmarscale/entry/job.py
+++ b/src/fulmarscale/entry/job.py
@@ -30,8 +30,6 @@
     """At this entry, not given to any agent."""
     SENT = "sent"
     """Given to an agent; it may start at any moment."""
-    LOST = "lost"
-    """It may have started where no word can be had."""
     SETTLED = "settled"
     """Its outcome is known or given up."""
 
@@ -90,10 +88,7 @@
 
     def requeue(self) -> None:
         """Note an agent's word that it never started the task."""
-        require(
-            self.state in (TaskState.SENT, TaskState.LOST),
-            "a settled task must not be queued again",
-        )
+        require(self.state is TaskState.SENT, "only a sent task may come back")
         self.state = TaskState.QUEUED
         self.agent = None
 
--- a/src/fulmarscale/entry/records.py
+++ b/src/fulmarscale/entry/records.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.job import Job
+from fulmarscale.errors import require
 from fulmarscale.ids import submission_time_s
 from fulmarscale.wire.messages import KeptRecord
 
@@ -43,6 +44,10 @@
 
     def add(self, job: Job) -> None:
         """Add a record."""
+        require(
+            job.submission_id not in self._jobs,
+            "a record must not be replaced",
+        )
         self._jobs[job.submission_id] = job
         if not job.is_answered:
             self._open[job.submission_id] = job
--- a/src/fulmarscale/entry/recover.py
+++ b/src/fulmarscale/entry/recover.py
@@ -112,6 +112,9 @@
             found=len(search.found),
             silent=len(search.waiting),
         )
+        if self._records.find(submission_id) is not None:
+            # Handed over meanwhile, with the answer.
+            return
         if not search.found:
             self._not_found[submission_id] = now + RETRY_AFTER_S
             return
