--- a/features/product.feature
+++ b/features/product.feature
@@ -53,6 +53,8 @@
     Then it prints "version"
     When "job submit JOB" is run
     Then it prints "done, code 0"
+    When the job is shown and cancelled from the command line
+    Then it prints "done, code 0"
     When "drain agent-0" is run
     Then it prints "draining"
     When "status" is run
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -166,6 +166,14 @@
     context.run = run("fulmarctl", "--settings", str(path), *words)
 
 
+@when("the job is shown and cancelled from the command line")
+def show_and_cancel(context: Context) -> None:
+    made = context.run.stderr.split()[-1]
+    run_command(context, f"job cancel {made}")
+    assert "done, code 0" in context.run.stdout, context.run
+    run_command(context, f"job show {made}")
+
+
 @when("the burn report is made")
 def make_report(context: Context) -> None:
     path = write_client_files(context)
@@ -209,6 +217,8 @@
     assert all(name.startswith("fulmarscale_") for name in names), names
     assert "fulmarscale_response_seconds" in names, names
     assert "fulmarscale_lease_age_seconds" in names, names
+    assert "fulmarscale_response_over_ideal" in names, names
+    assert "fulmarscale_response_over_ideal_count{" in text
 
 
 @then("a client without the authority is refused")
--- a/src/fulmarscale/cli/entry.py
+++ b/src/fulmarscale/cli/entry.py
@@ -5,7 +5,6 @@
 import asyncio
 from contextlib import contextmanager
 import sys
-import time
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -22,7 +21,6 @@
 from fulmarscale.entry.routes import make_app
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
-from fulmarscale.metrics import EntryMetrics
 from fulmarscale.platform.http_table import HttpTable
 from fulmarscale.settings import EntrySettings
 from fulmarscale.settings import split_address
@@ -71,8 +69,7 @@
     platform = settings.platform
     table = HttpTable(platform.url, platform.timeout_s, platform.authority)
     process = EntryProcess(settings, table, log)
-    metrics = EntryMetrics(process.core, time.monotonic)
-    side = HttpSide(process, settings, metrics, log)
+    side = HttpSide(process, settings, log)
     server = make_server(side, settings)
     stop = stop_event()
     await process.start()
--- a/src/fulmarscale/control/actions.py
+++ b/src/fulmarscale/control/actions.py
@@ -134,5 +134,14 @@
     """Named values; never a key or a payload."""
 
 
+class ResponseMeasured(Action):
+    """A job was done; how its response compares with the ideal."""
+
+    customer: CustomerName
+    """The customer."""
+    over_ideal: float
+    """The response time over the shortest possible for its tasks."""
+
+
 class Left(Action):
     """The entry has left the list and may end."""
--- a/src/fulmarscale/entry/admission.py
+++ b/src/fulmarscale/entry/admission.py
@@ -158,7 +158,7 @@
         if mean_s is None:
             # By a guess, later jobs of a shorter kind would go first.
             return job.received_at
-        slots = sum(view.slots for view in self._gatherer.views)
+        slots = self._gatherer.slots
         rounds = max(1.0, len(job.tasks) / max(1, slots))
         due_at = job.received_at + self._limits.stretch * rounds * mean_s
         latest_at = job.deadline_at - (rounds + 1) * mean_s
--- a/src/fulmarscale/entry/gather.py
+++ b/src/fulmarscale/entry/gather.py
@@ -84,6 +84,11 @@
         """The echoes and tokens of the connected agents."""
         return self._freshness
 
+    @property
+    def slots(self) -> int:
+        """Slots of all connected agents."""
+        return sum(view.slots for view in self._views.values())
+
     @property
     def first_agent_at(self) -> float | None:
         """When the first agent connected."""
@@ -305,6 +310,7 @@
         self._note_health(view, result, now)
         if result.outcome is Outcome.DONE:
             self._run_times.learn(job.kind, result.run_s)
+            job.note_run(result.run_s)
         job.settle(task, result.outcome, result.code, result.result)
         self._finish_if_settled(job, now)
 
--- a/src/fulmarscale/entry/http.py
+++ b/src/fulmarscale/entry/http.py
@@ -49,12 +49,11 @@
         self,
         process: EntryProcess,
         settings: EntrySettings,
-        metrics: EntryMetrics,
         log: EventLog,
     ) -> None:
         self._process = process
         self._settings = settings
-        self._metrics = metrics
+        self._metrics = process.metrics
         self._log = log
 
     @property
--- a/src/fulmarscale/entry/job.py
+++ b/src/fulmarscale/entry/job.py
@@ -137,6 +137,8 @@
         self.is_cancelled = False
         self.is_recovered = False
         self.bounces = 0
+        self.longest_run_s = 0.0
+        self.total_run_s = 0.0
         self._unsettled = len(payloads)
         self._encoded_answer: bytes | None = None
 
@@ -161,6 +163,11 @@
         """Name a task of this job."""
         return TaskRef(self.submission_id, task.index)
 
+    def note_run(self, run_s: float) -> None:
+        """Note how long one of the tasks ran."""
+        self.longest_run_s = max(self.longest_run_s, run_s)
+        self.total_run_s += run_s
+
     def settle(
         self,
         task: Task,
--- a/src/fulmarscale/entry/own.py
+++ b/src/fulmarscale/entry/own.py
@@ -7,6 +7,7 @@
 from msgspec import structs
 
 from fulmarscale.control.actions import AnswerCaller
+from fulmarscale.control.actions import ResponseMeasured
 from fulmarscale.control.actions import SendPeer
 from fulmarscale.control.counters import Count
 from fulmarscale.control.takeover import Verdict
@@ -205,12 +206,20 @@
             response_s=round(now - job.received_at, 4),
             bounces=job.bounces,
         )
+        self._measure(job, answer, now)
         for reply_to in list(job.waiters):
             call = self._calls.get(reply_to)
             if call is not None:
                 self._reply(call, answer, None)
         job.waiters.clear()
 
+    def _measure(self, job: Job, answer: JobAnswer, now: float) -> None:
+        slots = max(1, self._gatherer.slots)
+        ideal_s = max(job.longest_run_s, job.total_run_s / slots)
+        if answer.outcome is Outcome.DONE and ideal_s > 0:
+            ratio = (now - job.received_at) / ideal_s
+            self._out.add(ResponseMeasured(job.customer, ratio))
+
     def _route(self, call: Call, now: float) -> None:
         job = self._records.find(call.submission_id)
         if job is not None:
--- a/src/fulmarscale/entry/process.py
+++ b/src/fulmarscale/entry/process.py
@@ -15,6 +15,7 @@
 from fulmarscale.control.actions import Left
 from fulmarscale.control.actions import Log
 from fulmarscale.control.actions import ReadTable
+from fulmarscale.control.actions import ResponseMeasured
 from fulmarscale.control.actions import SendAgent
 from fulmarscale.control.actions import SendPeer
 from fulmarscale.control.actions import WriteChange
@@ -41,6 +42,7 @@
 from fulmarscale.ids import DataCentreName
 from fulmarscale.ids import EntryId
 from fulmarscale.ids import RequestId
+from fulmarscale.metrics import EntryMetrics
 from fulmarscale.settings import client_tls
 from fulmarscale.settings import server_tls
 from fulmarscale.settings import split_address
@@ -102,6 +104,7 @@
         self._server = StreamServer(
             self, settings.secret, server_tls(settings.tls)
         )
+        self._metrics = EntryMetrics(self._core, time.monotonic)
         self._links: dict[str, PeerLink] = {}
         self._sessions: dict[int, Outgoing] = {}
         self._session_number = 0
@@ -119,6 +122,11 @@
         """The decisions."""
         return self._core
 
+    @property
+    def metrics(self) -> EntryMetrics:
+        """The entry's metrics."""
+        return self._metrics
+
     @property
     def calls(self) -> int:
         """The number of callers that wait."""
@@ -305,6 +313,10 @@
                     outgoing.end()
             case Log():
                 self._log.write(action.event, **action.fields)
+            case ResponseMeasured():
+                self._metrics.note_over_ideal(
+                    action.customer, action.over_ideal
+                )
             case Left():
                 self._left.set()
 
--- a/src/fulmarscale/metrics.py
+++ b/src/fulmarscale/metrics.py
@@ -43,6 +43,9 @@
 )
 
 
+OVER_IDEAL_BUCKETS = (1.02, 1.05, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
+
+
 class CoreCollector(Collector):
     """Exports the counts and levels of the decision code."""
 
@@ -139,6 +142,13 @@
             buckets=RESPONSE_BUCKETS_S,
             registry=self._registry,
         )
+        self._over_ideal = Histogram(
+            "fulmarscale_response_over_ideal",
+            "Response time over the shortest possible for a job's tasks.",
+            ["customer"],
+            buckets=OVER_IDEAL_BUCKETS,
+            registry=self._registry,
+        )
         self._errors = Counter(
             "fulmarscale_refused_requests",
             "Requests refused, by numbered code.",
@@ -169,6 +179,10 @@
         self._promised.labels(customer, data_centre, text).inc()
         self._response.labels(customer).observe(response_s)
 
+    def note_over_ideal(self, customer: str, over_ideal: float) -> None:
+        """Observe a done job's response time over the ideal."""
+        self._over_ideal.labels(customer).observe(over_ideal)
+
     def note_error(self, code: int) -> None:
         """Count a refused request."""
         self._errors.labels(str(code)).inc()
