--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -114,6 +114,9 @@
         found = (answer.status, answer.body.get("code"))
         expected = (int(row["status"]), int(row["code"]))
         assert found == expected, (row["what"], answer)
+        if answer.body["code"] == ResultCode.ID_IN_FUTURE.value:
+            platform_s = float(answer.body["detail"].split()[-1])
+            assert abs(platform_s - time.time()) < 60, answer
 
 
 @then("random bodies are refused with a numbered error")
--- a/src/fulmarscale/entry/process.py
+++ b/src/fulmarscale/entry/process.py
@@ -77,6 +77,14 @@
 TABLE_LOG_S: Final = 10.0
 """The least time between log lines about a failing table."""
 
+REFUSALS: Final = {
+    ResultCode.ID_REUSED: (
+        "the id belongs to a submission with another body or customer"
+    ),
+    ResultCode.SUBMISSION_NOT_FOUND: "this customer has no such submission",
+}
+"""What callers are told about refusals of an owner."""
+
 LEAVE_LIMIT_S: Final = 75.0
 """How long a planned stop may take, past the longest deadline."""
 
@@ -200,7 +208,7 @@
         finally:
             del self._callers[request]
         if action.error is not None:
-            raise FulmarError(action.error, "the request was refused")
+            raise FulmarError(action.error, self._explain(action.error))
         assert action.answer is not None
         return action.answer
 
@@ -320,6 +328,13 @@
             case Left():
                 self._left.set()
 
+    def _explain(self, code: ResultCode) -> str:
+        """Say why an owner refused a request, for the caller."""
+        if code is not ResultCode.ID_IN_FUTURE:
+            return REFUSALS.get(code, "the owner refused the request")
+        wall_time_s = self._core.lease.wall_time_s(time.monotonic())
+        return f"the id is ahead of the platform's time, {wall_time_s:.3f}"
+
     def _send_peer(self, action: SendPeer) -> None:
         link = self._links.get(action.to.address)
         if link is None:
