Let only jobs of up to 20 tasks wait at agents

Cause: the demo's job of 50 tasks of 200 ms on 32 slots took 706 ms against an ideal of 400: with jobs of up to 50 tasks allowed to wait at agents it was bound early and needed a third round.

Change: the default is 20.

--- a/src/fulmarscale/entry/limits.py
+++ b/src/fulmarscale/entry/limits.py
@@ -16,7 +16,7 @@
     """Tasks that wait for an agent."""
     ahead: int = 2
     """Tasks of small jobs that may wait at an agent for a slot."""
-    small_job: int = 50
+    small_job: int = 20
     """The largest job whose tasks may wait at an agent."""
     stretch: float = 30.0
     """A job is due after this many times its shortest possible time."""
