Show the limits on records and on the queue

Two scenarios under virtual time: past the limit of records nothing new is started and the outcome is unknown (3005); a job that would overfill the queue is refused (2007), truly and again. Both pass; the code was there.

--- /dev/null
+++ b/features/steps/limits_steps.py
@@ -0,0 +1,94 @@
+"""Steps about the limits of an entry's memory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support.rule_cases import Script
+from fulmarscale.entry.limits import EntryLimits
+from fulmarscale.errors import Outcome
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from fulmarscale.ids import SubmissionId
+    from fulmarscale.wire.messages import JobAnswer
+
+DEADLINE_S = 3.0
+
+
+def submit(
+    context: Context, made: SubmissionId, tasks: int
+) -> JobAnswer | None:
+    """Submit a job and wait for its answer."""
+    script = context.script
+    found: list[JobAnswer | None] = []
+    script.site.submit(
+        script.entry(0),
+        made,
+        tasks,
+        DEADLINE_S,
+        answered=lambda action: found.append(action.answer),
+    )
+    script.wait(1.0)
+    (answer,) = found
+    return answer
+
+
+def make_site(context: Context, limits: EntryLimits) -> None:
+    context.script = Script(entries=1, agents=1, limits=limits)
+
+
+@given("a virtual site whose entry keeps {count:d} records")
+def make_site_of_few_records(context: Context, count: int) -> None:
+    make_site(context, EntryLimits(records=count))
+
+
+@given("a virtual site whose entry queues {count:d} tasks")
+def make_site_of_short_queue(context: Context, count: int) -> None:
+    make_site(context, EntryLimits(queued_tasks=count))
+
+
+@when("{count:d} jobs of 1 task are submitted one after another")
+def submit_several(context: Context, count: int) -> None:
+    owner = (context.script.list_of(0), 0)
+    context.answers = [
+        submit(context, context.script.new_id(owner), 1) for _ in range(count)
+    ]
+
+
+@when("a job of {count:d} tasks is submitted")
+def submit_one(context: Context, count: int) -> None:
+    context.made = context.script.new_id((context.script.list_of(0), 0))
+    context.tasks = count
+    context.refusal = submit(context, context.made, count)
+
+
+@when("the same virtual job is submitted again")
+def submit_same(context: Context) -> None:
+    context.refusal = submit(context, context.made, context.tasks)
+
+
+@then("{done:d} jobs are done and {unknown:d} have the unknown outcome 3005")
+def check_outcomes(context: Context, done: int, unknown: int) -> None:
+    found = [(a.outcome, a.code.value) for a in context.answers]
+    expected = [(Outcome.DONE, 0)] * done
+    expected += [(Outcome.OUTCOME_UNKNOWN, 3005)] * unknown
+    assert found == expected, found
+
+
+@then("it is not run with code {code:d}")
+def check_refused(context: Context, code: int) -> None:
+    answer = context.refusal
+    assert answer.outcome is Outcome.NOT_RUN, answer
+    assert answer.code.value == code, answer
+
+
+@then("{count:d} tasks were started")
+def check_starts(context: Context, count: int) -> None:
+    assert len(context.script.site.history.starts) == count
+    assert context.script.site.history.check() == []
--- a/features/support/rule_cases.py
+++ b/features/support/rule_cases.py
@@ -89,6 +89,7 @@
         timings: Timings | None = None,
         holders: tuple[Holder, ...] = (),
         contract: Contract | None = None,
+        limits: EntryLimits | None = None,
     ) -> None:
         options = VirtualOptions(
             entries=entries,
@@ -106,7 +107,7 @@
             run_s=(run_s, run_s),
             fail_share=0.0,
             timings=timings or Timings(),
-            limits=EntryLimits(ahead=ahead, small_job=1000),
+            limits=limits or EntryLimits(ahead=ahead, small_job=1000),
             customer=_find_customer(holders),
         )
         if contract is not None:
