Drop fields and return values that say nothing

Confirming a lease returned a list that was always empty, passed on through two callers; and the peers to ask were worked out twice.

--- a/src/fulmarscale/control/actions.py
+++ b/src/fulmarscale/control/actions.py
@@ -70,18 +70,18 @@
     """The new list."""
 
 
-class RowChange(msgspec.Struct, frozen=True):
+class RowChange(msgspec.Struct, frozen=True, kw_only=True):
     """One operator's change of one row."""
 
     change_id: str
     """Names the change, to recognise it after a lost answer."""
-    customer: CustomerName | None
+    customer: CustomerName | None = None
     """The customer whose contract is replaced."""
-    data_centre: DataCentreName | None
+    data_centre: DataCentreName | None = None
     """The data centre whose state is replaced."""
-    contract: Contract | None
+    contract: Contract | None = None
     """The new contract."""
-    state: DataCentreState | None
+    state: DataCentreState | None = None
     """The new state."""
     expected_version: int
     """The row's version that the operator saw; 0 for a new row."""
--- a/src/fulmarscale/control/lease.py
+++ b/src/fulmarscale/control/lease.py
@@ -180,7 +180,8 @@
             return actions + self._join(now)
         started_at = reading.started_at
         self._table_confirmed_at = max(self._table_confirmed_at, started_at)
-        return actions + self._confirm(started_at)
+        self._confirm(started_at)
+        return actions
 
     def receive_ask(self, asker: Member, ask: LeaseAsk, now: float) -> Action:
         """Answer a peer that wants its lease confirmed."""
@@ -222,7 +223,8 @@
             return actions
         known_at = self._promised_at.get(promise.of, NEVER)
         self._promised_at[promise.of] = max(known_at, promise.asked_at)
-        return actions + self._count_promises()
+        self._count_promises()
+        return actions
 
     def receive_join_request(
         self, request: JoinRequest, now: float
@@ -294,8 +296,6 @@
             list_version=self.entry_list.version,
             configuration_version=self._configuration.version,
         )
-        if not self._needed():
-            return []
         return [SendPeer(peer, ask) for peer in self._needed()]
 
     def _needed(self) -> list[Member]:
@@ -305,21 +305,20 @@
             needed[joiner.entry] = joiner
         return [needed[entry] for entry in sorted(needed)]
 
-    def _count_promises(self) -> list[Action]:
+    def _count_promises(self) -> None:
         needed = self._needed()
         if not self.is_member or not needed or self._pending_changes:
             # Peers don't know yet of a change that this entry carries.
-            return []
+            return
         # The oldest of all promises, not a majority: a change is accepted
         # with the knowledge of a single entry.
         oldest_at = min(
             self._promised_at.get(peer.entry, NEVER) for peer in needed
         )
-        return self._confirm(oldest_at)
+        self._confirm(oldest_at)
 
-    def _confirm(self, started_at: float) -> list[Action]:
+    def _confirm(self, started_at: float) -> None:
         self._confirmed_at = max(self._confirmed_at, started_at)
-        return []
 
     def _take_wall_time(self, reading: TableReading, now: float) -> None:
         if reading.started_at is None:
--- a/src/fulmarscale/entry/routes.py
+++ b/src/fulmarscale/entry/routes.py
@@ -127,9 +127,7 @@
             RowChange(
                 change_id=uuid.uuid4().hex,
                 customer=CustomerName(customer),
-                data_centre=None,
                 contract=contract,
-                state=None,
                 expected_version=expected,
             )
         )
@@ -162,9 +160,7 @@
         version = await side.change(
             RowChange(
                 change_id=uuid.uuid4().hex,
-                customer=None,
                 data_centre=DataCentreName(name),
-                contract=None,
                 state=body.state,
                 expected_version=expected,
             )
--- a/standins/virtual/site.py
+++ b/standins/virtual/site.py
@@ -289,9 +289,7 @@
         self._request += 1
         change = RowChange(
             change_id=f"change-{self._request}",
-            customer=None,
             data_centre=DataCentreName(name),
-            contract=None,
             state=state,
             expected_version=row.version if row is not None else 0,
         )
@@ -363,9 +361,7 @@
         for row in self.table.configuration.data_centres:
             change = RowChange(
                 change_id=f"heal-{row.name}",
-                customer=None,
                 data_centre=row.name,
-                contract=None,
                 state=DataCentreState.IN,
                 expected_version=row.version,
             )
@@ -381,18 +377,14 @@
             contract = RowChange(
                 change_id=f"contract-{customer}",
                 customer=customer,
-                data_centre=None,
                 contract=self.options.contract,
-                state=None,
                 expected_version=0,
             )
             self.table.write_change(contract, 0.0)
         for number in range(self.options.data_centres):
             data_centre = RowChange(
                 change_id=f"dc-{number}",
-                customer=None,
                 data_centre=DataCentreName(f"dc-{number}"),
-                contract=None,
                 state=DataCentreState.IN,
                 expected_version=0,
             )
