--- /dev/null
+++ b/src/fulmarscale/agent/run_process.py
@@ -0,0 +1,212 @@
+"""Connects the run guard to entries, the target and the clock."""
+
+from __future__ import annotations
+
+import asyncio
+from random import SystemRandom
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+from fulmarscale.agent.run_actions import CloseStream
+from fulmarscale.agent.run_actions import LogDecision
+from fulmarscale.agent.run_actions import SendMessage
+from fulmarscale.agent.run_actions import StartRun
+from fulmarscale.agent.run_actions import StopRun
+from fulmarscale.agent.run_guard import RunGuard
+from fulmarscale.agent.run_target import TargetUnreachableError
+from fulmarscale.control.lease import INCARNATION_BITS
+from fulmarscale.errors import InvariantError
+from fulmarscale.events import Event
+from fulmarscale.runs.clock import steady_s
+from fulmarscale.runs.streams import EntryStreamHandler
+from fulmarscale.runs.streams import RunStreamServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from fulmarscale.agent.run_actions import RunAction
+    from fulmarscale.agent.run_target import RunTarget
+    from fulmarscale.ids import EntryId
+    from fulmarscale.logs import EventLog
+    from fulmarscale.runs.messages import AgentMessage
+    from fulmarscale.runs.messages import EntryMessage
+    from fulmarscale.runs.model import TargetReport
+    from fulmarscale.runs.site_state import SiteState
+    from fulmarscale.runs.streams import MessageQueue
+
+TICK_S: Final = 0.05
+
+RENEW_WAIT_S: Final = 0.15
+"""How long the target may wait for an end before it answers a renewal."""
+
+LOOK_AGAIN_S: Final = 0.1
+"""Pause before a target that gave no answer is asked again."""
+
+STOP_LIMIT_S: Final = 5.0
+"""How long a planned stop waits for runs; the platform kills after 6 s."""
+
+
+class RunProcess(EntryStreamHandler):
+    """One agent process, without its HTTP side."""
+
+    def __init__(
+        self, name: str, data_centre: str, target: RunTarget, log: EventLog
+    ) -> None:
+        incarnation = SystemRandom().getrandbits(INCARNATION_BITS)
+        self._guard = RunGuard(name, data_centre, incarnation)
+        self._target = target
+        self._log = log
+        self._server = RunStreamServer(self)
+        self._sessions: dict[int, MessageQueue[AgentMessage]] = {}
+        self._session_number = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._failed = asyncio.Event()
+
+    @property
+    def guard(self) -> RunGuard:
+        """The decisions."""
+        return self._guard
+
+    @property
+    def failed(self) -> asyncio.Event:
+        """Set when a decision failed."""
+        return self._failed
+
+    async def start(self, host: str, port: int) -> None:
+        """Serve entries and follow the target."""
+        await self._server.start(host, port)
+        self._spawn(self._tick_forever())
+        self._spawn(self._renew_forever())
+        self._log.write(Event.PROCESS_STARTED)
+
+    async def finish(self) -> None:
+        """Take no new runs and wait for those under way."""
+        self._log.write(Event.STOP_REQUESTED, runs=self._guard.runs)
+        self._decide(self._guard.stop_taking)
+        ends_at = steady_s() + STOP_LIMIT_S
+        while self._guard.runs and steady_s() < ends_at:
+            await asyncio.sleep(TICK_S)
+
+    async def close(self) -> None:
+        """End all streams and connections."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.close()
+        await self._target.close()
+        self._log.write(Event.PROCESS_STOPPED)
+
+    def see_target(self, report: TargetReport, sequence: int) -> None:
+        """Take in a heartbeat."""
+        self._decide(self._guard.see_target, report, sequence)
+
+    def adopt_site(self, site: SiteState) -> None:
+        """Take in what operators have set."""
+        self._decide(self._guard.adopt_site, site)
+
+    def open_entry(
+        self, outgoing: MessageQueue[AgentMessage], entry: EntryId
+    ) -> int:
+        """Take in a new stream."""
+        self._session_number += 1
+        session = self._session_number
+        self._sessions[session] = outgoing
+        self._decide(self._guard.open_session, session, entry)
+        return session
+
+    def receive_entry(self, session: int, message: EntryMessage) -> None:
+        """Take in a message."""
+        self._decide(self._guard.receive, session, message)
+
+    def close_entry(self, session: int) -> None:
+        """Note the end of a stream."""
+        self._sessions.pop(session, None)
+        self._decide(self._guard.close_session, session)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._decide(self._guard.tick)
+            await asyncio.sleep(TICK_S)
+
+    async def _renew_forever(self) -> None:
+        while True:
+            target = self._guard.target
+            if target is None:
+                await asyncio.sleep(TICK_S)
+                continue
+            asked_at = steady_s()
+            self._guard.renew(asked_at)
+            try:
+                listed = await self._target.renew(
+                    target.life, self._guard.last_seen, RENEW_WAIT_S
+                )
+            except TargetUnreachableError as error:
+                self._decide(self._guard.lose_target, error.detail)
+                await asyncio.sleep(LOOK_AGAIN_S)
+                continue
+            self._decide(self._guard.list_runs, listed, asked_at)
+
+    def _decide(
+        self, decide: Callable[..., list[RunAction]], *inputs: Any
+    ) -> None:
+        """Hand inputs and the time to the decisions, carry out the result."""
+        if self._failed.is_set():
+            return
+        try:
+            actions = decide(*inputs, steady_s())
+        except InvariantError as error:
+            self._log.write_error(Event.INVARIANT_BROKEN, error)
+            self._failed.set()
+            return
+        except Exception as error:
+            # Decisions that failed half-way can't be trusted any more.
+            self._log.write_error(Event.UNEXPECTED_ERROR, error)
+            self._failed.set()
+            raise
+        self._perform(actions)
+
+    def _perform(self, actions: list[RunAction]) -> None:
+        for action in actions:
+            match action:
+                case SendMessage():
+                    outgoing = self._sessions.get(action.session)
+                    if outgoing is not None:
+                        outgoing.put(action.message)
+                case StartRun():
+                    self._spawn(self._start(action))
+                case StopRun():
+                    self._spawn(self._stop(action))
+                case CloseStream():
+                    outgoing = self._sessions.pop(action.session, None)
+                    if outgoing is not None:
+                        outgoing.end()
+                case LogDecision():
+                    self._log.write(action.event, **action.fields)
+
+    async def _start(self, action: StartRun) -> None:
+        answer = await self._target.start(
+            action.life, action.task, action.number, action.payload
+        )
+        self._decide(
+            self._guard.settle_start,
+            action.life,
+            action.task,
+            action.number,
+            answer,
+        )
+
+    async def _stop(self, action: StopRun) -> None:
+        if not await self._target.stop(
+            action.life, action.task, action.number
+        ):
+            return
+        self._decide(
+            self._guard.settle_stop, action.life, action.task, action.number
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/fulmarscale/cli/_common.py
+++ b/src/fulmarscale/cli/_common.py
@@ -47,6 +47,7 @@
         "settings_path",
         required=True,
         type=click.Path(path_type=Path, dir_okay=False),
+        envvar="FULMARSCALE_BOOT",
         help="The JSON settings file.",
     )(command)
     return click.version_option(VERSION)(command)
--- a/src/fulmarscale/cli/entry.py
+++ b/src/fulmarscale/cli/entry.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import contextmanager
 import sys
-from typing import Final
 from typing import TYPE_CHECKING
 
 import click
@@ -19,6 +17,8 @@
 from fulmarscale.entry.http import HttpSide
 from fulmarscale.entry.process import EntryProcess
 from fulmarscale.entry.routes import make_app
+from fulmarscale.http_server import KEEP_ALIVE_S
+from fulmarscale.http_server import Server
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.http_table import HttpTable
@@ -26,21 +26,8 @@
 from fulmarscale.settings import split_address
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from pathlib import Path
 
-KEEP_ALIVE_S: Final = 75
-"""How long an idle connection of a caller is kept."""
-
-
-class Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to the program."""
-
-    @contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Capture nothing."""
-        yield
-
 
 def make_server(side: HttpSide, settings: EntrySettings) -> Server:
     """Make the HTTP server."""
--- /dev/null
+++ b/src/fulmarscale/cli/site_agent.py
@@ -0,0 +1,85 @@
+"""The program `fulmar-agent` on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Final
+from typing import TYPE_CHECKING
+
+import click
+
+from fulmarscale.agent.run_process import RunProcess
+from fulmarscale.cli._common import ExitCode
+from fulmarscale.cli._common import read_settings
+from fulmarscale.cli._common import settings_options
+from fulmarscale.cli._common import stop_event
+from fulmarscale.cli._common import wait_first
+from fulmarscale.http_server import AppServer
+from fulmarscale.logs import BoundedStream
+from fulmarscale.logs import configure_logs
+from fulmarscale.logs import EventLog
+from fulmarscale.platform.follow import announce_agent
+from fulmarscale.platform.follow import follow_site
+from fulmarscale.platform.heartbeats import HeartbeatApp
+from fulmarscale.platform.runner import Runner
+from fulmarscale.platform.store import RowStore
+from fulmarscale.settings import SiteAgentSettings
+from fulmarscale.settings import split_address
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from fulmarscale.platform.heartbeats import Heartbeat
+
+STDOUT: Final = 1
+
+
+async def run(settings: SiteAgentSettings) -> ExitCode:
+    """Run an agent until it is told to stop."""
+    stop = stop_event()
+    log = EventLog("fulmar-agent", settings.name)
+    store = RowStore(settings.store_address)
+    runner = Runner(log)
+    process = RunProcess(settings.name, settings.data_centre, runner, log)
+
+    def take(heartbeat: Heartbeat) -> None:
+        process.see_target(heartbeat.report, heartbeat.sequence)
+        target = process.guard.target
+        if target is not None and target.life == heartbeat.report.life:
+            runner.meet(target.life, heartbeat.address, heartbeat.clock_ms)
+
+    heartbeats = AppServer(
+        HeartbeatApp(take, log), *split_address(settings.heartbeat_address)
+    )
+    follower = follow_site(store, process.adopt_site, log)
+    heartbeats.start()
+    await process.start(settings.address, settings.stream_port)
+    follower.start()
+    address = f"{settings.address}:{settings.stream_port}"
+    announcing = asyncio.create_task(
+        announce_agent(store, settings.name, address, log)
+    )
+    await wait_first(stop, process.failed)
+    announcing.cancel()
+    if not process.failed.is_set():
+        await process.finish()
+    for part in (heartbeats, follower, process, store):
+        await part.close()
+    return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
+
+
+@click.command()
+@settings_options
+def main(settings_path: Path, check_settings: bool) -> None:
+    """Run tasks on the platform's runner beside it."""
+    settings = read_settings(settings_path, SiteAgentSettings)
+    if check_settings:
+        click.echo("the settings are valid")
+        return
+    configure_logs(BoundedStream(STDOUT))
+    sys.exit(asyncio.run(run(settings)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/fulmarscale/cli/site_entry.py
@@ -0,0 +1,78 @@
+"""The program `fulmar-entry` on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Final
+from typing import TYPE_CHECKING
+
+import click
+
+from fulmarscale.cli._common import ExitCode
+from fulmarscale.cli._common import read_settings
+from fulmarscale.cli._common import settings_options
+from fulmarscale.cli._common import stop_event
+from fulmarscale.cli._common import wait_first
+from fulmarscale.entry.jobs.process import DispatchProcess
+from fulmarscale.http_server import AppServer
+from fulmarscale.logs import BoundedStream
+from fulmarscale.logs import configure_logs
+from fulmarscale.logs import EventLog
+from fulmarscale.platform.follow import follow_agents
+from fulmarscale.platform.follow import follow_site
+from fulmarscale.platform.ingress import IngressApp
+from fulmarscale.platform.ingress import ReadyApp
+from fulmarscale.platform.store import RowStore
+from fulmarscale.settings import SiteEntrySettings
+from fulmarscale.settings import split_address
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+STDOUT: Final = 1
+
+
+async def run(settings: SiteEntrySettings) -> ExitCode:
+    """Run an entry until it is told to stop."""
+    stop = stop_event()
+    log = EventLog("fulmar-entry", settings.name)
+    store = RowStore(settings.store_address)
+    process = DispatchProcess(settings.name, settings.data_centre, log)
+    ready = AppServer(
+        ReadyApp(process), *split_address(settings.ready_address)
+    )
+    ingress = AppServer(
+        IngressApp(process, log),
+        *split_address(settings.caller_address),
+        settings.connections,
+    )
+    followers = (
+        follow_site(store, process.adopt_site, log),
+        follow_agents(store, process.follow_agents, log),
+    )
+    process.start()
+    for part in (ready, ingress, *followers):
+        part.start()
+    await wait_first(stop, process.failed)
+    if not process.failed.is_set():
+        await process.finish()
+    for part in (ingress, ready, *followers, process, store):
+        await part.close()
+    return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
+
+
+@click.command()
+@settings_options
+def main(settings_path: Path, check_settings: bool) -> None:
+    """Take in jobs from the platform's callers and see them answered."""
+    settings = read_settings(settings_path, SiteEntrySettings)
+    if check_settings:
+        click.echo("the settings are valid")
+        return
+    configure_logs(BoundedStream(STDOUT))
+    sys.exit(asyncio.run(run(settings)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs whose tasks may be run again: order, placement, answers."""
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/actions.py
@@ -0,0 +1,58 @@
+"""What the dispatcher asks its driver to do."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from fulmarscale.events import Event
+from fulmarscale.runs.messages import EntryMessage
+from fulmarscale.runs.model import JobId
+
+
+class JobOutcome(Enum):
+    """What a caller is told about a job."""
+
+    COMPLETED = "completed"
+    """All tasks have ended well."""
+    FAILED = "failed"
+    """A task has failed as often as the queue allows."""
+    NOT_RUN = "not_run"
+    """Nothing of it has run, and nothing will by this attempt."""
+    UNFINISHED = "unfinished"
+    """Parts of it may have run; the attempt is given up."""
+
+
+class DispatchAction(msgspec.Struct, frozen=True):
+    """The base of all actions."""
+
+
+class AnswerJob(DispatchAction):
+    """Answer all who wait for a job."""
+
+    job_id: JobId
+    """The job."""
+    outcome: JobOutcome
+    """What became of it."""
+    retry_after_s: float = 0.0
+    """When another attempt is likely to be taken."""
+
+
+class SendOrders(DispatchAction):
+    """Send a message to an agent."""
+
+    session: int
+    """The stream."""
+    message: EntryMessage
+    """The message."""
+
+
+class LogDecision(DispatchAction):
+    """Write a log line."""
+
+    event: Event
+    """What was decided."""
+    fields: dict[str, Any]
+    """The inputs of the decision."""
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -0,0 +1,135 @@
+"""What an entry knows of one agent and its target."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TYPE_CHECKING
+
+from fulmarscale.runs.limits import FRESH_S
+from fulmarscale.runs.limits import PING_S
+from fulmarscale.runs.model import Resources
+from fulmarscale.runs.model import TargetState
+
+if TYPE_CHECKING:
+    from fulmarscale.runs.messages import AgentMessage
+    from fulmarscale.runs.messages import StartOrder
+    from fulmarscale.runs.model import ServiceName
+    from fulmarscale.runs.model import TargetReport
+    from fulmarscale.runs.model import TaskKey
+    from fulmarscale.wire.messages import AgentToken
+
+QUARANTINE_FAILURES: Final = 3
+"""Failed runs in a row, of different jobs, after which a target is probed."""
+
+PROBE_PAUSE_S: Final = 1.0
+"""Time between probes of a target that fails all it starts."""
+
+
+class AgentView:
+    """One agent, as its messages describe it."""
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.session: int | None = None
+        """The open stream; none while there is none."""
+        self.token: AgentToken | None = None
+        self.heard_at = now
+        """When its last message came."""
+        self.sent_at = now
+        self.sequence = 0
+        self.target: TargetReport | None = None
+        self.is_stopping = False
+        self.site_revision = 0
+        self.others_backlog = 0
+        self.ordered: set[TaskKey] = set()
+        """Tasks whose runs this agent answers for."""
+        self.starts: list[StartOrder] = []
+        """Orders that wait to be sent."""
+        self.stops: list[TaskKey] = []
+        self.expected: tuple[TaskKey, ...] | None = None
+        self.is_dirty = False
+        self.failures = 0
+        self.probe_at = float("-inf")
+        self._used = Resources()
+        self._unheard: list[tuple[int, Resources]] = []
+
+    @property
+    def data_centre(self) -> str:
+        """Where its target is; empty while unknown."""
+        return "" if self.target is None else self.target.data_centre
+
+    @property
+    def capacity(self) -> Resources:
+        """What the target has in all."""
+        return Resources() if self.target is None else self.target.capacity
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether its target failed all that it was given of late."""
+        return self.failures >= QUARANTINE_FAILURES
+
+    @property
+    def room(self) -> Resources:
+        """What is free, less what this entry has ordered meanwhile."""
+        free = self.capacity - self._used
+        for _, demand in self._unheard:
+            free -= demand
+        return free
+
+    def update(self, message: AgentMessage, now: float) -> None:
+        """Take in a message."""
+        self.token = message.token
+        self.heard_at = now
+        self.target = message.target
+        self.is_stopping = message.is_stopping
+        self.site_revision = message.site_revision
+        self.others_backlog = message.others_backlog
+        self._used = message.used
+        self._unheard = [
+            (sequence, demand)
+            for sequence, demand in self._unheard
+            if sequence > message.heard_sequence
+        ]
+
+    def reset(self) -> None:
+        """Forget what was under way on a stream that ended."""
+        self._unheard.clear()
+        self.starts.clear()
+        self.stops.clear()
+
+    def is_usable(
+        self, service: ServiceName, closed: tuple[str, ...], now: float
+    ) -> bool:
+        """Tell whether the agent may be given runs of a service."""
+        target = self.target
+        if self.session is None or target is None or self.is_stopping:
+            return False
+        if now - self.heard_at > FRESH_S or self.token is None:
+            return False
+        if target.state is not TargetState.READY:
+            return False
+        if target.service != service or target.data_centre in closed:
+            return False
+        if not self.is_quarantined:
+            return True
+        return not self.ordered and now >= self.probe_at
+
+    def add(self, order: StartOrder) -> None:
+        """Queue an order for the next message."""
+        self.starts.append(order)
+        self.ordered.add(order.task)
+        self._unheard.append((self.sequence + 1, order.demand))
+        self.is_dirty = True
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether a message has to be sent."""
+        return self.is_dirty or now - self.sent_at >= PING_S
+
+    def note_failure(self, now: float) -> None:
+        """Count a failed run."""
+        self.failures += 1
+        self.probe_at = now + PROBE_PAUSE_S
+
+    def note_success(self) -> None:
+        """Note a run that ended well."""
+        self.failures = 0
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -0,0 +1,515 @@
+"""Takes in jobs, places their tasks and answers.
+
+All decisions of an entry about jobs whose tasks may be run again. It holds
+no socket and no clock.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+from fulmarscale.entry.jobs.actions import AnswerJob
+from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.entry.jobs.actions import LogDecision
+from fulmarscale.entry.jobs.actions import SendOrders
+from fulmarscale.entry.jobs.agent_view import AgentView
+from fulmarscale.entry.jobs.estimates import RunTimes
+from fulmarscale.entry.jobs.job import Job
+from fulmarscale.entry.jobs.job import TaskPhase
+from fulmarscale.events import Event
+from fulmarscale.runs.limits import SURELY_OVER_S
+from fulmarscale.runs.messages import EntryMessage
+from fulmarscale.runs.messages import StartOrder
+from fulmarscale.runs.model import RefusalReason
+from fulmarscale.runs.model import RunEnd
+from fulmarscale.runs.site_state import newer
+from fulmarscale.runs.site_state import SiteState
+
+if TYPE_CHECKING:
+    from fulmarscale.entry.jobs.actions import DispatchAction
+    from fulmarscale.entry.jobs.job import Task
+    from fulmarscale.ids import EntryId
+    from fulmarscale.runs.messages import AgentMessage
+    from fulmarscale.runs.messages import RunReport
+    from fulmarscale.runs.model import JobId
+    from fulmarscale.runs.model import JobSpec
+    from fulmarscale.runs.model import TaskKey
+    from fulmarscale.runs.site_state import Queue
+
+LATE_FACTOR: Final = 3.0
+"""An answer after this many objectives is worth nothing to the caller."""
+
+STANDSTILL_S: Final = 0.3
+"""A pause between events that shows that the process stood still."""
+
+SETTLE_S: Final = 0.1
+"""Time after a standstill in which nothing is started.
+
+What came in meanwhile is taken in first, so that no order rests on it.
+"""
+
+RETRY_AFTER_S: Final = 1.0
+"""When a refused job is worth another attempt."""
+
+
+class Dispatcher:
+    """The decisions of one entry."""
+
+    def __init__(self, entry: EntryId, data_centre: str) -> None:
+        self._entry = entry
+        self._data_centre = data_centre
+        self._site = SiteState()
+        self._jobs: dict[JobId, Job] = {}
+        self._agents: dict[str, AgentView] = {}
+        self._sessions: dict[int, AgentView] = {}
+        self._run_times = RunTimes()
+        self._last_event_at: float | None = None
+        self._settled_at = float("-inf")
+        self._actions: list[DispatchAction] = []
+
+    @property
+    def site(self) -> SiteState:
+        """What operators have set, as far as known here."""
+        return self._site
+
+    @property
+    def jobs(self) -> int:
+        """Jobs that have no answer yet."""
+        return len(self._jobs)
+
+    @property
+    def agents(self) -> list[AgentView]:
+        """All agents known."""
+        return list(self._agents.values())
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether jobs can be taken in."""
+        return self._site.is_known and any(
+            view.session is not None for view in self._agents.values()
+        )
+
+    def submit(
+        self,
+        job_id: JobId,
+        queue: Queue,
+        spec: JobSpec,
+        wait_s: float,
+        now: float,
+    ) -> list[DispatchAction]:
+        """Take in a job.
+
+        :param job_id: the caller's name for it.
+        :param queue: the queue that it is handed in to.
+        :param spec: what to run.
+        :param wait_s: how long the caller waits.
+        :param now: the entry's time.
+        """
+        self._note_time(now)
+        if job_id in self._jobs:
+            self._log(Event.JOB_JOINED, job=job_id)
+            return self._finish(now)
+        job = Job(job_id, queue, spec, now, now + wait_s)
+        self._set_objective(job)
+        self._jobs[job_id] = job
+        self._log(
+            Event.JOB_TAKEN,
+            job=job_id,
+            queue=queue.name,
+            tasks=len(job.tasks),
+            version=self._site.configuration_version,
+            wait_s=wait_s,
+        )
+        return self._finish(now)
+
+    def cancel(self, job_id: JobId, now: float) -> list[DispatchAction]:
+        """Drop a job whose caller has left."""
+        self._note_time(now)
+        job = self._jobs.pop(job_id, None)
+        if job is not None:
+            self._log(
+                Event.JOB_CANCELLED,
+                job=job_id,
+                age_s=round(now - job.arrived_at, 3),
+            )
+            self._stop_all(job)
+        return self._finish(now)
+
+    def open_agent(
+        self, session: int, name: str, now: float
+    ) -> list[DispatchAction]:
+        """Take in a new stream to an agent."""
+        self._note_time(now)
+        view = self._agents.get(name)
+        if view is None:
+            view = AgentView(name, now)
+            self._agents[name] = view
+        if view.session is not None:
+            self._sessions.pop(view.session, None)
+        view.reset()
+        view.session = session
+        view.token = None
+        view.sequence = 0
+        view.expected = tuple(sorted(view.ordered))
+        view.stops = [key for key in view.expected if not self._wants(key)]
+        view.is_dirty = True
+        self._sessions[session] = view
+        self._log(Event.AGENT_CONNECTED, agent=name)
+        return self._finish(now)
+
+    def close_agent(self, session: int, now: float) -> list[DispatchAction]:
+        """Note that a stream ended; its runs may go on for a while."""
+        self._note_time(now)
+        view = self._sessions.pop(session, None)
+        if view is not None:
+            view.session = None
+            view.reset()
+            self._log(
+                Event.AGENT_LOST, agent=view.name, runs=len(view.ordered)
+            )
+        return self._finish(now)
+
+    def receive_agent(
+        self, session: int, message: AgentMessage, now: float
+    ) -> list[DispatchAction]:
+        """Take in an agent's message."""
+        self._note_time(now)
+        view = self._sessions.get(session)
+        if view is None:
+            return self._finish(now)
+        view.update(message, now)
+        if message.site is not None:
+            self._adopt_site(message.site, source=view.name)
+        for progress in message.progress:
+            self._note_progress(progress.task, progress.percent, now)
+        for report in message.reports:
+            self._take_report(view, report, now)
+        return self._finish(now)
+
+    def adopt_site(self, site: SiteState, now: float) -> list[DispatchAction]:
+        """Take in what was read from the store."""
+        self._note_time(now)
+        self._adopt_site(site, source="store")
+        return self._finish(now)
+
+    def tick(self, now: float) -> list[DispatchAction]:
+        """Note that time has passed."""
+        self._note_time(now)
+        for view in list(self._agents.values()):
+            if view.ordered and now - view.heard_at > SURELY_OVER_S:
+                self._give_up_agent(view, now)
+        for job in list(self._jobs.values()):
+            self._check_time(job, now)
+        return self._finish(now)
+
+    def _note_time(self, now: float) -> None:
+        last = self._last_event_at
+        self._last_event_at = now
+        if last is None or now - last <= STANDSTILL_S:
+            return
+        self._settled_at = now + SETTLE_S
+        self._log(Event.STOOD_STILL, pause_s=round(now - last, 3))
+
+    def _set_objective(self, job: Job) -> None:
+        queue = job.queue
+        chain_s = self._run_times.expect_s(queue.name, job.longest_chain_s())
+        objective_s = queue.stretch * chain_s + queue.allowance_s
+        job.objective_at = job.arrived_at + objective_s
+        job.latest_start_at = job.objective_at - chain_s
+        job.useless_at = job.arrived_at + LATE_FACTOR * objective_s
+
+    def _check_time(self, job: Job, now: float) -> None:
+        if now >= job.deadline_at:
+            self._give_up(job, now, "deadline")
+            return
+        if job.may_have_run or job.ordered:
+            return
+        expected_s = self._run_times.expect_s(
+            job.queue.name, job.longest_chain_s()
+        )
+        if now + expected_s > job.useless_at:
+            self._give_up(job, now, "too_late")
+
+    def _give_up(self, job: Job, now: float, reason: str) -> None:
+        is_unrun = not job.may_have_run and not job.ordered
+        outcome = JobOutcome.NOT_RUN if is_unrun else JobOutcome.UNFINISHED
+        self._answer(job, outcome, now, reason)
+
+    def _answer(
+        self, job: Job, outcome: JobOutcome, now: float, reason: str
+    ) -> None:
+        del self._jobs[job.job_id]
+        self._stop_all(job)
+        self._log(
+            Event.JOB_ENDED,
+            job=job.job_id,
+            queue=job.queue.name,
+            outcome=outcome.value,
+            reason=reason,
+            took_s=round(now - job.arrived_at, 3),
+            over_objective_s=round(now - job.objective_at, 3),
+        )
+        self._actions.append(AnswerJob(job.job_id, outcome, RETRY_AFTER_S))
+
+    def _stop_all(self, job: Job) -> None:
+        for task in job.ordered:
+            view = self._agents.get(task.agent)
+            if view is None:
+                continue
+            view.stops.append(task.key)
+            view.is_dirty = True
+
+    def _adopt_site(self, site: SiteState, source: str) -> None:
+        adopted = newer(self._site, site)
+        if adopted is self._site:
+            return
+        self._site = adopted
+        self._log(
+            Event.SITE_STATE_ADOPTED,
+            source=source,
+            revision=adopted.revision,
+            version=adopted.configuration_version,
+            closed=adopted.closed_data_centres,
+        )
+        for view in self._agents.values():
+            if view.site_revision < adopted.revision:
+                view.is_dirty = True
+
+    def _note_progress(self, key: TaskKey, percent: int, now: float) -> None:
+        job = self._jobs.get(key.job_id)
+        task = None if job is None else job.find(key)
+        if task is None or percent <= task.percent:
+            return
+        task.percent = percent
+        task.progress_at = now
+
+    def _take_report(
+        self, view: AgentView, report: RunReport, now: float
+    ) -> None:
+        view.ordered.discard(report.task)
+        job = self._jobs.get(report.task.job_id)
+        task = None if job is None else job.find(report.task)
+        if job is None or task is None:
+            return
+        if task.phase is not TaskPhase.ORDERED or task.agent != view.name:
+            return
+        match report.end:
+            case RunEnd.DONE:
+                self._note_done(view, job, task, now)
+            case RunEnd.FAILED:
+                self._note_failed(view, job, task, now)
+            case RunEnd.NOT_STARTED:
+                self._note_not_started(view, job, task, report, now)
+            case _:
+                job.may_have_run = True
+                self._log(
+                    Event.RUN_CUT_SHORT,
+                    job=job.job_id,
+                    step=task.key.step,
+                    task=task.key.index,
+                    agent=view.name,
+                    end=report.end.value,
+                )
+                task.phase = TaskPhase.WAITING
+
+    def _note_done(
+        self, view: AgentView, job: Job, task: Task, now: float
+    ) -> None:
+        job.may_have_run = True
+        task.phase = TaskPhase.DONE
+        view.note_success()
+        ran_s = now - task.ordered_at
+        self._run_times.note(job.queue.name, task.step.declared_s, ran_s)
+        if job.is_done:
+            self._answer(job, JobOutcome.COMPLETED, now, "done")
+            return
+        job.unblock()
+
+    def _note_failed(
+        self, view: AgentView, job: Job, task: Task, now: float
+    ) -> None:
+        job.may_have_run = True
+        task.failures += 1
+        task.failed_on.add(view.name)
+        task.phase = TaskPhase.WAITING
+        view.note_failure(now)
+        self._log(
+            Event.RUN_FAILED,
+            job=job.job_id,
+            step=task.key.step,
+            task=task.key.index,
+            agent=view.name,
+            failures=task.failures,
+            agent_failures=view.failures,
+        )
+        if task.failures >= job.queue.max_attempts:
+            self._answer(job, JobOutcome.FAILED, now, "attempts_used_up")
+
+    def _note_not_started(
+        self,
+        view: AgentView,
+        job: Job,
+        task: Task,
+        report: RunReport,
+        now: float,
+    ) -> None:
+        task.phase = TaskPhase.WAITING
+        if report.refusal is not RefusalReason.NO_ROOM:
+            self._log(
+                Event.RUN_NOT_STARTED,
+                job=job.job_id,
+                step=task.key.step,
+                task=task.key.index,
+                agent=view.name,
+                reason=report.refusal.value if report.refusal else None,
+            )
+
+    def _give_up_agent(self, view: AgentView, now: float) -> None:
+        """Count all runs of a silent agent as ended."""
+        self._log(
+            Event.AGENT_SILENT,
+            agent=view.name,
+            silent_s=round(now - view.heard_at, 3),
+            runs=len(view.ordered),
+        )
+        for key in sorted(view.ordered):
+            job = self._jobs.get(key.job_id)
+            task = None if job is None else job.find(key)
+            if job is None or task is None or task.agent != view.name:
+                continue
+            if task.phase is TaskPhase.ORDERED:
+                job.may_have_run = True
+                task.phase = TaskPhase.WAITING
+        view.ordered.clear()
+
+    def _place(self, now: float) -> None:
+        if now < self._settled_at:
+            return
+        waiting = [job for job in self._jobs.values() if job.waiting]
+        if not waiting:
+            return
+        waiting.sort(key=lambda job: (job.latest_start_at, job.job_id))
+        for job in waiting:
+            views = [
+                view
+                for view in self._agents.values()
+                if view.is_usable(
+                    job.queue.service, self._site.closed_data_centres, now
+                )
+            ]
+            if not views:
+                continue
+            if not self._place_job(job, views, now):
+                return
+
+    def _place_job(self, job: Job, views: list[AgentView], now: float) -> bool:
+        """Order as many of a job's tasks as there is room for.
+
+        :returns: whether all of them found room.
+        """
+        is_complete = True
+        for task in job.waiting:
+            if self._is_held(task.key):
+                # A run for an earlier attempt has not surely ended.
+                is_complete = False
+                continue
+            view = self._choose(task, views)
+            if view is None:
+                is_complete = False
+                continue
+            self._order(job, task, view, now)
+        return is_complete
+
+    def _is_held(self, key: TaskKey) -> bool:
+        return any(key in view.ordered for view in self._agents.values())
+
+    def _wants(self, key: TaskKey) -> bool:
+        """Tell whether a run of a task is still of use."""
+        job = self._jobs.get(key.job_id)
+        task = None if job is None else job.find(key)
+        return task is not None and task.phase is TaskPhase.ORDERED
+
+    def _choose(self, task: Task, views: list[AgentView]) -> AgentView | None:
+        best: AgentView | None = None
+        best_key: tuple[bool, float, bool] | None = None
+        for view in views:
+            room = view.room
+            if not task.step.demand.fits(room):
+                continue
+            if view.is_quarantined and view.ordered:
+                continue
+            label = task.step.required_label
+            if label and view.target and label not in view.target.labels:
+                continue
+            key = (
+                view.name not in task.failed_on,
+                room.cpu_millicores / max(view.capacity.cpu_millicores, 1),
+                view.data_centre == self._data_centre,
+            )
+            if best_key is None or key > best_key:
+                best, best_key = view, key
+        return best
+
+    def _order(
+        self, job: Job, task: Task, view: AgentView, now: float
+    ) -> None:
+        task.phase = TaskPhase.ORDERED
+        task.agent = view.name
+        task.ordered_at = now
+        task.percent = 0
+        task.progress_at = now
+        if job.first_ordered_at is None:
+            job.first_ordered_at = now
+        view.add(
+            StartOrder(
+                task=task.key,
+                service=job.queue.service,
+                demand=task.step.demand,
+                payload=job.spec.payload,
+                required_label=task.step.required_label,
+            )
+        )
+
+    def _finish(self, now: float) -> list[DispatchAction]:
+        self._place(now)
+        backlog = sum(
+            task.step.demand.cpu_millicores
+            for job in self._jobs.values()
+            for task in job.waiting
+        )
+        for view in self._agents.values():
+            if view.session is not None and view.is_due(now):
+                self._send(view, backlog, now)
+        actions = self._actions
+        self._actions = []
+        return actions
+
+    def _send(self, view: AgentView, backlog: int, now: float) -> None:
+        if view.session is None:
+            return
+        view.sequence += 1
+        is_behind = view.site_revision < self._site.revision
+        message = EntryMessage(
+            entry=self._entry,
+            sequence=view.sequence,
+            echo=view.token,
+            starts=tuple(view.starts),
+            stops=tuple(view.stops),
+            expected=view.expected,
+            site_revision=self._site.revision,
+            site=self._site if is_behind else None,
+            backlog=backlog,
+        )
+        if is_behind:
+            view.site_revision = self._site.revision
+        view.starts = []
+        view.stops = []
+        view.expected = None
+        view.is_dirty = False
+        view.sent_at = now
+        self._actions.append(SendOrders(view.session, message))
+
+    def _log(self, event: Event, **fields: Any) -> None:
+        self._actions.append(LogDecision(event, fields))
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -0,0 +1,176 @@
+"""One job at the entry that took it in."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from fulmarscale.runs.model import TaskKey
+
+if TYPE_CHECKING:
+    from fulmarscale.runs.model import JobId
+    from fulmarscale.runs.model import JobSpec
+    from fulmarscale.runs.model import Step
+    from fulmarscale.runs.site_state import Queue
+
+
+class TaskPhase(Enum):
+    """Where a task is on its way."""
+
+    BLOCKED = "blocked"
+    """Earlier steps are not done yet."""
+    WAITING = "waiting"
+    """It waits for room."""
+    ORDERED = "ordered"
+    """An agent has the order to start it."""
+    DONE = "done"
+    """A run of it has ended well."""
+
+
+class Task:
+    """One task of a job."""
+
+    __slots__ = (
+        "agent",
+        "failed_on",
+        "failures",
+        "key",
+        "ordered_at",
+        "percent",
+        "phase",
+        "progress_at",
+        "step",
+    )
+
+    def __init__(self, key: TaskKey, step: Step) -> None:
+        self.key = key
+        self.step = step
+        self.phase = TaskPhase.BLOCKED
+        self.agent = ""
+        """The agent that has the order."""
+        self.ordered_at = 0.0
+        self.failures = 0
+        """Runs that ended as failed."""
+        self.failed_on: set[str] = set()
+        """Agents that are avoided, as a run failed there."""
+        self.percent = 0
+        """Progress of the present run, as reported last."""
+        self.progress_at = 0.0
+        """When the progress last rose."""
+
+
+class Job:
+    """A job, from its arrival to its answer."""
+
+    def __init__(
+        self,
+        job_id: JobId,
+        queue: Queue,
+        spec: JobSpec,
+        arrived_at: float,
+        deadline_at: float,
+    ) -> None:
+        self._job_id = job_id
+        self._queue = queue
+        self._spec = spec
+        self._arrived_at = arrived_at
+        self._deadline_at = deadline_at
+        self._tasks: list[Task] = []
+        self._by_key: dict[TaskKey, Task] = {}
+        for number, step in enumerate(spec.steps):
+            for index in range(step.count):
+                task = Task(TaskKey(job_id, 0, number, index), step)
+                self._tasks.append(task)
+                self._by_key[task.key] = task
+        self.may_have_run = False
+        """Whether a run may have begun."""
+        self.first_ordered_at: float | None = None
+        self.objective_at = arrived_at
+        """When the answer is due by the queue's objective."""
+        self.useless_at = arrived_at
+        """When an answer is worth nothing any more."""
+        self.latest_start_at = arrived_at
+        """The latest start that meets the objective."""
+        self.unblock()
+
+    @property
+    def job_id(self) -> JobId:
+        """The caller's name for the job."""
+        return self._job_id
+
+    @property
+    def queue(self) -> Queue:
+        """The queue, as configured when the job came."""
+        return self._queue
+
+    @property
+    def spec(self) -> JobSpec:
+        """What the caller handed in."""
+        return self._spec
+
+    @property
+    def arrived_at(self) -> float:
+        """When the job came, by the entry's clock."""
+        return self._arrived_at
+
+    @property
+    def deadline_at(self) -> float:
+        """Until when the caller waits."""
+        return self._deadline_at
+
+    @property
+    def tasks(self) -> list[Task]:
+        """All tasks."""
+        return self._tasks
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks have ended well."""
+        return all(task.phase is TaskPhase.DONE for task in self._tasks)
+
+    @property
+    def waiting(self) -> list[Task]:
+        """Tasks that wait for room."""
+        return [
+            task for task in self._tasks if task.phase is TaskPhase.WAITING
+        ]
+
+    @property
+    def ordered(self) -> list[Task]:
+        """Tasks that an agent has."""
+        return [
+            task for task in self._tasks if task.phase is TaskPhase.ORDERED
+        ]
+
+    def find(self, key: TaskKey) -> Task | None:
+        """Find a task by its name."""
+        return self._by_key.get(key)
+
+    def unblock(self) -> None:
+        """Let tasks wait for room whose earlier steps are done."""
+        done = {
+            number
+            for number in range(len(self._spec.steps))
+            if all(
+                task.phase is TaskPhase.DONE
+                for task in self._tasks
+                if task.key.step == number
+            )
+        }
+        for task in self._tasks:
+            if task.phase is not TaskPhase.BLOCKED:
+                continue
+            if all(earlier in done for earlier in task.step.after):
+                task.phase = TaskPhase.WAITING
+
+    def longest_chain_s(self) -> float:
+        """Work on the longest chain of steps, as declared."""
+        lengths: list[float] = []
+        for step in self._spec.steps:
+            before = [
+                lengths[earlier]
+                for earlier in step.after
+                if earlier < len(lengths)
+            ]
+            lengths.append(step.declared_s + max(before, default=0.0))
+        return max(lengths, default=0.0)
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -0,0 +1,206 @@
+"""Connects the dispatcher to callers, agents and the clock."""
+
+from __future__ import annotations
+
+import asyncio
+from random import SystemRandom
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+from fulmarscale.control.lease import INCARNATION_BITS
+from fulmarscale.entry.jobs.actions import AnswerJob
+from fulmarscale.entry.jobs.actions import LogDecision
+from fulmarscale.entry.jobs.actions import SendOrders
+from fulmarscale.entry.jobs.dispatcher import Dispatcher
+from fulmarscale.errors import InvariantError
+from fulmarscale.events import Event
+from fulmarscale.ids import EntryId
+from fulmarscale.runs.clock import steady_s
+from fulmarscale.runs.streams import AgentStream
+from fulmarscale.runs.streams import AgentStreamHandler
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from fulmarscale.entry.jobs.actions import DispatchAction
+    from fulmarscale.logs import EventLog
+    from fulmarscale.runs.messages import AgentMessage
+    from fulmarscale.runs.messages import EntryMessage
+    from fulmarscale.runs.model import JobId
+    from fulmarscale.runs.model import JobSpec
+    from fulmarscale.runs.site_state import Queue
+    from fulmarscale.runs.site_state import SiteState
+    from fulmarscale.runs.streams import MessageQueue
+
+TICK_S: Final = 0.05
+
+NOT_READY_S: Final = 2.5
+"""How long the balancer may take to see that the entry is not ready."""
+
+STOP_LIMIT_S: Final = 5.0
+"""How long a planned stop may take; the platform kills after 6 s."""
+
+
+class DispatchProcess(AgentStreamHandler):
+    """One entry process, without its HTTP side."""
+
+    def __init__(self, name: str, data_centre: str, log: EventLog) -> None:
+        incarnation = SystemRandom().getrandbits(INCARNATION_BITS)
+        entry = EntryId(name, incarnation)
+        self._dispatcher = Dispatcher(entry, data_centre)
+        self._log = log
+        self._streams: dict[str, AgentStream] = {}
+        self._sessions: dict[int, MessageQueue[EntryMessage]] = {}
+        self._session_number = 0
+        self._callers: dict[JobId, list[asyncio.Future[AnswerJob]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_stopping = False
+        self._failed = asyncio.Event()
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """The decisions."""
+        return self._dispatcher
+
+    @property
+    def failed(self) -> asyncio.Event:
+        """Set when a decision failed."""
+        return self._failed
+
+    @property
+    def site(self) -> SiteState:
+        """What operators have set."""
+        return self._dispatcher.site
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return not self._is_stopping and self._dispatcher.is_ready
+
+    def start(self) -> None:
+        """Begin to decide."""
+        self._spawn(self._tick_forever())
+        self._log.write(Event.PROCESS_STARTED)
+
+    async def finish(self) -> None:
+        """Turn callers away to others and answer those that are here."""
+        self._is_stopping = True
+        self._log.write(Event.STOP_REQUESTED, jobs=self._dispatcher.jobs)
+        began_at = steady_s()
+        await asyncio.sleep(NOT_READY_S)
+        while self._callers and steady_s() - began_at < STOP_LIMIT_S:
+            await asyncio.sleep(TICK_S)
+
+    async def close(self) -> None:
+        """End all streams."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for stream in self._streams.values():
+            await stream.close()
+        self._log.write(Event.PROCESS_STOPPED)
+
+    def submit(
+        self, job_id: JobId, queue: Queue, spec: JobSpec, wait_s: float
+    ) -> asyncio.Future[AnswerJob]:
+        """Take in a job; each attempt gets a future of its own."""
+        future: asyncio.Future[AnswerJob] = asyncio.Future()
+        self._callers.setdefault(job_id, []).append(future)
+        self._decide(self._dispatcher.submit, job_id, queue, spec, wait_s)
+        return future
+
+    def leave(self, job_id: JobId, future: asyncio.Future[AnswerJob]) -> None:
+        """Note that a caller has left; the last one takes the job along."""
+        waiting = self._callers.get(job_id, [])
+        if future in waiting:
+            waiting.remove(future)
+        if waiting or job_id not in self._callers:
+            return
+        del self._callers[job_id]
+        self._decide(self._dispatcher.cancel, job_id)
+
+    def adopt_site(self, site: SiteState) -> None:
+        """Take in what operators have set."""
+        self._decide(self._dispatcher.adopt_site, site)
+
+    def follow_agents(self, addresses: dict[str, str]) -> None:
+        """Keep a stream to each agent.
+
+        :param addresses: IP:port by the agent's name.
+        """
+        for name, address in addresses.items():
+            known = self._streams.get(name)
+            if known is not None and known.address == address:
+                continue
+            if known is not None:
+                self._spawn(known.close())
+            stream = AgentStream(name, address, self)
+            self._streams[name] = stream
+            stream.start()
+
+    def open_agent(
+        self, outgoing: MessageQueue[EntryMessage], name: str
+    ) -> int:
+        """Take in a new stream."""
+        self._session_number += 1
+        session = self._session_number
+        self._sessions[session] = outgoing
+        self._decide(self._dispatcher.open_agent, session, name)
+        return session
+
+    def receive_agent(self, session: int, message: AgentMessage) -> None:
+        """Take in a message."""
+        self._decide(self._dispatcher.receive_agent, session, message)
+
+    def close_agent(self, session: int) -> None:
+        """Note the end of a stream."""
+        self._sessions.pop(session, None)
+        self._decide(self._dispatcher.close_agent, session)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._decide(self._dispatcher.tick)
+            await asyncio.sleep(TICK_S)
+
+    def _decide(
+        self, decide: Callable[..., list[DispatchAction]], *inputs: Any
+    ) -> None:
+        """Hand inputs and the time to the decisions, carry out the result."""
+        if self._failed.is_set():
+            return
+        try:
+            actions = decide(*inputs, steady_s())
+        except InvariantError as error:
+            self._log.write_error(Event.INVARIANT_BROKEN, error)
+            self._failed.set()
+            return
+        except Exception as error:
+            # Decisions that failed half-way can't be trusted any more.
+            self._log.write_error(Event.UNEXPECTED_ERROR, error)
+            self._failed.set()
+            raise
+        self._perform(actions)
+
+    def _perform(self, actions: list[DispatchAction]) -> None:
+        for action in actions:
+            match action:
+                case SendOrders():
+                    outgoing = self._sessions.get(action.session)
+                    if outgoing is not None:
+                        outgoing.put(action.message)
+                case AnswerJob():
+                    self._answer(action)
+                case LogDecision():
+                    self._log.write(action.event, **action.fields)
+
+    def _answer(self, action: AnswerJob) -> None:
+        for future in self._callers.pop(action.job_id, []):
+            if not future.done():
+                future.set_result(action)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/fulmarscale/http_server.py
@@ -0,0 +1,62 @@
+"""HTTP servers inside the programs, by uvicorn."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import contextmanager
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+KEEP_ALIVE_S: Final = 75
+"""How long an idle connection of a caller is kept."""
+
+
+class Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the program."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture nothing."""
+        yield
+
+
+class AppServer:
+    """Serves a plain ASGI application on one address."""
+
+    def __init__(
+        self, app: Any, host: str, port: int, connections: int | None = None
+    ) -> None:
+        self._server = Server(
+            uvicorn.Config(
+                app,
+                host=host,
+                port=port,
+                loop="asyncio",
+                http="h11",
+                interface="asgi3",
+                lifespan="off",
+                access_log=False,
+                log_config=None,
+                limit_concurrency=connections,
+                timeout_keep_alive=KEEP_ALIVE_S,
+                server_header=False,
+                date_header=False,
+            )
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._task = asyncio.create_task(self._server.serve())
+
+    async def close(self) -> None:
+        """Stop listening, finish what is under way, end."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await asyncio.gather(self._task, return_exceptions=True)
--- a/src/fulmarscale/logs.py
+++ b/src/fulmarscale/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 from typing import Any
 from typing import TYPE_CHECKING
@@ -13,8 +14,63 @@
     from fulmarscale.events import Event
 
 
-def configure_logs() -> None:
-    """Send JSON lines to standard error."""
+class BoundedStream:
+    """A file descriptor that is written to without ever blocking.
+
+    Lines that it can't take at once are dropped and counted; the next line
+    that it takes is preceded by one that tells the count.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._dropped = 0
+        self._rest = b""
+        os.set_blocking(descriptor, False)
+
+    @property
+    def dropped(self) -> int:
+        """Lines dropped since the last that was taken."""
+        return self._dropped
+
+    def write(self, text: str) -> None:
+        """Write a line, or drop it."""
+        if not self._flush_rest():
+            self._dropped += 1
+            return
+        data = text.encode()
+        if self._dropped:
+            data = (
+                f'{{"event":"LINES_DROPPED","count":{self._dropped}}}\n'.encode()
+                + data
+            )
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            self._dropped += 1
+            return
+        self._dropped = 0
+        self._rest = data[written:]
+
+    def flush(self) -> None:
+        """Do nothing: nothing is buffered but the rest of a line."""
+
+    def _flush_rest(self) -> bool:
+        """Finish the line that was written in part."""
+        if not self._rest:
+            return True
+        try:
+            written = os.write(self._descriptor, self._rest)
+        except BlockingIOError:
+            return False
+        self._rest = self._rest[written:]
+        return not self._rest
+
+
+def configure_logs(stream: BoundedStream | None = None) -> None:
+    """Send JSON lines to a stream, or to standard error.
+
+    :param stream: where the lines go.
+    """
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -23,7 +79,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
 
--- /dev/null
+++ b/src/fulmarscale/platform/follow.py
@@ -0,0 +1,197 @@
+"""Keeps what the store holds up to date in memory."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fulmarscale.errors import FulmarError
+from fulmarscale.events import Event
+from fulmarscale.platform.store import HistoryGoneError
+from fulmarscale.platform.wire import decode_site
+from fulmarscale.platform.wire import OPERATOR_TABLE
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarscale.logs import EventLog
+    from fulmarscale.platform.store import RowStore
+    from fulmarscale.platform.wire import WireRows
+    from fulmarscale.runs.site_state import SiteState
+
+FEED_WAIT_S: Final = 2.0
+"""How long the store may wait for a change.
+
+A connection that went silent is noticed after this and FEED_SLACK_S; changes
+have to be in force 2 s after a machine has been sound for 3 s.
+"""
+
+RETRY_S: Final = 0.2
+"""Pause before a failed call is repeated."""
+
+LONGEST_PAUSE_S: Final = 2.0
+"""The longest pause before a failed write is repeated."""
+
+AGENT_TABLE: Final = "agents"
+"""Holds each agent's address under its name."""
+
+
+class TableFollower:
+    """Follows one table, and tells of each change in full."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        take: Callable[[dict[str, bytes], int], None],
+        log: EventLog,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._take = take
+        self._log = log
+        self._rows: dict[str, bytes] = {}
+        self._version = 0
+        self._is_lost = False
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        must_read = True
+        while True:
+            try:
+                if must_read:
+                    must_read = not await self._read_all()
+                else:
+                    await self._read_changes()
+                self._note_answer()
+            except HistoryGoneError:
+                must_read = True
+            except FulmarError as error:
+                self._note_failure(error)
+                await asyncio.sleep(RETRY_S)
+
+    async def _read_all(self) -> bool:
+        """Read the table.
+
+        :returns: false if the store answered from before what is known.
+        """
+        read = await self._store.read(self._table)
+        if read.ver < self._version:
+            self._log.write(
+                Event.STORE_ANSWERED_STALE,
+                table=self._table,
+                revision=read.ver,
+                known=self._version,
+            )
+            await asyncio.sleep(RETRY_S)
+            return False
+        self._rows = {}
+        self._merge(read)
+        self._take(self._rows, self._version)
+        return True
+
+    async def _read_changes(self) -> None:
+        read = await self._store.follow(
+            self._table, self._version, FEED_WAIT_S
+        )
+        if read.ver < self._version:
+            return
+        has_changes = bool(read.rows)
+        self._merge(read)
+        if has_changes:
+            self._take(self._rows, self._version)
+
+    def _merge(self, read: WireRows) -> None:
+        for row in read.rows:
+            if row.removed:
+                self._rows.pop(row.key, None)
+                continue
+            try:
+                self._rows[row.key] = row.read_value()
+            except ValueError as error:
+                self._log.write(Event.ROW_UNREADABLE, detail=str(error))
+        self._version = max(self._version, read.ver)
+
+    def _note_answer(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            self._log.write(Event.STORE_REGAINED, table=self._table)
+
+    def _note_failure(self, error: FulmarError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._log.write(
+                Event.STORE_LOST, table=self._table, detail=error.detail
+            )
+
+
+def follow_site(
+    store: RowStore, take: Callable[[SiteState], None], log: EventLog
+) -> TableFollower:
+    """Follow what operators set.
+
+    :param store: the platform's store.
+    :param take: called with each new state.
+    :param log: where unreadable rows are noted.
+    """
+
+    def take_rows(rows: dict[str, bytes], revision: int) -> None:
+        try:
+            take(decode_site(rows, revision))
+        except msgspec.MsgspecError as error:
+            log.write(Event.ROW_UNREADABLE, detail=str(error))
+
+    return TableFollower(store, OPERATOR_TABLE, take_rows, log)
+
+
+def follow_agents(
+    store: RowStore, take: Callable[[dict[str, str]], None], log: EventLog
+) -> TableFollower:
+    """Follow the agents' addresses.
+
+    :param store: the platform's store.
+    :param take: called with all addresses by the agent's name.
+    :param log: where unreadable rows are noted.
+    """
+
+    def take_rows(rows: dict[str, bytes], revision: int) -> None:
+        take({name: value.decode() for name, value in sorted(rows.items())})
+
+    return TableFollower(store, AGENT_TABLE, take_rows, log)
+
+
+async def announce_agent(
+    store: RowStore, name: str, address: str, log: EventLog
+) -> None:
+    """Write an agent's address to the store, however long it takes.
+
+    :param store: the platform's store.
+    :param name: the agent's name.
+    :param address: IP:port on which it serves entries.
+    :param log: where the outcome is noted.
+    """
+    pause_s = RETRY_S
+    while True:
+        try:
+            revision = await store.put(AGENT_TABLE, name, address.encode())
+        except FulmarError as error:
+            log.write(Event.STORE_LOST, table=AGENT_TABLE, detail=error.detail)
+            await asyncio.sleep(pause_s)
+            pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+            continue
+        log.write(Event.AGENT_ROW_WRITTEN, address=address, revision=revision)
+        return
--- /dev/null
+++ b/src/fulmarscale/platform/ingress.py
@@ -0,0 +1,189 @@
+"""Takes in callers' jobs in the platform's terms."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+import asyncio
+import math
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.events import Event
+from fulmarscale.platform.http import DisconnectedError
+from fulmarscale.platform.http import read_body
+from fulmarscale.platform.http import respond
+from fulmarscale.platform.wire import WireJob
+from fulmarscale.runs.model import JobId
+
+if TYPE_CHECKING:
+    from fulmarscale.entry.jobs.actions import AnswerJob
+    from fulmarscale.logs import EventLog
+    from fulmarscale.runs.model import JobSpec
+    from fulmarscale.runs.site_state import Queue
+    from fulmarscale.runs.site_state import SiteState
+
+READY_PATH: Final = "/api/ready"
+DEADLINE_HEADER: Final = b"deadline-ms"
+
+LONGEST_WAIT_S: Final = 60.0
+"""The wait of a caller that states none, and the longest that counts."""
+
+STATUSES: Final = {
+    JobOutcome.COMPLETED: 200,
+    JobOutcome.FAILED: 200,
+    JobOutcome.NOT_RUN: 503,
+    JobOutcome.UNFINISHED: 504,
+}
+"""503 tells callers that nothing has run; after 504 they try again."""
+
+
+class JobDesk(ABC):
+    """Takes in jobs for the ingress."""
+
+    @property
+    @abstractmethod
+    def site(self) -> SiteState:
+        """What operators have set."""
+
+    @property
+    @abstractmethod
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+
+    @abstractmethod
+    def submit(
+        self, job_id: JobId, queue: Queue, spec: JobSpec, wait_s: float
+    ) -> asyncio.Future[AnswerJob]:
+        """Take in a job; each attempt gets a future of its own."""
+
+    @abstractmethod
+    def leave(self, job_id: JobId, future: asyncio.Future[AnswerJob]) -> None:
+        """Note that a caller has left."""
+
+
+class ReadyApp:
+    """An ASGI application that tells the balancer whether to send callers."""
+
+    def __init__(self, desk: JobDesk) -> None:
+        self._desk = desk
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Any, send: Any
+    ) -> None:
+        """Serve a request."""
+        if scope["path"] != READY_PATH:
+            await respond(send, 404)
+            return
+        await respond(send, 200 if self._desk.is_ready else 503)
+
+
+class IngressApp:
+    """An ASGI application for callers."""
+
+    def __init__(self, desk: JobDesk, log: EventLog) -> None:
+        self._desk = desk
+        self._log = log
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Any, send: Any
+    ) -> None:
+        """Serve a request."""
+        site = self._desk.site
+        try:
+            body = await read_body(receive, site.longest_body_bytes)
+        except DisconnectedError:
+            return
+        headers = dict(scope["headers"])
+        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
+        if not site.is_known:
+            await self._reject(send, scope, 503, "no configuration yet")
+            return
+        queue = site.find_queue(host, scope["path"])
+        if queue is None:
+            await self._reject(send, scope, 404, "no such queue")
+            return
+        name = scope["path"].removeprefix(queue.path_prefix)
+        method = scope["method"]
+        if method == "GET" and not name:
+            await respond(send, 200, b'{"pending":0}')
+        elif method in ("GET", "DELETE"):
+            await respond(send, 410)
+        elif method != "POST" or not name:
+            await self._reject(send, scope, 405, "no such call")
+        elif body is None:
+            await self._reject(send, scope, 413, "the body is too long")
+        else:
+            wait_s = _read_wait_s(headers.get(DEADLINE_HEADER))
+            await self._submit(
+                scope, receive, send, queue, JobId(name), body, wait_s
+            )
+
+    async def _submit(
+        self,
+        scope: dict[str, Any],
+        receive: Any,
+        send: Any,
+        queue: Queue,
+        job_id: JobId,
+        body: bytes,
+        wait_s: float,
+    ) -> None:
+        try:
+            wire = msgspec.json.decode(body, type=WireJob)
+            spec = wire.decode()
+        except (msgspec.MsgspecError, ValueError) as error:
+            await self._reject(send, scope, 400, str(error))
+            return
+        if not wire.best_effort:
+            await self._reject(send, scope, 503, "jobs can't be kept yet")
+            return
+        future = self._desk.submit(job_id, queue, spec, wait_s)
+        leaving = asyncio.create_task(_wait_disconnect(receive))
+        await asyncio.wait(
+            (future, leaving), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not future.done():
+            self._desk.leave(job_id, future)
+            return
+        leaving.cancel()
+        await self._answer(send, future.result())
+
+    async def _answer(self, send: Any, answer: AnswerJob) -> None:
+        status = STATUSES[answer.outcome]
+        headers: tuple[tuple[bytes, bytes], ...] = ()
+        if answer.outcome is JobOutcome.NOT_RUN:
+            seconds = max(1, math.ceil(answer.retry_after_s))
+            headers = ((b"retry-after", str(seconds).encode()),)
+        body = msgspec.json.encode({"state": answer.outcome.value})
+        await respond(send, status, body, headers)
+
+    async def _reject(
+        self, send: Any, scope: dict[str, Any], status: int, reason: str
+    ) -> None:
+        self._log.write(
+            Event.JOB_REJECTED,
+            path=scope["path"],
+            status=status,
+            reason=reason,
+            version=self._desk.site.configuration_version,
+        )
+        headers = ((b"retry-after", b"1"),) if status == 503 else ()
+        await respond(send, status, b"{}", headers)
+
+
+async def _wait_disconnect(receive: Any) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+def _read_wait_s(value: bytes | None) -> float:
+    try:
+        wait_s = float(value or b"") / 1000
+    except ValueError:
+        return LONGEST_WAIT_S
+    return min(max(wait_s, 0.0), LONGEST_WAIT_S)
--- /dev/null
+++ b/src/fulmarscale/platform/runner.py
@@ -0,0 +1,255 @@
+"""The platform's runner, called over HTTP from its own machine."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+import httpx
+import msgspec
+
+from fulmarscale.agent.run_guard import ListedEnd
+from fulmarscale.agent.run_guard import ListedRun
+from fulmarscale.agent.run_guard import RunList
+from fulmarscale.agent.run_guard import StartAnswer
+from fulmarscale.agent.run_target import RunTarget
+from fulmarscale.agent.run_target import TargetUnreachableError
+from fulmarscale.events import Event
+from fulmarscale.platform.wire import ENDS
+from fulmarscale.platform.wire import format_task
+from fulmarscale.platform.wire import parse_task
+from fulmarscale.platform.wire import WireRunAnswer
+from fulmarscale.platform.wire import WireRunList
+from fulmarscale.runs.clock import steady_s
+from fulmarscale.runs.limits import LEASE_S
+from fulmarscale.runs.model import RunEnd
+from fulmarscale.runs.model import TargetLife
+
+if TYPE_CHECKING:
+    from fulmarscale.logs import EventLog
+    from fulmarscale.runs.model import TaskKey
+
+ORDER_TIMEOUT_S: Final = 0.4
+"""How long the answer to an order may take.
+
+A sound runner answers within milliseconds; without an answer the order may
+be carried out up to 12 s later.
+"""
+
+RENEW_SLACK_S: Final = 0.25
+"""How much longer than asked for the answer to a renewal may take.
+
+Two renewals fit in the lease.
+"""
+
+MOST_CONNECTIONS: Final = 48
+"""Below the 64 connections that a runner accepts."""
+
+CONFLICT: Final = 409
+
+NOTHING_SENT: Final = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+)
+"""Failures after which the runner surely got nothing of the order."""
+
+
+class Runner(RunTarget):
+    """Calls one runner."""
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._client = httpx.AsyncClient(
+            timeout=ORDER_TIMEOUT_S,
+            trust_env=False,
+            limits=httpx.Limits(
+                max_connections=MOST_CONNECTIONS,
+                max_keepalive_connections=MOST_CONNECTIONS,
+                keepalive_expiry=30.0,
+            ),
+        )
+        self._address = ""
+        self._life: TargetLife | None = None
+        self._clock_offset_ms = float("-inf")
+        """The runner's clock less ours, never too high."""
+        self._fencing_token = 0
+
+    def meet(self, life: TargetLife, address: str, clock_ms: int) -> None:
+        """Take in a runner's heartbeat.
+
+        The fencing token is the runner's own clock at the time that the
+        agent first hears of it: it rises over the agent's lives without a
+        store and without the time of day.
+        """
+        self._address = address
+        if life == self._life:
+            return
+        self._life = life
+        self._clock_offset_ms = float("-inf")
+        self._fencing_token = clock_ms
+        self._note_clock(clock_ms)
+
+    async def close(self) -> None:
+        """End all connections."""
+        await self._client.aclose()
+
+    async def start(
+        self, life: TargetLife, task: TaskKey, number: int, payload: str
+    ) -> StartAnswer:
+        """Start a run."""
+        body = {
+            "task": format_task(task),
+            "run": number,
+            "spec": payload,
+            "untilMs": self._lease_end_ms(),
+            "fencingToken": self._fencing_token,
+        }
+        try:
+            answer = await self._call("/api/run-start", life, body)
+        except httpx.HTTPError as error:
+            self._note_failure("start", task, number, repr(error))
+            if isinstance(error, NOTHING_SENT):
+                return StartAnswer.REJECTED
+            return StartAnswer.UNKNOWN
+        if answer.status_code == httpx.codes.OK:
+            self._read_clock(answer)
+            return StartAnswer.STARTED
+        reason = self._read_conflict(answer)
+        self._note_failure(
+            "start", task, number, f"{answer.status_code} {reason}"
+        )
+        if reason == "old":
+            return StartAnswer.NUMBER_TOO_LOW
+        return StartAnswer.REJECTED
+
+    async def stop(self, life: TargetLife, task: TaskKey, number: int) -> bool:
+        """Stop a run, or see that it never starts."""
+        body = {
+            "task": format_task(task),
+            "run": number,
+            "fencingToken": self._fencing_token,
+        }
+        try:
+            answer = await self._call("/api/run-stop", life, body)
+        except httpx.HTTPError as error:
+            self._note_failure("stop", task, number, repr(error))
+            return False
+        if answer.status_code == httpx.codes.OK:
+            return True
+        reason = self._read_conflict(answer)
+        self._note_failure(
+            "stop", task, number, f"{answer.status_code} {reason}"
+        )
+        return False
+
+    async def renew(
+        self, life: TargetLife, last_seen: int, wait_s: float
+    ) -> RunList:
+        """Renew the lease of all runs and wait for ends."""
+        body = {
+            "fencingToken": self._fencing_token,
+            "lastSeen": last_seen,
+            "waitMs": round(wait_s * 1000),
+            "untilMs": self._lease_end_ms(),
+        }
+        try:
+            answer = await self._call(
+                "/api/hold", life, body, wait_s + RENEW_SLACK_S
+            )
+        except httpx.HTTPError as error:
+            raise TargetUnreachableError(repr(error)) from error
+        if answer.status_code != httpx.codes.OK:
+            reason = self._read_conflict(answer)
+            raise TargetUnreachableError(f"{answer.status_code} {reason}")
+        try:
+            listed = msgspec.json.decode(answer.content, type=WireRunList)
+            self._note_clock(listed.clock_ms)
+            return _decode_list(life, listed)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise TargetUnreachableError(str(error)) from error
+
+    async def _call(
+        self,
+        path: str,
+        life: TargetLife,
+        body: dict[str, Any],
+        timeout_s: float = ORDER_TIMEOUT_S,
+    ) -> httpx.Response:
+        return await self._client.post(
+            f"http://{self._address}{path}",
+            content=msgspec.json.encode(body),
+            headers={
+                "Content-Type": "application/json",
+                "Target-Instance": life.target,
+            },
+            timeout=timeout_s,
+        )
+
+    def _lease_end_ms(self) -> int:
+        now_ms = steady_s() * 1000 + self._clock_offset_ms
+        return round(now_ms + LEASE_S * 1000)
+
+    def _note_clock(self, clock_ms: int) -> None:
+        # The answer was under way for a while, so this is at most the
+        # runner's time now. The newest counts: the clocks drift apart.
+        self._clock_offset_ms = clock_ms - steady_s() * 1000
+
+    def _read_clock(self, answer: httpx.Response) -> str:
+        try:
+            read = msgspec.json.decode(answer.content, type=WireRunAnswer)
+        except msgspec.MsgspecError:
+            return "unreadable"
+        self._note_clock(read.clock_ms)
+        return read.reason
+
+    def _read_conflict(self, answer: httpx.Response) -> str:
+        if answer.status_code != CONFLICT:
+            return ""
+        reason = self._read_clock(answer)
+        if reason == "fence":
+            # An earlier agent's token came from a later time.
+            now_ms = round(steady_s() * 1000 + self._clock_offset_ms)
+            self._fencing_token = max(self._fencing_token + 1, now_ms)
+        if reason == "late":
+            # The estimate of the runner's clock was too low.
+            self._log.write(Event.TARGET_CLOCK_REREAD)
+        return reason
+
+    def _note_failure(
+        self, order: str, task: TaskKey, number: int, detail: str
+    ) -> None:
+        self._log.write(
+            Event.ORDER_FAILED,
+            order=order,
+            task=format_task(task),
+            run=number,
+            detail=detail,
+        )
+
+
+def _decode_list(life: TargetLife, listed: WireRunList) -> RunList:
+    running = []
+    for row in listed.running:
+        name, number, _, percent = row[:4]
+        running.append(
+            ListedRun(
+                task=parse_task(msgspec.json.decode(name, type=str)),
+                number=msgspec.json.decode(number, type=int),
+                percent=round(msgspec.json.decode(percent, type=float)),
+            )
+        )
+    ended = [
+        ListedEnd(position, parse_task(name), number, _decode_end(how))
+        for position, name, number, how, _ in listed.ended
+    ]
+    answered = TargetLife(life.target, listed.born)
+    return RunList(answered, tuple(running), tuple(ended))
+
+
+def _decode_end(how: str) -> RunEnd:
+    end = ENDS.get(how)
+    if end is None:
+        raise ValueError(f"unknown end of a run: {how}")
+    return end
--- /dev/null
+++ b/src/fulmarscale/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of tasks under leases: what entries and agents share."""
--- /dev/null
+++ b/src/fulmarscale/runs/messages.py
@@ -0,0 +1,108 @@
+"""Typed messages between entries and agents about runs.
+
+Times are in seconds unless the name says otherwise.
+"""
+
+from __future__ import annotations
+
+from fulmarscale.ids import EntryId
+from fulmarscale.runs.model import RefusalReason
+from fulmarscale.runs.model import Resources
+from fulmarscale.runs.model import RunEnd
+from fulmarscale.runs.model import ServiceName
+from fulmarscale.runs.model import TargetReport
+from fulmarscale.runs.model import TaskKey
+from fulmarscale.runs.site_state import SiteState
+from fulmarscale.wire.messages import AgentToken
+from fulmarscale.wire.messages import Record
+
+
+class StartOrder(Record):
+    """Start a task if there is room now."""
+
+    task: TaskKey
+    """The task."""
+    service: ServiceName
+    """The pool that the queue leads to."""
+    demand: Resources
+    """What the task takes."""
+    payload: str
+    """Passed to the target unread."""
+    least_number: int = 1
+    """The run's number is to be no lower than this."""
+    required_label: str = ""
+    """A label that the target must have; empty for none."""
+
+
+class RunReport(Record):
+    """What became of a run."""
+
+    task: TaskKey
+    """The task."""
+    number: int
+    """The run's number; 0 if none was given."""
+    end: RunEnd
+    """How it ended."""
+    refusal: RefusalReason | None = None
+    """Why it did not start."""
+
+
+class RunProgress(Record):
+    """How far a run is."""
+
+    task: TaskKey
+    """The task."""
+    percent: int
+    """Share of its work that is done, 0 to 100."""
+
+
+class EntryMessage(Record):
+    """From an entry to an agent."""
+
+    entry: EntryId
+    """The sender's life."""
+    sequence: int
+    """Rises with each message of one stream."""
+    echo: AgentToken | None
+    """The agent's newest token that the entry holds."""
+    starts: tuple[StartOrder, ...] = ()
+    """Tasks to start."""
+    stops: tuple[TaskKey, ...] = ()
+    """Tasks to stop; what hasn't started never will by earlier orders."""
+    expected: tuple[TaskKey, ...] | None = None
+    """Runs that the entry counts on; sent once, when a stream opens."""
+    site_revision: int = 0
+    """The revision of the operators' state that the entry knows."""
+    site: SiteState | None = None
+    """That state, for an agent that knows an older one."""
+    backlog: int = 0
+    """Thousandths of a core asked for by tasks that wait at the entry."""
+
+
+class AgentMessage(Record):
+    """From an agent to an entry."""
+
+    name: str
+    """The agent's name."""
+    token: AgentToken
+    """The agent's time now."""
+    data_centre: str
+    """Where the agent is."""
+    heard_sequence: int = 0
+    """The entry's newest message that this one takes account of."""
+    target: TargetReport | None = None
+    """The target beside it; none while it is down."""
+    used: Resources = Resources()
+    """What all runs take, those that start or stop included."""
+    reports: tuple[RunReport, ...] = ()
+    """What became of the entry's runs."""
+    progress: tuple[RunProgress, ...] = ()
+    """How far the entry's runs are."""
+    site_revision: int = 0
+    """The revision of the operators' state that the agent knows."""
+    site: SiteState | None = None
+    """That state, for an entry that knows an older one."""
+    others_backlog: int = 0
+    """Thousandths of a core asked for at the other entries."""
+    is_stopping: bool = False
+    """Whether the agent takes no new runs as it is about to stop."""
--- /dev/null
+++ b/src/fulmarscale/runs/site_state.py
@@ -0,0 +1,81 @@
+"""What operators have set: queues, services, data centres taken out.
+
+A newer revision replaces an older one; an older one is never taken back.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from fulmarscale.runs.model import QueueName
+from fulmarscale.runs.model import ServiceName
+
+
+class Queue(msgspec.Struct, frozen=True, array_like=True):
+    """The contract under which jobs are handed in."""
+
+    name: QueueName
+    """The queue's name."""
+    host: str
+    """The host name that callers use."""
+    path_prefix: str
+    """What the paths of its jobs begin with."""
+    service: ServiceName
+    """The pool of targets that runs its tasks."""
+    priority: int = 0
+    """0 comes first."""
+    max_attempts: int = 1
+    """How many runs of a task may fail before its job has failed."""
+    stretch: float = 1.0
+    """The objective, in multiples of the job's longest chain of work."""
+    allowance_s: float = 0.0
+    """What the objective allows beyond that."""
+
+
+class SiteState(msgspec.Struct, frozen=True, array_like=True):
+    """All that operators have set, at one revision of the store."""
+
+    revision: int = 0
+    """The store's counter when this was read."""
+    configuration_version: int = 0
+    """The operators' own version number; 0 before the first."""
+    queues: tuple[Queue, ...] = ()
+    """All queues."""
+    closed_data_centres: tuple[str, ...] = ()
+    """Data centres in which nothing may start."""
+    longest_body_bytes: int = 262_144
+    """The longest body that callers may send."""
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any configuration was read."""
+        return self.configuration_version > 0
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Find the queue with the longest prefix of a path.
+
+        :param host: the host name that the caller used.
+        :param path: the path of the request.
+        """
+        best: Queue | None = None
+        for queue in self.queues:
+            if queue.host != host or not path.startswith(queue.path_prefix):
+                continue
+            if best is None or len(queue.path_prefix) > len(best.path_prefix):
+                best = queue
+        return best
+
+    def serves(self, service: ServiceName) -> bool:
+        """Tell whether any queue leads to a service."""
+        return any(queue.service == service for queue in self.queues)
+
+
+def newer(known: SiteState, read: SiteState) -> SiteState:
+    """Choose the newer of two states.
+
+    The configuration's own version goes first: a store that forgets or
+    answers late must not bring an older one back.
+    """
+    if read.configuration_version < known.configuration_version:
+        return known
+    return read if read.revision > known.revision else known
--- /dev/null
+++ b/src/fulmarscale/runs/streams.py
@@ -0,0 +1,261 @@
+"""Streams between entries and agents about runs, by grpclib.
+
+Agents serve, entries connect: entries learn agents' addresses from the store
+or keep them from before.
+"""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+import asyncio
+from contextlib import suppress
+from typing import Final
+from typing import Generic
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from grpclib.client import Channel
+from grpclib.client import StreamStreamMethod
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+from grpclib.server import Server
+
+from fulmarscale.runs.messages import AgentMessage
+from fulmarscale.runs.messages import EntryMessage
+from fulmarscale.wire.codec import MessagePackCodec
+from fulmarscale.wire.streams import CONNECT_TIMEOUT_S
+from fulmarscale.wire.streams import STREAM_ERRORS
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+    from fulmarscale.ids import EntryId
+
+Message = TypeVar("Message")
+
+SESSION_PATH: Final = "/fulmarscale.Agent/RunSession"
+
+QUEUE_LIMIT: Final = 2_000
+"""Messages that wait for one stream; more means that it is stuck."""
+
+RETRY_S: Final = 0.1
+"""The first pause before another attempt to connect."""
+
+LONGEST_RETRY_S: Final = 1.0
+"""The longest pause before another attempt to connect."""
+
+SILENT_S: Final = 1.0
+"""Silence after which a stream is given up and opened anew.
+
+Several times the longest pause between messages of a sound stream.
+"""
+
+
+class MessageQueue(Generic[Message]):
+    """Messages that wait to be sent on one stream."""
+
+    def __init__(self) -> None:
+        self._queue: asyncio.Queue[Message | None]
+        self._queue = asyncio.Queue(QUEUE_LIMIT)
+
+    def put(self, message: Message) -> None:
+        """Queue a message; a stuck stream is ended instead."""
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            self.end()
+
+    def end(self) -> None:
+        """End the stream."""
+        while not self._queue.empty():
+            self._queue.get_nowait()
+        self._queue.put_nowait(None)
+
+    async def send_all(self, stream: Stream) -> None:
+        """Send messages until the stream ends."""
+        with suppress(*STREAM_ERRORS):
+            while True:
+                message = await self._queue.get()
+                if message is None:
+                    return
+                await stream.send_message(message)
+
+
+class EntryStreamHandler(ABC):
+    """Takes in what entries send to an agent."""
+
+    @abstractmethod
+    def open_entry(
+        self, outgoing: MessageQueue[AgentMessage], entry: EntryId
+    ) -> int:
+        """Take in a new stream.
+
+        :returns: the number of the session.
+        """
+
+    @abstractmethod
+    def receive_entry(self, session: int, message: EntryMessage) -> None:
+        """Take in a message."""
+
+    @abstractmethod
+    def close_entry(self, session: int) -> None:
+        """Note the end of a stream."""
+
+
+class RunStreamServer:
+    """Serves an agent's streams."""
+
+    def __init__(self, handler: EntryStreamHandler) -> None:
+        self._handler = handler
+        self._server: Server | None = None
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Give grpclib the served method."""
+        return {
+            SESSION_PATH: Handler(
+                self._serve,
+                Cardinality.STREAM_STREAM,
+                EntryMessage,
+                AgentMessage,
+            )
+        }
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        self._server = Server([self], codec=MessagePackCodec())
+        await self._server.start(host, port)
+
+    async def close(self) -> None:
+        """Stop listening and end all streams."""
+        if self._server is None:
+            return
+        self._server.close()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self._server.wait_closed()
+
+    async def _serve(self, stream: Stream[EntryMessage, AgentMessage]) -> None:
+        first = await _receive(stream)
+        if first is None:
+            return
+        outgoing: MessageQueue[AgentMessage] = MessageQueue()
+        session = self._handler.open_entry(outgoing, first.entry)
+        self._handler.receive_entry(session, first)
+        writer = asyncio.create_task(outgoing.send_all(stream))
+        reader = asyncio.create_task(self._read(stream, session))
+        try:
+            await asyncio.wait(
+                (writer, reader), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            self._handler.close_entry(session)
+            await _end_tasks(writer, reader)
+
+    async def _read(
+        self, stream: Stream[EntryMessage, AgentMessage], session: int
+    ) -> None:
+        while True:
+            message = await _receive(stream)
+            if message is None:
+                return
+            self._handler.receive_entry(session, message)
+
+
+class AgentStreamHandler(ABC):
+    """Takes in what agents send to an entry."""
+
+    @abstractmethod
+    def open_agent(
+        self, outgoing: MessageQueue[EntryMessage], name: str
+    ) -> int:
+        """Take in a new stream.
+
+        :returns: the number of the session.
+        """
+
+    @abstractmethod
+    def receive_agent(self, session: int, message: AgentMessage) -> None:
+        """Take in a message."""
+
+    @abstractmethod
+    def close_agent(self, session: int) -> None:
+        """Note the end of a stream."""
+
+
+class AgentStream:
+    """The stream from an entry to one agent, opened again when it ends."""
+
+    def __init__(
+        self, name: str, address: str, handler: AgentStreamHandler
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._handler = handler
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def address(self) -> str:
+        """Where the agent serves."""
+        return self._address
+
+    def start(self) -> None:
+        """Begin to connect."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """End the stream."""
+        if self._task is not None:
+            await _end_tasks(self._task)
+
+    async def _run(self) -> None:
+        retry_s = RETRY_S
+        while True:
+            host, _, port = self._address.rpartition(":")
+            channel = Channel(host, int(port), codec=MessagePackCodec())
+            with suppress(*STREAM_ERRORS):
+                await self._serve(channel)
+                retry_s = RETRY_S
+            channel.close()
+            await asyncio.sleep(retry_s)
+            retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+
+    async def _serve(self, channel: Channel) -> None:
+        method = StreamStreamMethod(
+            channel, SESSION_PATH, EntryMessage, AgentMessage
+        )
+        async with method.open() as stream:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.send_request()
+            outgoing: MessageQueue[EntryMessage] = MessageQueue()
+            session = self._handler.open_agent(outgoing, self._name)
+            writer = asyncio.create_task(outgoing.send_all(stream))
+            try:
+                await self._read(stream, session)
+            finally:
+                self._handler.close_agent(session)
+                await _end_tasks(writer)
+
+    async def _read(
+        self, stream: Stream[EntryMessage, AgentMessage], session: int
+    ) -> None:
+        while True:
+            async with asyncio.timeout(SILENT_S):
+                message = await stream.recv_message()
+            if message is None:
+                return
+            self._handler.receive_agent(session, message)
+
+
+async def _receive(stream: Stream) -> EntryMessage | None:
+    try:
+        async with asyncio.timeout(SILENT_S):
+            return await stream.recv_message()
+    except STREAM_ERRORS:
+        return None
+
+
+async def _end_tasks(*tasks: asyncio.Task) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/fulmarscale/settings.py
+++ b/src/fulmarscale/settings.py
@@ -135,6 +135,46 @@
     """TLS on streams; none for plain text."""
 
 
+class SiteEntrySettings(BaseSettings):
+    """Settings of an entry on the users' platform."""
+
+    name: Name
+    """The VM's name."""
+    data_centre: Name
+    """Where it runs."""
+    address: str
+    """The VM's IP number."""
+    caller_address: Address
+    """IP:port on which callers' connections arrive."""
+    ready_address: Address
+    """IP:port on which the balancer asks."""
+    metrics_port: Annotated[int, msgspec.Meta(gt=0, lt=65536)]
+    """Port of the metrics."""
+    store_address: Address
+    """IP:port of the platform's store."""
+    connections: Count = 3_000
+    """Connections of callers that are accepted."""
+
+
+class SiteAgentSettings(BaseSettings):
+    """Settings of an agent on the users' platform."""
+
+    name: Name
+    """The VM's name."""
+    data_centre: Name
+    """Where it runs."""
+    address: str
+    """The VM's IP number."""
+    heartbeat_address: Address
+    """IP:port on which the target's heartbeats arrive."""
+    stream_port: Annotated[int, msgspec.Meta(gt=0, lt=65536)]
+    """Port on which entries connect."""
+    metrics_port: Annotated[int, msgspec.Meta(gt=0, lt=65536)]
+    """Port of the metrics."""
+    store_address: Address
+    """IP:port of the platform's store."""
+
+
 class ClientSettings(BaseSettings):
     """Settings of `fulmarctl` and `fulmar-report`."""
 
