--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,83 @@
+Feature: The adapter to the users' platform
+
+  Scenario Outline: A heartbeat that can't be read names no target
+    When a heartbeat comes with <change>
+    Then it is answered with <status> and <count> targets are known
+
+    Examples:
+      | change             | status | count |
+      | nothing changed    | 200    | 1     |
+      | no capacity        | 400    | 0     |
+      | an unknown state   | 400    | 0     |
+      | a text for a count | 400    | 0     |
+      | bytes of no JSON   | 400    | 0     |
+
+  Scenario Outline: Callers are answered in the platform's terms
+    Given an ingress that <state>
+    When a caller sends <request>
+    Then the answer is <status> with <detail>
+
+    Examples:
+      | state                    | request            | status | detail            |
+      | knows no configuration   | a best-effort job  | 503    | Retry-After       |
+      | completes all jobs       | a best-effort job  | 200    | state completed   |
+      | fails all jobs           | a best-effort job  | 200    | state failed      |
+      | runs no job              | a best-effort job  | 503    | Retry-After       |
+      | leaves jobs unfinished   | a best-effort job  | 504    | no Retry-After    |
+      | completes all jobs       | a job to be kept   | 503    | Retry-After       |
+      | completes all jobs       | a job of no steps  | 400    | no Retry-After    |
+      | completes all jobs       | a job out of order | 400    | no Retry-After    |
+      | completes all jobs       | an unknown queue   | 404    | no Retry-After    |
+      | completes all jobs       | a look at a queue  | 200    | pending           |
+      | completes all jobs       | a look at a job    | 410    | no Retry-After    |
+      | is about to stop         | a best-effort job  | 200    | Connection: close |
+
+  Scenario: A caller that leaves takes its job along
+    Given an ingress that answers nothing
+    When a caller sends a best-effort job and leaves
+    Then the job was given up for that caller
+
+  Scenario: The longest prefix of a path names the queue
+    Given queues with the prefixes "/a/" and "/a/b/"
+    Then the path "/a/b/0011" leads to the queue "/a/b/"
+    And the path "/a/0011" leads to the queue "/a/"
+
+  Scenario: An older answer of the store changes nothing
+    Given a store that answers with revision 9, then 4, then 12
+    When the operators' settings are followed for 3 readings
+    Then the revisions adopted are 9 and 12
+
+  Scenario: History that the store has forgotten is read anew
+    Given a store whose history is gone after revision 5
+    When the operators' settings are followed until revision 8
+    Then the revisions adopted are 5 and 8
+
+  Scenario: A configuration that can't be read leaves the last one in force
+    Given a store whose second configuration can't be read
+    When the operators' settings are followed until the second one
+    Then the revisions adopted are 3 and nothing else
+
+  Scenario: A newer configuration is never replaced by an older one
+    Given a site state of version 7 at revision 40
+    When one of version 6 at revision 41 is offered
+    Then version 7 stays in force
+
+  Scenario: A connection that went silent costs one call
+    Given a server that never answers on its first connection
+    When two calls are made one after another
+    Then the first fails as sent and the second is answered
+
+  Scenario: A refused connection is known to have carried nothing
+    Given no server
+    When a call is made
+    Then it fails as not sent
+
+  Scenario: A runner that saw a higher fencing token is followed
+    Given a runner that saw the fencing token 5000
+    When a lease is renewed twice with a token of 100
+    Then the second renewal carries a token of 5000 or more
+
+  Scenario: A start without an answer is unknown, a late one is rejected
+    Given a runner that answers starts with nothing, then "late", then "old"
+    When three starts are sent
+    Then they are unknown, rejected and number_too_low
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,483 @@
+"""Steps for the adapter to the users' platform; no kit is needed."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Any
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from fulmarscale.agent.run_target import TargetUnreachableError
+from fulmarscale.entry.jobs.actions import AnswerJob
+from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.errors import FulmarError
+from fulmarscale.ids import EntryId
+from fulmarscale.logs import EventLog
+from fulmarscale.platform.follow import follow_site
+from fulmarscale.platform.heartbeats import HeartbeatApp
+from fulmarscale.platform.http_client import CallError
+from fulmarscale.platform.http_client import HttpClient
+from fulmarscale.platform.ingress import IngressApp
+from fulmarscale.platform.ingress import JobDesk
+from fulmarscale.platform.runner import Runner
+from fulmarscale.platform.store import HistoryGoneError
+from fulmarscale.platform.wire import WireRow
+from fulmarscale.platform.wire import WireRows
+from fulmarscale.runs.model import JobId
+from fulmarscale.runs.model import QueueName
+from fulmarscale.runs.model import ServiceName
+from fulmarscale.runs.model import TargetId
+from fulmarscale.runs.model import TargetLife
+from fulmarscale.runs.model import TaskKey
+from fulmarscale.runs.site_state import newer
+from fulmarscale.runs.site_state import Queue
+from fulmarscale.runs.site_state import SiteState
+from standins.http_stub import HttpStub
+from standins.http_stub import StubAnswer
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from standins.http_stub import StubRequest
+
+LOG = EventLog("test", "platform")
+ENTRY = EntryId("e", 1)
+LIFE = TargetLife(TargetId("i-1"), 77)
+TASK = TaskKey(JobId("00"), 0, 0, 0)
+
+HEARTBEAT: dict[str, Any] = {
+    "service": "press",
+    "address": "10.0.0.9:80",
+    "zone": "here",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1"],
+    "clockMs": 482113,
+    "callSeq": 4,
+    "born": 1780000000000,
+}
+
+JOB: dict[str, Any] = {
+    "spec": "text",
+    "bestEffort": True,
+    "steps": [{"count": 2, "cpu": 1600, "memMb": 64, "estimatedMs": 120}],
+}
+
+
+class Exchange:
+    """Calls an ASGI application without a network."""
+
+    def __init__(self, method: str, path: str, body: bytes) -> None:
+        self._scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "headers": [(b"host", b"site.example"), (b"deadline-ms", b"900")],
+        }
+        self._body = body
+        self.leaves = False
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b""
+
+    async def run(self, app: Any) -> None:
+        """Make the call."""
+        self._messages = [{"type": "http.request", "body": self._body}]
+        await app(self._scope, self._receive, self._send)
+
+    async def _receive(self) -> dict[str, Any]:
+        if self._messages:
+            return self._messages.pop(0)
+        if not self.leaves:
+            await asyncio.sleep(3600)
+        return {"type": "http.disconnect"}
+
+    async def _send(self, message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = dict(message["headers"])
+        else:
+            self.body += message["body"]
+
+
+class FakeDesk(JobDesk):
+    """Gives every job the same outcome."""
+
+    def __init__(self, outcome: JobOutcome | None) -> None:
+        self.outcome = outcome
+        self.stopping = False
+        self.known = SiteState(1, 1, (make_queue("/quick/"),))
+        self.left: list[str] = []
+
+    @property
+    def site(self) -> SiteState:
+        return self.known
+
+    @property
+    def is_stopping(self) -> bool:
+        return self.stopping
+
+    @property
+    def is_ready(self) -> bool:
+        return True
+
+    def submit(self, job_id: Any, *_: Any) -> Any:
+        future: asyncio.Future[AnswerJob] = asyncio.Future()
+        if self.outcome is not None:
+            future.set_result(AnswerJob(job_id, self.outcome, 1.0))
+        return future
+
+    def leave(self, job_id: Any, future: Any) -> None:
+        self.left.append(job_id)
+
+
+def make_queue(prefix: str) -> Queue:
+    """Make a queue whose name is its prefix."""
+    return Queue(
+        QueueName(prefix), "site.example", prefix, ServiceName("press")
+    )
+
+
+@when("a heartbeat comes with {change}")
+def send_heartbeat(context: Context, change: str) -> None:
+    heartbeat = dict(HEARTBEAT)
+    match change:
+        case "no capacity":
+            del heartbeat["capacity"]
+        case "an unknown state":
+            heartbeat["state"] = "sleeping"
+        case "a text for a count":
+            heartbeat["callSeq"] = "4"
+    body = msgspec.json.encode(heartbeat)
+    if change == "bytes of no JSON":
+        body = b"\xff\x00"
+    context.targets = []
+    app = HeartbeatApp(context.targets.append, LOG)
+    context.exchange = Exchange("POST", "/api/Instances.Heartbeat/i-1", body)
+    asyncio.run(context.exchange.run(app))
+
+
+@then("it is answered with {status:d} and {count:d} targets are known")
+def check_heartbeat(context: Context, status: int, count: int) -> None:
+    assert context.exchange.status == status, context.exchange.status
+    assert len(context.targets) == count, context.targets
+
+
+@given("an ingress that {state}")
+def make_ingress(context: Context, state: str) -> None:
+    outcomes = {
+        "completes all jobs": JobOutcome.COMPLETED,
+        "fails all jobs": JobOutcome.FAILED,
+        "runs no job": JobOutcome.NOT_RUN,
+        "leaves jobs unfinished": JobOutcome.UNFINISHED,
+        "is about to stop": JobOutcome.COMPLETED,
+    }
+    context.desk = FakeDesk(outcomes.get(state))
+    context.desk.stopping = state == "is about to stop"
+    if state == "knows no configuration":
+        context.desk.known = SiteState()
+
+
+@when("a caller sends a best-effort job and leaves")
+def send_and_leave(context: Context) -> None:
+    body = msgspec.json.encode(JOB)
+    context.exchange = Exchange("POST", "/quick/0011", body)
+    context.exchange.leaves = True
+    asyncio.run(context.exchange.run(IngressApp(context.desk, LOG)))
+
+
+@when("a caller sends {request}")
+def send_request(context: Context, request: str) -> None:
+    job = dict(JOB)
+    method, path = "POST", "/quick/0011"
+    match request:
+        case "a job to be kept":
+            job["bestEffort"] = False
+        case "a job of no steps":
+            job["steps"] = []
+        case "a job out of order":
+            job["steps"] = [{"count": 1, "after": [1]}, {"count": 1}]
+        case "an unknown queue":
+            path = "/slow/0011"
+        case "a look at a queue":
+            method, path = "GET", "/quick/"
+        case "a look at a job":
+            method = "GET"
+    body = msgspec.json.encode(job) if method == "POST" else b""
+    context.exchange = Exchange(method, path, body)
+    asyncio.run(context.exchange.run(IngressApp(context.desk, LOG)))
+
+
+@then("the answer is {status:d} with {detail}")
+def check_answer(context: Context, status: int, detail: str) -> None:
+    exchange = context.exchange
+    assert exchange.status == status, exchange.status
+    match detail.split(" "):
+        case ["Retry-After"]:
+            assert b"retry-after" in exchange.headers
+        case ["no", "Retry-After"]:
+            assert b"retry-after" not in exchange.headers
+        case ["state", state]:
+            assert msgspec.json.decode(exchange.body)["state"] == state
+        case ["pending"]:
+            assert msgspec.json.decode(exchange.body)["pending"] == 0
+        case _:
+            assert exchange.headers[b"connection"] == b"close"
+
+
+@then("the job was given up for that caller")
+def check_left(context: Context) -> None:
+    assert context.desk.left == ["0011"], context.desk.left
+    assert context.exchange.status == 0, context.exchange.status
+
+
+@given('queues with the prefixes "{first}" and "{second}"')
+def make_queues(context: Context, first: str, second: str) -> None:
+    context.site_state = SiteState(
+        1, 1, (make_queue(first), make_queue(second))
+    )
+
+
+@then('the path "{path}" leads to the queue "{name}"')
+def check_queue(context: Context, path: str, name: str) -> None:
+    queue = context.site_state.find_queue("site.example", path)
+    assert queue is not None, "no queue"
+    assert queue.name == name, queue.name
+
+
+class FakeStore:
+    """Answers readings and feeds from a script."""
+
+    def __init__(self, readings: list[Any], feeds: list[Any]) -> None:
+        self._readings = readings
+        self._feeds = feeds
+        self.ended = asyncio.Event()
+
+    async def read(self, table: str) -> WireRows:
+        return await self._next(self._readings)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> WireRows:
+        return await self._next(self._feeds)
+
+    async def _next(self, script: list[Any]) -> WireRows:
+        if not script:
+            self.ended.set()
+            await asyncio.sleep(3600)
+        answer = script.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def make_rows(revision: int, value: bytes | None = None) -> WireRows:
+    """Make the operator's table at a revision."""
+    if value is None:
+        value = msgspec.json.encode({"version": revision, "routes": []})
+    text = base64.b64encode(value).decode()
+    row = WireRow(table="op", key="config", ver=revision, value=text)
+    return WireRows(revision, (row,))
+
+
+@given("a store that answers with revision 9, then 4, then 12")
+def make_stale_store(context: Context) -> None:
+    gone = HistoryGoneError()
+    context.readings = [make_rows(9), make_rows(4), make_rows(12)]
+    context.feeds = [gone, gone]
+
+
+@given("a store whose history is gone after revision 5")
+def make_forgetful_store(context: Context) -> None:
+    context.readings = [make_rows(5), make_rows(8)]
+    context.feeds = [HistoryGoneError()]
+
+
+@given("a store whose second configuration can't be read")
+def make_garbled_store(context: Context) -> None:
+    context.readings = [make_rows(3)]
+    context.feeds = [make_rows(6, b"\xff")]
+
+
+@when("the operators' settings are followed {extent}")
+def follow(context: Context, extent: str) -> None:
+    context.adopted = []
+
+    async def run() -> None:
+        store: Any = FakeStore(context.readings, context.feeds)
+
+        def take(site: SiteState) -> None:
+            context.adopted.append(site.revision)
+
+        follower = follow_site(store, take, LOG)
+        follower.start()
+        await store.ended.wait()
+        await follower.close()
+
+    asyncio.run(run())
+
+
+@then("the revisions adopted are {first:d} and {second}")
+def check_adopted(context: Context, first: int, second: str) -> None:
+    expected = [first] if second == "nothing else" else [first, int(second)]
+    assert context.adopted == expected, context.adopted
+
+
+@given("a site state of version {version:d} at revision {revision:d}")
+def make_state(context: Context, version: int, revision: int) -> None:
+    context.site_state = SiteState(revision, version)
+
+
+@when("one of version {version:d} at revision {revision:d} is offered")
+def offer_state(context: Context, version: int, revision: int) -> None:
+    offered = SiteState(revision, version)
+    context.site_state = newer(context.site_state, offered)
+
+
+@then("version {version:d} stays in force")
+def check_state(context: Context, version: int) -> None:
+    assert context.site_state.configuration_version == version
+
+
+@given("a server that never answers on its first connection")
+def make_silent_server(context: Context) -> None:
+    context.stub = HttpStub(lambda request: None)
+
+    def script(request: StubRequest) -> StubAnswer | None:
+        return None if context.stub.connections == 1 else StubAnswer(200)
+
+    context.stub = HttpStub(script)
+
+
+@when("two calls are made one after another")
+def call_twice(context: Context) -> None:
+    context.results = []
+
+    async def run() -> None:
+        await context.stub.start()
+        client = HttpClient(context.stub.address, 4)
+        for _ in range(2):
+            try:
+                answer = await client.call("GET", "/x", b"", 0.2)
+                context.results.append(answer.status)
+            except CallError as error:
+                context.results.append(error.is_sent)
+        client.close()
+        await context.stub.close()
+
+    asyncio.run(run())
+
+
+@then("the first fails as sent and the second is answered")
+def check_two(context: Context) -> None:
+    assert context.results == [True, 200], context.results
+
+
+@given("no server")
+def make_no_server(context: Context) -> None:
+    context.address = "127.0.0.1:1"
+
+
+@when("a call is made")
+def call_once(context: Context) -> None:
+    async def run() -> None:
+        client = HttpClient(context.address, 4)
+        try:
+            await client.call("GET", "/x", b"", 0.5)
+        except CallError as error:
+            context.error = error
+
+    asyncio.run(run())
+
+
+@then("it fails as not sent")
+def check_not_sent(context: Context) -> None:
+    error: FulmarError = context.error
+    assert isinstance(error, CallError), error
+    assert not error.is_sent, error.detail
+
+
+def run_with_runner(context: Context, script: Any, work: Any) -> None:
+    """Run calls against a scripted runner."""
+
+    async def run() -> None:
+        context.stub = HttpStub(script)
+        await context.stub.start()
+        runner = Runner(LOG)
+        runner.meet(LIFE, context.stub.address, 100)
+        await work(runner)
+        await runner.close()
+        await context.stub.close()
+
+    asyncio.run(run())
+
+
+@given("a runner that saw the fencing token {token:d}")
+def make_fenced_runner(context: Context, token: int) -> None:
+    def script(request: StubRequest) -> StubAnswer:
+        sent = msgspec.json.decode(request.body)["fencingToken"]
+        if sent < token:
+            body = {"clockMs": token + 10, "reason": "fence"}
+            return StubAnswer(409, msgspec.json.encode(body))
+        body = {"clockMs": token + 20, "born": 77}
+        return StubAnswer(200, msgspec.json.encode(body))
+
+    context.script = script
+
+
+@when("a lease is renewed twice with a token of 100")
+def renew_twice(context: Context) -> None:
+    async def work(runner: Runner) -> None:
+        for _ in range(2):
+            try:
+                await runner.renew(LIFE, 0, 0.0, extend=True)
+            except TargetUnreachableError:
+                continue
+
+    run_with_runner(context, context.script, work)
+
+
+@then("the second renewal carries a token of {token:d} or more")
+def check_token(context: Context, token: int) -> None:
+    bodies = [msgspec.json.decode(r.body) for r in context.stub.requests]
+    tokens = [body["fencingToken"] for body in bodies]
+    assert tokens[0] == 100, tokens
+    assert tokens[1] >= token, tokens
+
+
+@given('a runner that answers starts with nothing, then "late", then "old"')
+def make_refusing_runner(context: Context) -> None:
+    reasons = [None, "late", "old"]
+
+    def script(request: StubRequest) -> StubAnswer | None:
+        reason = reasons.pop(0)
+        if reason is None:
+            return None
+        body = {"clockMs": 500, "reason": reason}
+        return StubAnswer(409, msgspec.json.encode(body))
+
+    context.script = script
+
+
+@when("three starts are sent")
+def start_thrice(context: Context) -> None:
+    context.answers = []
+
+    async def work(runner: Runner) -> None:
+        for number in range(3):
+            answer = await runner.start(LIFE, TASK, number + 1, "text")
+            context.answers.append(answer.value)
+
+    run_with_runner(context, context.script, work)
+
+
+@then("they are unknown, rejected and number_too_low")
+def check_starts(context: Context) -> None:
+    expected = ["unknown", "rejected", "number_too_low"]
+    assert context.answers == expected, context.answers
