Serve counters, levels and latency histograms on the metrics address

Cause: the programs on the platform had no metrics. Change: counts of all numbered events, levels, response and start latency.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -81,3 +81,10 @@
     Given a runner that answers starts with nothing, then "late", then "old"
     When three starts are sent
     Then they are unknown, rejected and number_too_low
+
+  Scenario: A process tells its counters, levels and latencies
+    Given an entry that has answered a job
+    When its metrics are asked for
+    Then they hold "fulmarscale_events_total{event="JOB_REJECTED"}"
+    And they hold "fulmarscale_level{kind="jobs"}"
+    And they hold "fulmarscale_response_seconds_bucket{le="0.005"} 1.0"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -15,11 +15,13 @@
 from fulmarscale.agent.run_target import TargetUnreachableError
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import JobOutcome
-from fulmarscale.errors import FulmarError
+from fulmarscale.entry.jobs.process import DispatchProcess
+from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.follow import follow_site
 from fulmarscale.platform.heartbeats import HeartbeatApp
+from fulmarscale.platform.http import MetricsApp
 from fulmarscale.platform.http_client import CallError
 from fulmarscale.platform.http_client import HttpClient
 from fulmarscale.platform.ingress import IngressApp
@@ -29,8 +31,11 @@
 from fulmarscale.platform.wire import WireRow
 from fulmarscale.platform.wire import WireRows
 from fulmarscale.runs.model import JobId
+from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import QueueName
+from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import ServiceName
+from fulmarscale.runs.model import Step
 from fulmarscale.runs.model import TargetId
 from fulmarscale.runs.model import TargetLife
 from fulmarscale.runs.model import TaskKey
@@ -43,6 +48,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from fulmarscale.errors import FulmarError
     from standins.http_stub import StubRequest
 
 LOG = EventLog("test", "platform")
@@ -72,6 +78,9 @@
 }
 
 
+JOB_SPEC = JobSpec("text", (Step(1, Resources(1600, 64, 0), 0.12),))
+
+
 class Exchange:
     """Calls an ASGI application without a network."""
 
@@ -481,3 +490,28 @@
 def check_starts(context: Context) -> None:
     expected = ["unknown", "rejected", "number_too_low"]
     assert context.answers == expected, context.answers
+
+
+@given("an entry that has answered a job")
+def make_entry(context: Context) -> None:
+    async def run() -> None:
+        log = EventLog("test", "entry")
+        context.process = DispatchProcess("e", "here", log)
+        log.write(Event.JOB_REJECTED, status=404)
+        context.process.submit(
+            JobId("0011"), make_queue("/quick/"), JOB_SPEC, 5.0
+        )
+        context.process._decide(context.process.dispatcher.give_up_all)
+
+    asyncio.run(run())
+
+
+@when("its metrics are asked for")
+def ask_metrics(context: Context) -> None:
+    context.exchange = Exchange("GET", "/metrics", b"")
+    asyncio.run(context.exchange.run(MetricsApp(context.process.metrics)))
+
+
+@then('they hold "{text}"')
+def check_metrics(context: Context, text: str) -> None:
+    assert text in context.exchange.body.decode(), context.exchange.body
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -19,6 +19,8 @@
 from fulmarscale.errors import InvariantError
 from fulmarscale.events import Event
 from fulmarscale.runs.clock import steady_s
+from fulmarscale.runs.metrics import SiteMetrics
+from fulmarscale.runs.metrics import SpanHistogram
 from fulmarscale.runs.streams import EntryStreamHandler
 from fulmarscale.runs.streams import RunStreamServer
 
@@ -63,12 +65,22 @@
         self._session_number = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._failed = asyncio.Event()
+        self._starting = SpanHistogram(
+            "fulmarscale_start_seconds",
+            "Time from a start order to the target's answer.",
+        )
+        self._metrics = SiteMetrics(log, self._levels, (self._starting,))
 
     @property
     def guard(self) -> RunGuard:
         """The decisions."""
         return self._guard
 
+    @property
+    def metrics(self) -> SiteMetrics:
+        """The agent's metrics."""
+        return self._metrics
+
     @property
     def failed(self) -> asyncio.Event:
         """Set when a decision failed."""
@@ -192,10 +204,21 @@
                 case LogDecision():
                     self._log.write(action.event, **action.fields)
 
+    def _levels(self) -> dict[str, float]:
+        return {
+            "runs": self._guard.runs,
+            "entries": self._guard.sessions,
+            "used_millicores": self._guard.used.cpu_millicores,
+            "target_answers": float(self._guard.is_listed),
+            "configuration_version": self._guard.site.configuration_version,
+        }
+
     async def _start(self, action: StartRun) -> None:
+        ordered_at = steady_s()
         answer = await self._target.start(
             action.life, action.task, action.number, action.payload
         )
+        self._starting.note(steady_s() - ordered_at)
         self._decide(
             self._guard.settle_start,
             action.life,
--- a/src/fulmarscale/cli/site_agent.py
+++ b/src/fulmarscale/cli/site_agent.py
@@ -23,6 +23,7 @@
 from fulmarscale.platform.follow import announce_agent
 from fulmarscale.platform.follow import follow_site
 from fulmarscale.platform.heartbeats import HeartbeatApp
+from fulmarscale.platform.http import MetricsApp
 from fulmarscale.platform.runner import Runner
 from fulmarscale.platform.store import RowStore
 from fulmarscale.settings import SiteAgentSettings
@@ -59,8 +60,12 @@
     heartbeats = AppServer(
         HeartbeatApp(take, log), *split_address(settings.heartbeat_address)
     )
+    metrics = AppServer(
+        MetricsApp(process.metrics), settings.address, settings.metrics_port
+    )
     follower = follow_site(store, process.adopt_site, log)
     heartbeats.start()
+    metrics.start()
     await process.start(settings.address, settings.stream_port)
     follower.start()
     address = f"{settings.address}:{settings.stream_port}"
@@ -71,7 +76,7 @@
     announcing.cancel()
     if not process.failed.is_set():
         await process.finish()
-    for part in (heartbeats, follower, process, store, watcher):
+    for part in (heartbeats, metrics, follower, process, store, watcher):
         await part.close()
     return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
 
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -22,6 +22,7 @@
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.follow import follow_agents
 from fulmarscale.platform.follow import follow_site
+from fulmarscale.platform.http import MetricsApp
 from fulmarscale.platform.ingress import IngressApp
 from fulmarscale.platform.ingress import ReadyApp
 from fulmarscale.platform.store import RowStore
@@ -54,19 +55,22 @@
         *split_address(settings.caller_address),
         settings.connections,
     )
+    metrics = AppServer(
+        MetricsApp(process.metrics), settings.address, settings.metrics_port
+    )
     followers = (
         follow_site(store, process.adopt_site, log),
         follow_agents(store, process.follow_agents, log),
     )
     process.start()
-    for part in (ready, ingress, *followers):
+    for part in (ready, ingress, metrics, *followers):
         part.start()
     await wait_first(stop, process.failed)
     if not process.failed.is_set():
         await process.turn_away()
         ingress.drain()
         await process.finish()
-    for part in (ingress, ready, *followers, process, store, watcher):
+    for part in (ingress, ready, metrics, *followers, process, store, watcher):
         await part.close()
     return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
 
--- a/src/fulmarscale/entry/jobs/actions.py
+++ b/src/fulmarscale/entry/jobs/actions.py
@@ -38,6 +38,8 @@
     """What became of it."""
     retry_after_s: float = 0.0
     """When another attempt is likely to be taken."""
+    took_s: float = 0.0
+    """Time since the job's arrival."""
 
 
 class SendOrders(DispatchAction):
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -407,7 +407,10 @@
             took_s=round(now - job.arrived_at, 3),
             over_objective_s=round(now - job.objective_at, 3),
         )
-        self._actions.append(AnswerJob(job.job_id, outcome, RETRY_AFTER_S))
+        took_s = now - job.arrived_at
+        self._actions.append(
+            AnswerJob(job.job_id, outcome, RETRY_AFTER_S, took_s)
+        )
 
     def _stop_all(self, job: Job) -> None:
         for task in job.ordered:
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -17,6 +17,8 @@
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.clock import steady_s
+from fulmarscale.runs.metrics import SiteMetrics
+from fulmarscale.runs.metrics import SpanHistogram
 from fulmarscale.runs.streams import AgentStream
 from fulmarscale.runs.streams import AgentStreamHandler
 
@@ -59,6 +61,11 @@
         self._session_number = 0
         self._callers: dict[JobId, list[asyncio.Future[AnswerJob]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._response = SpanHistogram(
+            "fulmarscale_response_seconds",
+            "Time from a job's arrival to its answer.",
+        )
+        self._metrics = SiteMetrics(log, self._levels, (self._response,))
         self._is_stopping = False
         self._stopping_since = 0.0
         self._failed = asyncio.Event()
@@ -68,6 +75,11 @@
         """The decisions."""
         return self._dispatcher
 
+    @property
+    def metrics(self) -> SiteMetrics:
+        """The entry's metrics."""
+        return self._metrics
+
     @property
     def failed(self) -> asyncio.Event:
         """Set when a decision failed."""
@@ -209,7 +221,17 @@
                 case LogDecision():
                     self._log.write(action.event, **action.fields)
 
+    def _levels(self) -> dict[str, float]:
+        views = self._dispatcher.agents
+        connected = sum(view.session is not None for view in views)
+        return {
+            "jobs": self._dispatcher.jobs,
+            "agents": connected,
+            "configuration_version": self.site.configuration_version,
+        }
+
     def _answer(self, action: AnswerJob) -> None:
+        self._response.note(action.took_s)
         for future in self._callers.pop(action.job_id, []):
             if not future.done():
                 future.set_result(action)
--- a/src/fulmarscale/logs.py
+++ b/src/fulmarscale/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 import logging
 import os
 import sys
@@ -91,6 +92,12 @@
         self._logger = structlog.get_logger().bind(
             program=program, process=name
         )
+        self._counts: Counter[Event] = Counter()
+
+    @property
+    def counts(self) -> Counter[Event]:
+        """How often each event was written, dropped lines included."""
+        return self._counts
 
     def write(self, event: Event, **fields: Any) -> None:
         """Write an event.
@@ -98,8 +105,10 @@
         :param event: the event.
         :param fields: named values; never a key or a payload.
         """
+        self._counts[event] += 1
         self._logger.info(event.name, number=event.value, **fields)
 
     def write_error(self, event: Event, error: BaseException) -> None:
         """Write an event with an error's trace."""
+        self._counts[event] += 1
         self._logger.error(event.name, number=event.value, exc_info=error)
--- a/src/fulmarscale/platform/http.py
+++ b/src/fulmarscale/platform/http.py
@@ -3,6 +3,13 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fulmarscale.runs.metrics import SiteMetrics
+
+METRICS_PATH: Final = "/metrics"
 
 
 class DisconnectedError(Exception):
@@ -29,21 +36,40 @@
             return body
 
 
+class MetricsApp:
+    """An ASGI application that gives a process's metrics."""
+
+    def __init__(self, metrics: SiteMetrics) -> None:
+        self._metrics = metrics
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: Any, send: Any
+    ) -> None:
+        """Serve a request."""
+        if scope["path"] != METRICS_PATH:
+            await respond(send, 404)
+            return
+        text = self._metrics.render()
+        await respond(send, 200, text, content_type=b"text/plain")
+
+
 async def respond(
     send: Any,
     status: int,
     body: bytes = b"{}",
     headers: tuple[tuple[bytes, bytes], ...] = (),
+    content_type: bytes = b"application/json",
 ) -> None:
-    """Send a JSON response.
+    """Send a response.
 
     :param send: the ASGI send call.
     :param status: the HTTP status.
-    :param body: JSON.
+    :param body: the body.
     :param headers: further headers.
+    :param content_type: the body's type.
     """
     base = (
-        (b"content-type", b"application/json"),
+        (b"content-type", content_type),
         (b"content-length", str(len(body)).encode()),
     )
     await send(
