--- a/features/platform.feature
+++ b/features/platform.feature
@@ -25,6 +25,9 @@
       | runs no job              | a best-effort job  | 503    | Retry-After       |
       | leaves jobs unfinished   | a best-effort job  | 504    | no Retry-After    |
       | completes all jobs       | a job to be kept   | 503    | Retry-After       |
+      | completes all jobs       | a gang             | 503    | Retry-After       |
+      | completes all jobs       | a recurring job    | 503    | Retry-After       |
+      | completes all jobs       | a job for advice   | 503    | Retry-After       |
       | completes all jobs       | a job of no steps  | 400    | no Retry-After    |
       | completes all jobs       | a job out of order | 400    | no Retry-After    |
       | completes all jobs       | an unknown queue   | 404    | no Retry-After    |
--- a/features/runs.feature
+++ b/features/runs.feature
@@ -123,6 +123,13 @@
     And 6 s pass
     Then job "a" is completed at entry 0
 
+  Scenario: No target holds more tasks of a step than the step allows
+    Given a run site of 1 entries and 4 targets of 16 cores
+    When entry 0 takes job "a" of 12 tasks of 300 ms, 2 on a target
+    And 4 s pass
+    Then job "a" is completed at entry 0
+    And no target ever held more than 2 tasks
+
   Scenario: A target that fails all it starts costs no job
     Given a run site of 1 entries and 4 targets of 16 cores
     And fake target 0 fails all it starts
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -210,6 +210,15 @@
     match request:
         case "a job to be kept":
             job["bestEffort"] = False
+        case "a gang":
+            job["steps"] = [{"count": 2, "gang": True}]
+        case "a recurring job":
+            job["runCount"] = 3
+        case "a job for advice":
+            queue = msgspec.structs.replace(
+                make_queue("/quick/"), needs_advice=True
+            )
+            context.desk.known = SiteState(1, 1, (queue,))
         case "a job of no steps":
             job["steps"] = []
         case "a job out of order":
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -121,6 +121,23 @@
     context.submitted.append((entry, job))
 
 
+@when(
+    'entry {number:d} takes job "{job}" of {tasks:d} tasks of {work_ms:d} ms,'
+    " {most:d} on a target"
+)
+def submit_spread(
+    context: Context,
+    number: int,
+    job: str,
+    tasks: int,
+    work_ms: int,
+    most: int,
+) -> None:
+    entry = context.run_site.entries[number]
+    entry.submit(job, tasks, work_ms, most_per_target=most)
+    context.submitted.append((entry, job))
+
+
 @when("{span_s:g} s pass")
 def pass_time(context: Context, span_s: float) -> None:
     context.run_site.run(span_s)
@@ -284,3 +301,9 @@
         took_s = entry.answered_at[job] - entry.submitted_at[job]
         kept += took_s <= entry.objectives[job]
     assert kept >= count, kept
+
+
+@then("no target ever held more than {most:d} tasks")
+def check_spread(context: Context, most: int) -> None:
+    for target in context.run_site.targets:
+        assert target.most_running <= most, target.most_running
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -127,6 +127,7 @@
         self.running: dict[Any, tuple[int, HistoryRun]] = {}
         self.ended: list[ListedEnd] = []
         self.forbidden: dict[Any, int] = {}
+        self.most_running = 0
         self.token = 0
         """The highest fencing token seen; lower ones are refused."""
         self._until = float("inf")
@@ -167,6 +168,7 @@
         run = HistoryRun(action.task, self.name, self._clock.now, work_s)
         self.history.append(run)
         self.running[action.task] = (action.number, run)
+        self.most_running = max(self.most_running, len(self.running))
         self.extend(until)
         if self.is_hung:
             return StartAnswer.STARTED
@@ -463,6 +465,7 @@
         queue: Queue = QUEUE,
         wait_s: float = 10.0,
         declared_ms: int | None = None,
+        most_per_target: int = 0,
     ) -> None:
         """Hand in a job of one step."""
         self.submitted_at[job_id] = self._clock.now
@@ -470,7 +473,7 @@
             queue.stretch * work_ms / 1000 + queue.allowance_s
         )
         declared_s = (declared_ms or work_ms) / 1000
-        step = Step(tasks, TASK, declared_s)
+        step = Step(tasks, TASK, declared_s, most_per_target=most_per_target)
         spec = JobSpec(str(work_ms), (step,))
         self.do(
             lambda: self.perform(
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -87,6 +87,10 @@
             free -= demand
         return free
 
+    def has_label(self, label: str) -> bool:
+        """Tell whether the target has a label; its rack is one."""
+        return self.target is not None and label in self.target.labels
+
     def update(self, message: AgentMessage, now: float) -> None:
         """Take in a message."""
         self.token = message.token
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -596,7 +596,7 @@
                 # A run for an earlier attempt has not surely ended.
                 is_complete = False
                 continue
-            view = self._choose(task, views, now)
+            view = self._choose(job, task, views, now)
             if view is None:
                 is_complete = False
                 continue
@@ -613,29 +613,50 @@
         return task is not None and task.phase is TaskPhase.ORDERED
 
     def _choose(
-        self, task: Task, views: list[AgentView], now: float
+        self, job: Job, task: Task, views: list[AgentView], now: float
     ) -> AgentView | None:
+        """Choose the agent for a task among those that may have it."""
         best: AgentView | None = None
-        best_key: tuple[bool, bool, float, bool] | None = None
+        best_key: tuple[bool, bool, bool, float, bool] | None = None
         for view in views:
-            room = view.room
-            if not task.step.demand.fits(room):
+            if not self._may_hold(job, task, view):
                 continue
-            if view.is_quarantined and view.ordered:
-                continue
-            label = task.step.required_label
-            if label and view.target and label not in view.target.labels:
-                continue
-            key = (
-                view.name not in task.failed_on,
-                not view.slowness.is_slow(now),
-                room.cpu_millicores / max(view.capacity.cpu_millicores, 1),
-                view.data_centre == self._data_centre,
-            )
+            key = self._rank(task, view, now)
             if best_key is None or key > best_key:
                 best, best_key = view, key
         return best
 
+    def _may_hold(self, job: Job, task: Task, view: AgentView) -> bool:
+        """Tell whether an agent's target may run a task and has room."""
+        step = task.step
+        if view.target is None or not step.demand.fits(view.room):
+            return False
+        if view.is_quarantined and view.ordered:
+            return False
+        if step.required_label and not view.has_label(step.required_label):
+            return False
+        if step.most_per_target == 0:
+            return True
+        held = sum(
+            other.agent == view.name and other.step is step
+            for other in job.ordered
+        )
+        return held < step.most_per_target
+
+    def _rank(
+        self, task: Task, view: AgentView, now: float
+    ) -> tuple[bool, bool, bool, float, bool]:
+        """Rank an agent for a task; the highest is the best."""
+        rack = task.step.data_rack
+        free = view.room.cpu_millicores / max(view.capacity.cpu_millicores, 1)
+        return (
+            view.name not in task.failed_on,
+            not view.slowness.is_slow(now),
+            not rack or view.has_label(rack),
+            free,
+            view.data_centre == self._data_centre,
+        )
+
     def _order(
         self, job: Job, task: Task, view: AgentView, now: float
     ) -> None:
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -146,8 +146,11 @@
         except (msgspec.MsgspecError, ValueError) as error:
             await self._reject(send, scope, 400, str(error))
             return
-        if not wire.best_effort:
-            await self._reject(send, scope, 503, "jobs can't be kept yet")
+        unserved = wire.unserved
+        if queue.needs_advice:
+            unserved = "queues with advice are not served yet"
+        if unserved:
+            await self._reject(send, scope, UNAVAILABLE, unserved)
             return
         future = self._desk.submit(job_id, queue, spec, wait_s)
         leaving = asyncio.create_task(_wait_disconnect(receive))
--- a/src/fulmarscale/platform/wire.py
+++ b/src/fulmarscale/platform/wire.py
@@ -67,6 +67,8 @@
     anti_affinity: Whole = 0
     """The most tasks of the step on one target."""
     data_rack: str = ""
+    gang: bool = False
+    fills: bool = False
 
     def decode(self) -> Step:
         """Give the step in the product's terms."""
@@ -91,6 +93,20 @@
     """Passed to each task unread; not a description of the job."""
     best_effort: bool = False
     """Whether the answer comes when the job has ended, and nothing is kept."""
+    long_running: bool = False
+    run_count: int = 0
+    """Over 0: the job is due this many times."""
+
+    @property
+    def unserved(self) -> str:
+        """What the job asks for that is not served yet; empty for nothing."""
+        if not self.best_effort:
+            return "jobs can't be kept yet"
+        if self.long_running or self.run_count > 0:
+            return "jobs that last or recur are not served yet"
+        if any(step.gang or step.fills for step in self.steps):
+            return "gangs and tasks that fill are not served yet"
+        return ""
 
     def decode(self) -> JobSpec:
         """Give the job in the product's terms.
@@ -170,6 +186,8 @@
     stretch: float = 1.0
     target_latency_ms: float = 0.0
     """Added to the stretched chain of work; not the objective itself."""
+    advice: msgspec.Raw | None = None
+    """Given if only another service knows which targets may run a step."""
 
     def decode(self) -> Queue:
         """Give the queue in the product's terms."""
@@ -182,6 +200,7 @@
             max_attempts=self.max_attempts,
             stretch=self.stretch,
             allowance_s=self.target_latency_ms / 1000,
+            needs_advice=self.advice is not None,
         )
 
 
--- a/src/fulmarscale/runs/site_state.py
+++ b/src/fulmarscale/runs/site_state.py
@@ -30,6 +30,8 @@
     """The objective, in multiples of the job's longest chain of work."""
     allowance_s: float = 0.0
     """What the objective allows beyond that."""
+    needs_advice: bool = False
+    """Whether only another service knows which targets may run a step."""
 
 
 class SiteState(msgspec.Struct, frozen=True, array_like=True):
