Find the target again by the agent's own row; forecast once a tick

Ruled out: asking the runner's health path (it tells no capacity). Change: the agent's row holds its target and is read at start; a reborn target gets nothing before its heartbeat; waiting jobs are kept in a table, waits come from sums made once a tick; three jobs without room are passed over.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -91,3 +91,20 @@
     Then they hold "fulmarscale_events_total{event="JOB_REJECTED"}"
     And they hold "fulmarscale_level{kind="jobs"}"
     And they hold "fulmarscale_response_seconds_bucket{le="0.005"} 1.0"
+
+  Scenario Outline: An agent that starts again finds its target by its row
+    Given a store whose row of the agent is <row>
+    When the agent looks for its row
+    Then it finds <found>
+
+    Examples:
+      | row        | found     |
+      | whole      | a target  |
+      | not there  | nothing   |
+      | garbled    | nothing   |
+      | no answer  | nothing   |
+
+  Scenario: A runner is called without a lease while its clock is unknown
+    Given a runner that saw the fencing token 5000
+    When a former life's target is renewed twice
+    Then the first renewal extends no lease and the second does
--- a/features/runs.feature
+++ b/features/runs.feature
@@ -130,6 +130,14 @@
     Then job "a" is completed at entry 0
     And no target ever held more than 2 tasks
 
+  Scenario: A target that comes back smaller under its id is not overfilled
+    Given a run site of 1 entries and 1 targets of 16 cores
+    When entry 0 takes job "a" of 10 tasks of 1000 ms
+    And 0.3 s pass
+    And target 0 crashes for 0.05 s and comes back with 8 cores
+    And 8 s pass
+    Then no target held over 5 tasks in its second life
+
   Scenario: A target that fails all it starts costs no job
     Given a run site of 1 entries and 4 targets of 16 cores
     And fake target 0 fails all it starts
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -19,6 +19,8 @@
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.logs import EventLog
+from fulmarscale.platform.announce import AgentAnnouncer
+from fulmarscale.platform.announce import AgentRow
 from fulmarscale.platform.follow import follow_site
 from fulmarscale.platform.heartbeats import HeartbeatApp
 from fulmarscale.platform.http import MetricsApp
@@ -28,6 +30,7 @@
 from fulmarscale.platform.ingress import JobDesk
 from fulmarscale.platform.runner import Runner
 from fulmarscale.platform.store import HistoryGoneError
+from fulmarscale.platform.store import RowStore
 from fulmarscale.platform.wire import WireRow
 from fulmarscale.platform.wire import WireRows
 from fulmarscale.runs.model import JobId
@@ -38,6 +41,8 @@
 from fulmarscale.runs.model import Step
 from fulmarscale.runs.model import TargetId
 from fulmarscale.runs.model import TargetLife
+from fulmarscale.runs.model import TargetReport
+from fulmarscale.runs.model import TargetState
 from fulmarscale.runs.model import TaskKey
 from fulmarscale.runs.site_state import newer
 from fulmarscale.runs.site_state import Queue
@@ -524,3 +529,70 @@
 @then('they hold "{text}"')
 def check_metrics(context: Context, text: str) -> None:
     assert text in context.exchange.body.decode(), context.exchange.body
+
+
+@given("a store whose row of the agent is {row}")
+def make_row_store(context: Context, row: str) -> None:
+    report = TargetReport(
+        LIFE, ServiceName("press"), "here", TargetState.READY, Resources(16000)
+    )
+    value = msgspec.json.encode(AgentRow("10.0.0.1:7", report, "10.0.0.2:8"))
+    if row == "garbled":
+        value = b"{"
+    text = base64.b64encode(value).decode()
+    rows = [{"table": "agents", "key": "a", "ver": 4, "value": text}]
+    if row == "not there":
+        rows = []
+    body = msgspec.json.encode({"ver": 9, "rows": rows, "hasMore": False})
+
+    def script(request: StubRequest) -> StubAnswer | None:
+        return None if row == "no answer" else StubAnswer(200, body)
+
+    context.script = script
+
+
+@when("the agent looks for its row")
+def look_for_row(context: Context) -> None:
+    async def run() -> None:
+        stub = HttpStub(context.script)
+        await stub.start()
+        store = RowStore(stub.address)
+        announcer = AgentAnnouncer(store, "a", "10.0.0.1:7", LOG)
+        context.found = await announcer.restore()
+        await store.close()
+        await stub.close()
+
+    asyncio.run(run())
+
+
+@then("it finds {found}")
+def check_row(context: Context, found: str) -> None:
+    if found == "nothing":
+        assert context.found is None, context.found
+        return
+    assert context.found.target.life == LIFE, context.found
+
+
+@when("a former life's target is renewed twice")
+def renew_resumed(context: Context) -> None:
+    async def run() -> None:
+        context.stub = HttpStub(context.script)
+        await context.stub.start()
+        runner = Runner(LOG)
+        runner.resume(LIFE, context.stub.address)
+        for _ in range(2):
+            try:
+                await runner.renew(LIFE, 0, 0.0, extend=True)
+            except TargetUnreachableError:
+                continue
+        await runner.close()
+        await context.stub.close()
+
+    asyncio.run(run())
+
+
+@then("the first renewal extends no lease and the second does")
+def check_lease(context: Context) -> None:
+    bodies = [msgspec.json.decode(r.body) for r in context.stub.requests]
+    assert "untilMs" not in bodies[0], bodies
+    assert bodies[1]["untilMs"] > 5000, bodies
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -12,6 +12,7 @@
 from features.support.run_chaos import play_seed
 from features.support.run_site import RunSite
 from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
@@ -171,6 +172,30 @@
     context.run_site.targets[number].crash(down_s)
 
 
+@when(
+    "target {number:d} crashes for {down_s:g} s"
+    " and comes back with {cores:d} cores"
+)
+def shrink_target(
+    context: Context, number: int, down_s: float, cores: int
+) -> None:
+    site = context.run_site
+    target = site.targets[number]
+    target.crash(down_s)
+
+    def shrink() -> None:
+        target.capacity = Resources(cores * 1000, 65536, 0)
+        target.most_running = 0
+
+    site.clock.call_in(down_s / 2, shrink)
+
+
+@then("no target held over {most:d} tasks in its second life")
+def check_second_life(context: Context, most: int) -> None:
+    for target in context.run_site.targets:
+        assert 0 < target.most_running <= most, target.most_running
+
+
 @when("target {number:d} says that it is draining")
 def drain_target(context: Context, number: int) -> None:
     context.run_site.targets[number].state = TargetState.DRAINING
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -393,9 +393,15 @@
         if target is None or listed.life.target != target.life.target:
             return self._finish(now)
         if listed.life != target.life:
-            # The target started again under the same id.
-            reborn = msgspec.structs.replace(target, life=listed.life)
-            self._begin_life(reborn, 0, now)
+            # The target started again under the same id. What it has now
+            # its next heartbeat tells; nothing starts there before.
+            self._end_life(now)
+            self._target = None
+            self._log(
+                Event.TARGET_REBORN,
+                target=listed.life.target,
+                born_ms=listed.life.born_ms,
+            )
             return self._finish(now)
         if not self._is_listed:
             self._is_listed = True
@@ -507,12 +513,7 @@
         self, report: TargetReport, sequence: int, now: float
     ) -> None:
         """Follow another life of the target; the former one is over."""
-        for run in list(self._runs.values()):
-            self._end(run, RunEnd.LAPSED, now)
-        self._orphans.clear()
-        self._numbers.clear()
-        self._is_listed = False
-        self._last_seen = 0
+        self._end_life(now)
         self._target = report
         self._target_sequence = sequence
         self._next_target = None
@@ -524,6 +525,16 @@
             state=report.state.value,
         )
 
+    def _end_life(self, now: float) -> None:
+        """Forget all of a life of the target that is over."""
+        for run in list(self._runs.values()):
+            self._end(run, RunEnd.LAPSED, now)
+        self._orphans.clear()
+        self._numbers.clear()
+        self._is_listed = False
+        self._last_seen = 0
+        self._mark_dirty()
+
     def _answer_expected(self) -> None:
         """Answer for runs that entries gave out on an earlier stream.
 
--- a/src/fulmarscale/cli/site_agent.py
+++ b/src/fulmarscale/cli/site_agent.py
@@ -20,7 +20,7 @@
 from fulmarscale.logs import BoundedStream
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
-from fulmarscale.platform.follow import announce_agent
+from fulmarscale.platform.announce import AgentAnnouncer
 from fulmarscale.platform.follow import follow_site
 from fulmarscale.platform.heartbeats import HeartbeatApp
 from fulmarscale.platform.http import MetricsApp
@@ -36,6 +36,9 @@
 
 STDOUT: Final = 1
 
+RESTORED_SEQUENCE: Final = -1
+"""Older than any heartbeat of the same life."""
+
 
 async def run(path: Path, settings: SiteAgentSettings) -> ExitCode:
     """Run an agent until it is told to stop."""
@@ -49,6 +52,8 @@
     watcher = SettingsWatcher(path, settings, apply, log)
     watcher.start()
     runner = Runner(log)
+    address = f"{settings.address}:{settings.stream_port}"
+    announcer = AgentAnnouncer(store, settings.name, address, log)
     process = RunProcess(settings.name, settings.data_centre, runner, log)
 
     def take(heartbeat: Heartbeat) -> None:
@@ -56,6 +61,7 @@
         target = process.guard.target
         if target is not None and target.life == heartbeat.report.life:
             runner.meet(target.life, heartbeat.address, heartbeat.clock_ms)
+            announcer.note_target(target, heartbeat.address)
 
     heartbeats = AppServer(
         HeartbeatApp(take, log), *split_address(settings.heartbeat_address)
@@ -68,15 +74,23 @@
     metrics.start()
     await process.start(settings.address, settings.stream_port)
     follower.start()
-    address = f"{settings.address}:{settings.stream_port}"
-    announcing = asyncio.create_task(
-        announce_agent(store, settings.name, address, log)
-    )
+    known = await announcer.restore()
+    if known is not None and known.target is not None:
+        runner.resume(known.target.life, known.target_address)
+        process.see_target(known.target, RESTORED_SEQUENCE)
+    announcer.start()
     await wait_first(stop, process.failed)
-    announcing.cancel()
     if not process.failed.is_set():
         await process.finish()
-    for part in (heartbeats, metrics, follower, process, store, watcher):
+    for part in (
+        heartbeats,
+        metrics,
+        follower,
+        announcer,
+        process,
+        store,
+        watcher,
+    ):
         await part.close()
     return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
 
--- a/src/fulmarscale/entry/jobs/admission.py
+++ b/src/fulmarscale/entry/jobs/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
+from itertools import accumulate
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -46,35 +48,37 @@
     )
 
 
-def predict_wait_s(
-    job: Job, waiting: Iterable[Job], run_times: RunTimes, load: Load
-) -> float:
-    """Predict how long a job's last task waits for room.
+class Forecast:
+    """Predicts waits from the jobs that wait at one moment.
 
-    Jobs with an earlier latest start go first. Other entries' jobs are
-    taken to be spread like this entry's own.
-
-    :param job: the job that is asked for.
-    :param waiting: all jobs of this entry with waiting tasks.
-    :param run_times: how long tasks really take.
-    :param load: what serves the jobs and what else waits.
-    :returns: seconds.
+    Jobs with an earlier latest start go first. Other entries' jobs are taken
+    to be spread like this entry's own.
     """
-    if load.capacity_millicores <= 0:
-        return float("inf")
-    ahead = 0.0
-    total = 0.0
-    for other in waiting:
-        work = waiting_work(other, run_times)
-        total += work
-        if other is not job and other.latest_start_at < job.latest_start_at:
-            ahead += work
-    own = waiting_work(job, run_times)
-    share = (ahead + own) / total if total > 0 else 1.0
-    # Runs under way are on average half done.
-    running = load.used_millicores * run_times.mean_s / 2
-    work = ahead + own + share * load.others_work + running
-    return work / load.capacity_millicores
+
+    def __init__(self, waiting: Iterable[Job], run_times: RunTimes) -> None:
+        jobs = sorted(waiting, key=lambda job: job.latest_start_at)
+        self._starts = [job.latest_start_at for job in jobs]
+        works = (waiting_work(job, run_times) for job in jobs)
+        self._cumulative = list(accumulate(works))
+        self._run_times = run_times
+
+    def wait_s(self, job: Job, load: Load) -> float:
+        """Predict how long a job's last task waits for room.
+
+        :param job: one of the jobs that wait.
+        :param load: what serves the jobs and what else waits.
+        :returns: seconds.
+        """
+        if load.capacity_millicores <= 0:
+            return float("inf")
+        position = bisect_right(self._starts, job.latest_start_at)
+        work = self._cumulative[position - 1] if position else 0.0
+        total = self._cumulative[-1] if self._cumulative else 0.0
+        share = work / total if total > 0 else 1.0
+        # Runs under way are on average half done.
+        running = load.used_millicores * self._run_times.mean_s / 2
+        work += share * load.others_work + running
+        return work / load.capacity_millicores
 
 
 def is_servable(job: Job, wait_s: float) -> bool:
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -14,10 +14,10 @@
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import SendOrders
+from fulmarscale.entry.jobs.admission import Forecast
 from fulmarscale.entry.jobs.admission import is_hopeless
 from fulmarscale.entry.jobs.admission import is_servable
 from fulmarscale.entry.jobs.admission import Load
-from fulmarscale.entry.jobs.admission import predict_wait_s
 from fulmarscale.entry.jobs.admission import waiting_work
 from fulmarscale.entry.jobs.agent_view import AgentView
 from fulmarscale.entry.jobs.estimates import RunTimes
@@ -52,6 +52,12 @@
 LATE_FACTOR: Final = 3.0
 """An answer after this many objectives is worth nothing to the caller."""
 
+MOST_PASSED_OVER: Final = 3
+"""Jobs for which there is no room before no further one is looked at.
+
+What the most urgent ones can't use may still do for a smaller one.
+"""
+
 YOUNG_S: Final = 2.0
 """Time after a start in which agents and targets turn up.
 
@@ -79,6 +85,8 @@
         self._data_centre = data_centre
         self._site = SiteState()
         self._jobs: dict[JobId, Job] = {}
+        self._waiting: dict[JobId, Job] = {}
+        """Jobs with tasks that wait for room."""
         self._agents: dict[str, AgentView] = {}
         self._sessions: dict[int, AgentView] = {}
         self._run_times = RunTimes()
@@ -133,7 +141,8 @@
         job = Job(job_id, queue, spec, now, now + wait_s)
         self._set_objective(job)
         self._jobs[job_id] = job
-        if self._refuse_hopeless(job, now, is_new=True):
+        self._note_waiting(job)
+        if self._refuse_hopeless(job, self._forecast(), now, is_new=True):
             return self._finish(now)
         self._log(
             Event.JOB_TAKEN,
@@ -149,6 +158,7 @@
         """Drop a job whose caller has left."""
         self._note_time(now)
         job = self._jobs.pop(job_id, None)
+        self._waiting.pop(job_id, None)
         if job is not None:
             self._log(
                 Event.JOB_CANCELLED,
@@ -229,10 +239,21 @@
         for view in list(self._agents.values()):
             if view.ordered and now - view.heard_at > SURELY_OVER_S:
                 self._give_up_agent(view, now)
+        forecast = self._forecast()
         for job in list(self._jobs.values()):
-            self._check_time(job, now)
+            self._check_time(job, forecast, now)
         return self._finish(now)
 
+    def _move(self, job: Job, task: Task, phase: TaskPhase) -> None:
+        job.move(task, phase)
+        self._note_waiting(job)
+
+    def _note_waiting(self, job: Job) -> None:
+        if job.is_waiting:
+            self._waiting[job.job_id] = job
+        else:
+            self._waiting.pop(job.job_id, None)
+
     def _note_time(self, now: float) -> None:
         last = self._last_event_at
         self._last_event_at = now
@@ -251,28 +272,32 @@
         job.latest_start_at = job.objective_at - chain_s
         job.useless_at = job.arrived_at + LATE_FACTOR * objective_s
 
-    def _check_time(self, job: Job, now: float) -> None:
+    def _check_time(self, job: Job, forecast: Forecast, now: float) -> None:
         if now >= job.deadline_at:
             self._give_up(job, now, "deadline")
             return
-        if not job.may_have_run and not job.ordered:
-            self._refuse_hopeless(job, now, is_new=False)
+        if not job.may_have_run and not job.is_ordered:
+            self._refuse_hopeless(job, forecast, now, is_new=False)
             return
         for task in job.ordered:
             self._check_run(job, task, now)
 
-    def _refuse_hopeless(self, job: Job, now: float, *, is_new: bool) -> bool:
+    def _refuse_hopeless(
+        self, job: Job, forecast: Forecast, now: float, *, is_new: bool
+    ) -> bool:
         """Refuse a job that would end too late to be of use.
 
+        :param job: a job of which nothing has been ordered.
+        :param forecast: predicts its wait.
+        :param now: the entry's time.
         :param is_new: whether the job has just come.
 
         :returns: whether it was refused.
         """
-        waiting = [other for other in self._jobs.values() if other.waiting]
         if self._has_room(job, now):
             return False
         load = self._load(job)
-        wait_s = predict_wait_s(job, waiting, self._run_times, load)
+        wait_s = forecast.wait_s(job, load)
         if load.capacity_millicores == 0 and self._is_young(now):
             # The targets are not known yet: they are likely to be there.
             wait_s = 0.0
@@ -286,11 +311,14 @@
             wait_s=round(wait_s, 3),
             capacity=load.capacity_millicores,
             others_work=round(load.others_work),
-            waiting=len(waiting),
+            waiting=len(self._waiting),
         )
         self._give_up(job, now, "too_late")
         return True
 
+    def _forecast(self) -> Forecast:
+        return Forecast(self._waiting.values(), self._run_times)
+
     def _is_young(self, now: float) -> bool:
         """Tell whether agents may not have been heard yet."""
         return now - self._started_at < YOUNG_S
@@ -389,7 +417,7 @@
         )
 
     def _give_up(self, job: Job, now: float, reason: str) -> None:
-        is_unrun = not job.may_have_run and not job.ordered
+        is_unrun = not job.may_have_run and not job.is_ordered
         outcome = JobOutcome.NOT_RUN if is_unrun else JobOutcome.UNFINISHED
         self._answer(job, outcome, now, reason)
 
@@ -397,6 +425,7 @@
         self, job: Job, outcome: JobOutcome, now: float, reason: str
     ) -> None:
         del self._jobs[job.job_id]
+        self._waiting.pop(job.job_id, None)
         self._stop_all(job)
         self._log(
             Event.JOB_ENDED,
@@ -486,7 +515,7 @@
                     agent=view.name,
                     end=report.end.value,
                 )
-                task.phase = TaskPhase.WAITING
+                self._move(job, task, TaskPhase.WAITING)
 
     def _note_done(
         self, view: AgentView, job: Job, task: Task, now: float
@@ -498,12 +527,13 @@
         if not task.is_noted_slow:
             view.slowness.note(ran_s / max(expected_s, 0.001), now)
         task.ran_s = ran_s
-        task.phase = TaskPhase.DONE
+        self._move(job, task, TaskPhase.DONE)
         self._run_times.note(job.queue.name, task.step.declared_s, ran_s)
         if job.is_done:
             self._answer(job, JobOutcome.COMPLETED, now, "done")
             return
         job.unblock()
+        self._note_waiting(job)
 
     def _note_failed(
         self, view: AgentView, job: Job, task: Task, now: float
@@ -511,7 +541,7 @@
         job.may_have_run = True
         task.failures += 1
         task.failed_on.add(view.name)
-        task.phase = TaskPhase.WAITING
+        self._move(job, task, TaskPhase.WAITING)
         view.note_failure(now)
         self._log(
             Event.RUN_FAILED,
@@ -533,7 +563,7 @@
         report: RunReport,
         now: float,
     ) -> None:
-        task.phase = TaskPhase.WAITING
+        self._move(job, task, TaskPhase.WAITING)
         view.refused_at = now
         if report.refusal is not RefusalReason.NO_ROOM:
             self._log(
@@ -560,29 +590,32 @@
                 continue
             if task.phase is TaskPhase.ORDERED:
                 job.may_have_run = True
-                task.phase = TaskPhase.WAITING
+                self._move(job, task, TaskPhase.WAITING)
         view.ordered.clear()
 
     def _place(self, now: float) -> None:
         if now < self._settled_at:
             return
-        waiting = [job for job in self._jobs.values() if job.waiting]
-        if not waiting:
+        if not self._waiting:
             return
         # Jobs that can still be on time go first, the most urgent of them
         # at the head; those that are late share what is left.
-        waiting.sort(
+        waiting = sorted(
+            self._waiting.values(),
             key=lambda job: (
                 now > job.latest_start_at and not job.may_have_run,
                 job.latest_start_at,
                 job.job_id,
-            )
+            ),
         )
+        passed_over = 0
         for job in waiting:
             views = self._usable(job, now)
             if not views:
                 continue
             if not self._place_job(job, views, now):
+                passed_over += 1
+            if passed_over >= MOST_PASSED_OVER:
                 return
 
     def _place_job(self, job: Job, views: list[AgentView], now: float) -> bool:
@@ -660,7 +693,7 @@
     def _order(
         self, job: Job, task: Task, view: AgentView, now: float
     ) -> None:
-        task.phase = TaskPhase.ORDERED
+        self._move(job, task, TaskPhase.ORDERED)
         task.agent = view.name
         task.ordered_at = now
         task.percent = 0
@@ -686,16 +719,11 @@
         backlog = round(
             sum(
                 waiting_work(job, self._run_times)
-                for job in self._jobs.values()
-                if job.waiting
+                for job in self._waiting.values()
             )
         )
         slack_s = min(
-            (
-                job.latest_start_at - now
-                for job in self._jobs.values()
-                if job.waiting
-            ),
+            (job.latest_start_at - now for job in self._waiting.values()),
             default=0.0,
         )
         for view in self._agents.values():
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -104,11 +104,14 @@
         self._deadline_at = deadline_at
         self._tasks: list[Task] = []
         self._by_key: dict[TaskKey, Task] = {}
+        self._in_phase: dict[TaskPhase, dict[TaskKey, Task]]
+        self._in_phase = {phase: {} for phase in TaskPhase}
         for number, step in enumerate(spec.steps):
             for index in range(step.count):
                 task = Task(TaskKey(job_id, 0, number, index), step)
                 self._tasks.append(task)
                 self._by_key[task.key] = task
+                self._in_phase[task.phase][task.key] = task
         self.may_have_run = False
         """Whether a run may have begun."""
         self.first_ordered_at: float | None = None
@@ -153,21 +156,33 @@
     @property
     def is_done(self) -> bool:
         """Whether all tasks have ended well."""
-        return all(task.phase is TaskPhase.DONE for task in self._tasks)
+        return len(self._in_phase[TaskPhase.DONE]) == len(self._tasks)
 
     @property
     def waiting(self) -> list[Task]:
         """Tasks that wait for room."""
-        return [
-            task for task in self._tasks if task.phase is TaskPhase.WAITING
-        ]
+        return list(self._in_phase[TaskPhase.WAITING].values())
 
     @property
     def ordered(self) -> list[Task]:
         """Tasks that an agent has."""
-        return [
-            task for task in self._tasks if task.phase is TaskPhase.ORDERED
-        ]
+        return list(self._in_phase[TaskPhase.ORDERED].values())
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether any task waits for room."""
+        return bool(self._in_phase[TaskPhase.WAITING])
+
+    @property
+    def is_ordered(self) -> bool:
+        """Whether an agent has any task."""
+        return bool(self._in_phase[TaskPhase.ORDERED])
+
+    def move(self, task: Task, phase: TaskPhase) -> None:
+        """Put a task into another phase."""
+        del self._in_phase[task.phase][task.key]
+        task.phase = phase
+        self._in_phase[phase][task.key] = task
 
     def find(self, key: TaskKey) -> Task | None:
         """Find a task by its name."""
@@ -184,11 +199,9 @@
                 if task.key.step == number
             )
         }
-        for task in self._tasks:
-            if task.phase is not TaskPhase.BLOCKED:
-                continue
+        for task in list(self._in_phase[TaskPhase.BLOCKED].values()):
             if all(earlier in done for earlier in task.step.after):
-                task.phase = TaskPhase.WAITING
+                self.move(task, TaskPhase.WAITING)
 
     def peers_s(self, task: Task) -> float | None:
         """Median time of whole runs of the other tasks of a step.
--- a/src/fulmarscale/platform/follow.py
+++ b/src/fulmarscale/platform/follow.py
@@ -10,6 +10,8 @@
 
 from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
+from fulmarscale.platform.announce import AGENT_TABLE
+from fulmarscale.platform.announce import decode_agent_row
 from fulmarscale.platform.store import HistoryGoneError
 from fulmarscale.platform.wire import decode_site
 from fulmarscale.platform.wire import OPERATOR_TABLE
@@ -32,12 +34,6 @@
 RETRY_S: Final = 0.2
 """Pause before a failed call is repeated."""
 
-LONGEST_PAUSE_S: Final = 2.0
-"""The longest pause before a failed write is repeated."""
-
-AGENT_TABLE: Final = "agents"
-"""Holds each agent's address under its name."""
-
 
 class TableFollower:
     """Follows one table, and tells of each change in full."""
@@ -169,29 +165,12 @@
     """
 
     def take_rows(rows: dict[str, bytes], revision: int) -> None:
-        take({name: value.decode() for name, value in sorted(rows.items())})
+        found = {}
+        for name, value in sorted(rows.items()):
+            try:
+                found[name] = decode_agent_row(value).address
+            except msgspec.MsgspecError as error:
+                log.write(Event.ROW_UNREADABLE, detail=f"{name}: {error}")
+        take(found)
 
     return TableFollower(store, AGENT_TABLE, take_rows, log)
-
-
-async def announce_agent(
-    store: RowStore, name: str, address: str, log: EventLog
-) -> None:
-    """Write an agent's address to the store, however long it takes.
-
-    :param store: the platform's store.
-    :param name: the agent's name.
-    :param address: IP:port on which it serves entries.
-    :param log: where the outcome is noted.
-    """
-    pause_s = RETRY_S
-    while True:
-        try:
-            revision = await store.put(AGENT_TABLE, name, address.encode())
-        except FulmarError as error:
-            log.write(Event.STORE_LOST, table=AGENT_TABLE, detail=error.detail)
-            await asyncio.sleep(pause_s)
-            pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
-            continue
-        log.write(Event.AGENT_ROW_WRITTEN, address=address, revision=revision)
-        return
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -63,6 +63,15 @@
         """The runner's clock less ours, never too high."""
         self._fencing_token = 0
 
+    def resume(self, life: TargetLife, address: str) -> None:
+        """Call a runner that a former life of this agent knew.
+
+        Its clock is read from its first answer, which refuses the token 0
+        if the former life had a higher one.
+        """
+        self._client.move(address)
+        self._life = life
+
     def meet(self, life: TargetLife, address: str, clock_ms: int) -> None:
         """Take in a runner's heartbeat.
 
@@ -141,7 +150,7 @@
             "lastSeen": last_seen,
             "waitMs": round(wait_s * 1000),
         }
-        if extend:
+        if extend and self._is_clock_known:
             body["untilMs"] = self._lease_end_ms()
         try:
             answer = await self._call(
@@ -174,6 +183,10 @@
             f"Target-Instance: {life.target}\r\n",
         )
 
+    @property
+    def _is_clock_known(self) -> bool:
+        return self._clock_offset_ms > float("-inf")
+
     def _lease_end_ms(self) -> int:
         now_ms = steady_s() * 1000 + self._clock_offset_ms
         return round(now_ms + LEASE_S * 1000)
--- a/src/fulmarscale/platform/store.py
+++ b/src/fulmarscale/platform/store.py
@@ -74,6 +74,20 @@
             # The smallest key that comes after the last one read.
             start = rows.rows[-1].key + "\x00"
 
+    async def read_value(self, table: str, key: str) -> bytes | None:
+        """Read one row's value.
+
+        :returns: the value; none if there is no such row.
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        query = {"table": table, "part": "", "from": key, "to": key + "\x00"}
+        answer = await self._get("/api/rows-get", query, CALL_TIMEOUT_S)
+        rows = _decode(answer, WireRows).rows
+        try:
+            return rows[0].read_value() if rows else None
+        except ValueError as error:
+            raise _unavailable(str(error)) from error
+
     async def follow(self, table: str, after: int, wait_s: float) -> WireRows:
         """Wait for changes of a table.
 
