--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -14,15 +14,15 @@
 
 import msgspec
 
+from fulmarscale.agent.run import ListedEnd
+from fulmarscale.agent.run import ListedRun
+from fulmarscale.agent.run import RunList
+from fulmarscale.agent.run import StartAnswer
 from fulmarscale.agent.run_actions import CloseStream
 from fulmarscale.agent.run_actions import SendMessage
 from fulmarscale.agent.run_actions import StartRun
 from fulmarscale.agent.run_actions import StopRun
-from fulmarscale.agent.run_guard import ListedEnd
-from fulmarscale.agent.run_guard import ListedRun
 from fulmarscale.agent.run_guard import RunGuard
-from fulmarscale.agent.run_guard import RunList
-from fulmarscale.agent.run_guard import StartAnswer
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import SendOrders
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -8,13 +8,15 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from fulmarscale.agent.entry_session import choose_favoured
+from fulmarscale.agent.entry_session import Session
+from fulmarscale.agent.run import Run
+from fulmarscale.agent.run import RunPhase
+from fulmarscale.agent.run import StartAnswer
 from fulmarscale.agent.run_actions import CloseStream
 from fulmarscale.agent.run_actions import LogDecision
 from fulmarscale.agent.run_actions import SendMessage
@@ -42,6 +44,9 @@
 from fulmarscale.wire.messages import AgentToken
 
 if TYPE_CHECKING:
+    from fulmarscale.agent.run import ListedEnd
+    from fulmarscale.agent.run import ListedRun
+    from fulmarscale.agent.run import RunList
     from fulmarscale.agent.run_actions import RunAction
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.messages import EntryMessage
@@ -61,137 +66,10 @@
 END_MEMORY_S: Final = 5.0
 """How long an end is kept for an entry whose stream broke."""
 
-OFFER_S: Final = 0.012
-"""How long freed room is offered to one entry before the next has it.
-
-A message and its answer take 2 ms between data centres.
-"""
-
-OFFER_PAUSE_S: Final = 0.05
-"""Pause before an entry that did not take an offer gets another."""
-
 NEWS_S: Final = 0.05
 """The longest wait of news that no entry has a use for at once."""
 
 
-class RunPhase(Enum):
-    """Where a run is on its way."""
-
-    STARTING = "starting"
-    """The order is under way."""
-    RUNNING = "running"
-    """The target confirmed the start."""
-    STOPPING = "stopping"
-    """A stop is under way, or the end is not listed yet."""
-
-
-class StartAnswer(Enum):
-    """What the target said to a start."""
-
-    STARTED = "started"
-    REJECTED = "rejected"
-    """It did nothing."""
-    NUMBER_TOO_LOW = "number_too_low"
-    """It did nothing: a run with this number or a higher one was there."""
-    UNKNOWN = "unknown"
-    """No answer; the order may still be carried out."""
-
-
-class ListedRun(msgspec.Struct, frozen=True):
-    """A run that the target lists as running."""
-
-    task: TaskKey
-    number: int
-    percent: int = 0
-    """Share of the work that is done, 0 to 100."""
-
-
-class ListedEnd(msgspec.Struct, frozen=True):
-    """A run that the target lists as ended."""
-
-    position: int
-    """The place in the target's list of ends; rises."""
-    task: TaskKey
-    number: int
-    end: RunEnd
-
-
-class RunList(msgspec.Struct, frozen=True):
-    """What a target answered when its lease was renewed."""
-
-    life: TargetLife
-    """The life that answered."""
-    running: tuple[ListedRun, ...]
-    ended: tuple[ListedEnd, ...]
-
-
-class Run:
-    """One run that the guard answers for."""
-
-    __slots__ = (
-        "confirmed",
-        "demand",
-        "entry",
-        "number",
-        "order",
-        "percent",
-        "phase",
-        "settled_at",
-        "stop_acknowledged_at",
-        "stop_sent_at",
-        "task",
-    )
-
-    def __init__(self, order: StartOrder, number: int, entry: EntryId) -> None:
-        self.task = order.task
-        self.order = order.order
-        self.number = number
-        self.entry = entry
-        self.demand = order.demand
-        self.phase = RunPhase.STARTING
-        self.confirmed = False
-        """Whether the target is known to have started it."""
-        self.percent = 0
-        self.settled_at = float("inf")
-        """When the target's word on the start came."""
-        self.stop_sent_at = float("-inf")
-        self.stop_acknowledged_at = float("inf")
-
-
-class Session:
-    """A stream from an entry."""
-
-    __slots__ = (
-        "asked_sequence",
-        "backlog",
-        "entry",
-        "expected",
-        "is_dirty",
-        "number",
-        "offered_at",
-        "reports",
-        "sent_at",
-        "site_revision",
-        "urgent_at",
-    )
-
-    def __init__(self, number: int, entry: EntryId, now: float) -> None:
-        self.number = number
-        self.entry = entry
-        self.expected: set[ExpectedRun] = set()
-        """Runs that the entry counts on, and that are not answered for."""
-        self.asked_sequence = 0
-        self.sent_at = now - PING_S
-        self.is_dirty = True
-        self.reports: list[RunReport] = []
-        self.site_revision = 0
-        self.backlog = 0
-        self.urgent_at = float("inf")
-        """When the entry's most urgent job has to start, by this clock."""
-        self.offered_at = float("-inf")
-        """Since when the room here is offered to this entry first."""
-
-
 class RunGuard:
     """The decisions of one agent about runs."""
 
@@ -780,28 +658,10 @@
         return actions
 
     def _choose_favoured(self, now: float) -> None:
-        """Offer room to the entry whose waiting job is the most urgent.
-
-        Otherwise the nearest entry would win each race for freed room. An
-        offer that is not taken in time passes to the next entry.
-        """
-        waiting = [s for s in self._sessions.values() if s.backlog > 0]
-        open_to = [s for s in waiting if now - s.offered_at <= OFFER_S]
-        idle = [s for s in waiting if now - s.offered_at > OFFER_PAUSE_S]
-        if open_to:
-            return
-        if len(waiting) < 2 or not idle:
-            self._set_favoured(None)
-            return
-        chosen = min(idle, key=lambda s: (s.urgent_at, s.entry))
-        chosen.offered_at = now
-        self._set_favoured(chosen)
-
-    def _set_favoured(self, session: Session | None) -> None:
-        if session is self._favoured:
-            return
-        self._favoured = session
-        self._mark_dirty()
+        favoured = choose_favoured(list(self._sessions.values()), now)
+        if favoured is not self._favoured:
+            self._favoured = favoured
+            self._mark_dirty()
 
     def _pause(self, session: Session) -> float:
         """Choose the time between messages by what the entry needs."""
--- a/src/fulmarscale/agent/run_target.py
+++ b/src/fulmarscale/agent/run_target.py
@@ -10,8 +10,8 @@
 from fulmarscale.errors import ResultCode
 
 if TYPE_CHECKING:
-    from fulmarscale.agent.run_guard import RunList
-    from fulmarscale.agent.run_guard import StartAnswer
+    from fulmarscale.agent.run import RunList
+    from fulmarscale.agent.run import StartAnswer
     from fulmarscale.runs.model import TargetLife
     from fulmarscale.runs.model import TaskKey
 
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -17,11 +17,10 @@
 from fulmarscale.entry.jobs.admission import Forecast
 from fulmarscale.entry.jobs.admission import is_hopeless
 from fulmarscale.entry.jobs.admission import is_servable
-from fulmarscale.entry.jobs.admission import Load
 from fulmarscale.entry.jobs.admission import waiting_demand
-from fulmarscale.entry.jobs.agent_view import AgentView
 from fulmarscale.entry.jobs.estimates import RunTimes
 from fulmarscale.entry.jobs.estimates import SLOW_FACTOR
+from fulmarscale.entry.jobs.fleet import Fleet
 from fulmarscale.entry.jobs.job import Job
 from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.entry.jobs.stragglers import judge
@@ -34,12 +33,12 @@
 from fulmarscale.runs.messages import StartOrder
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import RunEnd
-from fulmarscale.runs.model import TargetState
 from fulmarscale.runs.site_state import newer
 from fulmarscale.runs.site_state import SiteState
 
 if TYPE_CHECKING:
     from fulmarscale.entry.jobs.actions import DispatchAction
+    from fulmarscale.entry.jobs.agent_view import AgentView
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.messages import AgentMessage
@@ -82,12 +81,11 @@
 
     def __init__(self, entry: EntryId, data_centre: str) -> None:
         self._entry = entry
-        self._data_centre = data_centre
         self._site = SiteState()
         self._jobs: dict[JobId, Job] = {}
         self._waiting: dict[JobId, Job] = {}
         """Jobs with tasks that wait for room."""
-        self._agents: dict[str, AgentView] = {}
+        self._fleet = Fleet(data_centre)
         self._sessions: dict[int, AgentView] = {}
         self._run_times = RunTimes()
         self._order_number = 0
@@ -109,13 +107,13 @@
     @property
     def agents(self) -> list[AgentView]:
         """All agents known."""
-        return list(self._agents.values())
+        return self._fleet.views
 
     @property
     def is_ready(self) -> bool:
         """Whether jobs can be taken in."""
         return self._site.is_known and any(
-            view.session is not None for view in self._agents.values()
+            view.session is not None for view in self._fleet.views
         )
 
     def submit(
@@ -179,10 +177,7 @@
     ) -> list[DispatchAction]:
         """Take in a new stream to an agent."""
         self._note_time(now)
-        view = self._agents.get(name)
-        if view is None:
-            view = AgentView(name, now)
-            self._agents[name] = view
+        view = self._fleet.open(name, now)
         if view.session is not None:
             self._sessions.pop(view.session, None)
         view.reset()
@@ -236,7 +231,7 @@
     def tick(self, now: float) -> list[DispatchAction]:
         """Note that time has passed."""
         self._note_time(now)
-        for view in list(self._agents.values()):
+        for view in self._fleet.views:
             if view.ordered and now - view.heard_at > SURELY_OVER_S:
                 self._give_up_agent(view, now)
         forecast = self._forecast()
@@ -294,9 +289,9 @@
 
         :returns: whether it was refused.
         """
-        if self._has_room(job, now):
+        if self._fleet.has_room(job, now):
             return False
-        load = self._load(job)
+        load = self._fleet.load(job)
         wait_s = forecast.wait_s(job, load)
         if load.capacity == 0 and self._is_young(now):
             # The targets are not known yet: they are likely to be there.
@@ -324,42 +319,9 @@
         """Tell whether agents may not have been heard yet."""
         return now - self._started_at < YOUNG_S
 
-    def _load(self, job: Job) -> Load:
-        capacity = 0
-        free = 0
-        others = 0
-        for view in self._agents.values():
-            target = view.target
-            if target is None or target.service != job.queue.service:
-                continue
-            if target.data_centre in self._site.closed_data_centres:
-                continue
-            if target.state is TargetState.READY:
-                capacity += target.capacity.cpu_millicores
-                room = max(0, view.room.cpu_millicores)
-                free += room
-            others = max(others, view.others_backlog)
-        return Load(capacity, free, others)
-
-    def _has_room(self, job: Job, now: float) -> bool:
-        """Tell whether any of a job's tasks could start now."""
-        return any(
-            task.step.demand.fits(view.room)
-            for view in self._usable(job, now)
-            for task in job.waiting
-        )
-
-    def _usable(self, job: Job, now: float) -> list[AgentView]:
-        closed = self._site.closed_data_centres
-        return [
-            view
-            for view in self._agents.values()
-            if view.is_usable(job.queue.service, closed, now)
-        ]
-
     def _check_run(self, job: Job, task: Task, now: float) -> None:
         """Move a run that stands still or is far too slow."""
-        view = self._agents.get(task.agent)
+        view = self._fleet.find(task.agent)
         if view is None or task.stop_sent:
             return
         expected_s = self._expect_run_s(job, task)
@@ -405,17 +367,7 @@
         is_known = job.peers_s(task) is not None
         if not is_known and not view.slowness.is_slow(now):
             return False
-        return self._has_sound_room(job, task, now)
-
-    def _has_sound_room(self, job: Job, task: Task, now: float) -> bool:
-        """Tell whether a sound target has room for a task that is moved."""
-        return any(
-            view.name not in task.failed_on
-            and view.name != task.agent
-            and not view.slowness.is_slow(now)
-            and task.step.demand.fits(view.room)
-            for view in self._usable(job, now)
-        )
+        return self._fleet.has_sound_room(job, task, now)
 
     def _give_up(self, job: Job, now: float, reason: str) -> None:
         is_unrun = not job.may_have_run and not job.is_ordered
@@ -444,7 +396,7 @@
 
     def _stop_all(self, job: Job) -> None:
         for task in job.ordered:
-            view = self._agents.get(task.agent)
+            view = self._fleet.find(task.agent)
             if view is None:
                 continue
             view.stops.append(task.key)
@@ -455,6 +407,7 @@
         if adopted is self._site:
             return
         self._site = adopted
+        self._fleet.close_data_centres(adopted.closed_data_centres)
         self._log(
             Event.SITE_STATE_ADOPTED,
             source=source,
@@ -462,7 +415,7 @@
             version=adopted.configuration_version,
             closed=adopted.closed_data_centres,
         )
-        for view in self._agents.values():
+        for view in self._fleet.views:
             if view.site_revision < adopted.revision:
                 view.is_dirty = True
 
@@ -477,7 +430,7 @@
 
     def _note_slow_run(self, job: Job, task: Task, now: float) -> None:
         """Hold a run that is far slower than expected against its target."""
-        view = self._agents.get(task.agent)
+        view = self._fleet.find(task.agent)
         whole_s = task.whole_run_s
         if view is None or whole_s is None or task.is_noted_slow:
             return
@@ -611,7 +564,7 @@
         )
         passed_over = 0
         for job in waiting:
-            views = self._usable(job, now)
+            views = self._fleet.usable(job, now)
             if not views:
                 continue
             if not self._place_job(job, views, now):
@@ -626,71 +579,23 @@
         """
         is_complete = True
         for task in job.waiting:
-            if self._is_held(task.key):
+            if self._fleet.is_held(task.key):
                 # A run for an earlier attempt has not surely ended.
                 is_complete = False
                 continue
-            view = self._choose(job, task, views, now)
+            view = self._fleet.choose(job, task, views, now)
             if view is None:
                 is_complete = False
                 continue
             self._order(job, task, view, now)
         return is_complete
 
-    def _is_held(self, key: TaskKey) -> bool:
-        return any(key in view.ordered for view in self._agents.values())
-
     def _wants(self, key: TaskKey) -> bool:
         """Tell whether a run of a task is still of use."""
         job = self._jobs.get(key.job_id)
         task = None if job is None else job.find(key)
         return task is not None and task.phase is TaskPhase.ORDERED
 
-    def _choose(
-        self, job: Job, task: Task, views: list[AgentView], now: float
-    ) -> AgentView | None:
-        """Choose the agent for a task among those that may have it."""
-        best: AgentView | None = None
-        best_key: tuple[bool, bool, bool, float, bool] | None = None
-        for view in views:
-            if not self._may_hold(job, task, view):
-                continue
-            key = self._rank(task, view, now)
-            if best_key is None or key > best_key:
-                best, best_key = view, key
-        return best
-
-    def _may_hold(self, job: Job, task: Task, view: AgentView) -> bool:
-        """Tell whether an agent's target may run a task and has room."""
-        step = task.step
-        if view.target is None or not step.demand.fits(view.room):
-            return False
-        if view.is_quarantined and view.ordered:
-            return False
-        if step.required_label and not view.has_label(step.required_label):
-            return False
-        if step.most_per_target == 0:
-            return True
-        held = sum(
-            other.agent == view.name and other.step is step
-            for other in job.ordered
-        )
-        return held < step.most_per_target
-
-    def _rank(
-        self, task: Task, view: AgentView, now: float
-    ) -> tuple[bool, bool, bool, float, bool]:
-        """Rank an agent for a task; the highest is the best."""
-        rack = task.step.data_rack
-        free = view.room.cpu_millicores / max(view.capacity.cpu_millicores, 1)
-        return (
-            view.name not in task.failed_on,
-            not view.slowness.is_slow(now),
-            not rack or view.has_label(rack),
-            free,
-            view.data_centre == self._data_centre,
-        )
-
     def _order(
         self, job: Job, task: Task, view: AgentView, now: float
     ) -> None:
@@ -722,7 +627,7 @@
             (job.latest_start_at - now for job in self._waiting.values()),
             default=0.0,
         )
-        for view in self._agents.values():
+        for view in self._fleet.views:
             if (backlog > 0) != view.told_backlog:
                 view.is_dirty = True
             if view.session is not None and view.is_due(now):
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from fulmarscale.agent.run_guard import ListedEnd
-from fulmarscale.agent.run_guard import ListedRun
-from fulmarscale.agent.run_guard import RunList
-from fulmarscale.agent.run_guard import StartAnswer
+from fulmarscale.agent.run import ListedEnd
+from fulmarscale.agent.run import ListedRun
+from fulmarscale.agent.run import RunList
+from fulmarscale.agent.run import StartAnswer
 from fulmarscale.agent.run_target import RunTarget
 from fulmarscale.agent.run_target import TargetUnreachableError
 from fulmarscale.events import Event
