Answer GET and DELETE for jobs under way; Retry-After from the forecast

Cause: a job under way was answered 410 on GET and DELETE though it exists, and Retry-After was always 1 s. Change: state and cancel of jobs under way here; Retry-After is the predicted wait, 1 to 5 s.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -33,6 +33,9 @@
       | completes all jobs       | an unknown queue   | 404    | no Retry-After    |
       | completes all jobs       | a look at a queue  | 200    | pending           |
       | completes all jobs       | a look at a job    | 410    | no Retry-After    |
+      | completes all jobs       | a look at a job under way   | 200 | state running |
+      | completes all jobs       | a cancel of a job under way | 200 | a cancel      |
+      | completes all jobs       | a cancel of no job          | 410 | no Retry-After |
       | is about to stop         | a best-effort job  | 200    | Connection: close |
 
   Scenario: A caller that leaves takes its job along
--- a/features/runs.feature
+++ b/features/runs.feature
@@ -92,6 +92,15 @@
     And job "b" is not run at entry 0
     And no task of job "b" was ever started
 
+  Scenario: A job that its caller cancels ends at once, and its runs soon
+    Given a run site of 1 entries and 2 targets of 16 cores
+    When entry 0 takes job "a" of 8 tasks of 4000 ms
+    And 0.5 s pass
+    And job "a" is cancelled at entry 0
+    And 0.2 s pass
+    Then job "a" is cancelled at entry 0
+    And nothing runs any more
+
   Scenario: Runs that stand still are moved, and their target is left alone
     Given a run site of 1 entries and 4 targets of 16 cores
     And fake target 0 hangs
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -15,6 +15,7 @@
 from fulmarscale.agent.run_target import TargetUnreachableError
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.entry.jobs.actions import JobState
 from fulmarscale.entry.jobs.process import DispatchProcess
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
@@ -130,6 +131,7 @@
         self.stopping = False
         self.known = SiteState(1, 1, (make_queue("/quick/"),))
         self.left: list[str] = []
+        self.revoked: list[str] = []
 
     @property
     def site(self) -> SiteState:
@@ -149,6 +151,12 @@
             future.set_result(AnswerJob(job_id, self.outcome, 1.0))
         return future
 
+    def state_of(self, job_id: Any) -> JobState | None:
+        return JobState.RUNNING if job_id == "0022" else None
+
+    def revoke(self, job_id: Any) -> None:
+        self.revoked.append(job_id)
+
     def leave(self, job_id: Any, future: Any) -> None:
         self.left.append(job_id)
 
@@ -234,6 +242,12 @@
             method, path = "GET", "/quick/"
         case "a look at a job":
             method = "GET"
+        case "a look at a job under way":
+            method, path = "GET", "/quick/0022"
+        case "a cancel of a job under way":
+            method, path = "DELETE", "/quick/0022"
+        case "a cancel of no job":
+            method = "DELETE"
     body = msgspec.json.encode(job) if method == "POST" else b""
     context.exchange = Exchange(method, path, body)
     asyncio.run(context.exchange.run(IngressApp(context.desk, LOG)))
@@ -250,6 +264,8 @@
             assert b"retry-after" not in exchange.headers
         case ["state", state]:
             assert msgspec.json.decode(exchange.body)["state"] == state
+        case ["a", "cancel"]:
+            assert context.desk.revoked == ["0022"], context.desk.revoked
         case ["pending"]:
             assert msgspec.json.decode(exchange.body)["pending"] == 0
         case _:
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -12,6 +12,7 @@
 from features.support.run_chaos import play_seed
 from features.support.run_site import RunSite
 from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import TargetState
 
@@ -332,3 +333,16 @@
 def check_spread(context: Context, most: int) -> None:
     for target in context.run_site.targets:
         assert target.most_running <= most, target.most_running
+
+
+@when('job "{job}" is cancelled at entry {number:d}')
+def revoke(context: Context, job: str, number: int) -> None:
+    entry = context.run_site.entries[number]
+    now = context.run_site.clock.now
+    entry.perform(entry.dispatcher.revoke(JobId(job), now))
+
+
+@then("nothing runs any more")
+def check_idle(context: Context) -> None:
+    running = [target.running for target in context.run_site.targets]
+    assert not any(running), running
--- a/src/fulmarscale/entry/jobs/actions.py
+++ b/src/fulmarscale/entry/jobs/actions.py
@@ -21,10 +21,21 @@
     """A task has failed as often as the queue allows."""
     NOT_RUN = "not_run"
     """Nothing of it has run, and nothing will by this attempt."""
+    CANCELLED = "cancelled"
+    """A caller wished that it ends; parts of it may have run."""
     UNFINISHED = "unfinished"
     """Parts of it may have run; the attempt is given up."""
 
 
+class JobState(Enum):
+    """How far a job is that has no answer yet."""
+
+    QUEUED = "queued"
+    """None of its tasks has started."""
+    RUNNING = "running"
+    """A task may have started."""
+
+
 class DispatchAction(msgspec.Struct, frozen=True):
     """The base of all actions."""
 
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -12,6 +12,7 @@
 
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.entry.jobs.actions import JobState
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import SendOrders
 from fulmarscale.entry.jobs.admission import Forecast
@@ -73,7 +74,13 @@
 """
 
 RETRY_AFTER_S: Final = 1.0
-"""When a refused job is worth another attempt."""
+"""The earliest that a refused job is worth another attempt.
+
+HTTP counts in whole seconds.
+"""
+
+LONGEST_RETRY_AFTER_S: Final = 5.0
+"""The latest: a target that is lost is back or replaced by then."""
 
 
 class Dispatcher:
@@ -166,6 +173,22 @@
             self._stop_all(job)
         return self._finish(now)
 
+    def state_of(self, job_id: JobId) -> JobState | None:
+        """Tell how far a job is that has no answer yet."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            return None
+        is_begun = job.may_have_run or job.is_ordered
+        return JobState.RUNNING if is_begun else JobState.QUEUED
+
+    def revoke(self, job_id: JobId, now: float) -> list[DispatchAction]:
+        """Cancel a job at a caller's wish and answer all who wait for it."""
+        self._note_time(now)
+        job = self._jobs.get(job_id)
+        if job is not None:
+            self._answer(job, JobOutcome.CANCELLED, now, "cancelled")
+        return self._finish(now)
+
     def give_up_all(self, now: float) -> list[DispatchAction]:
         """Answer all jobs, as the entry is about to stop."""
         for job in list(self._jobs.values()):
@@ -309,7 +332,7 @@
             others=load.others,
             waiting=len(self._waiting),
         )
-        self._give_up(job, now, "too_late")
+        self._give_up(job, now, "too_late", wait_s)
         return True
 
     def _forecast(self) -> Forecast:
@@ -369,13 +392,20 @@
             return False
         return self._fleet.has_sound_room(job, task, now)
 
-    def _give_up(self, job: Job, now: float, reason: str) -> None:
+    def _give_up(
+        self, job: Job, now: float, reason: str, wait_s: float = 0.0
+    ) -> None:
         is_unrun = not job.may_have_run and not job.is_ordered
         outcome = JobOutcome.NOT_RUN if is_unrun else JobOutcome.UNFINISHED
-        self._answer(job, outcome, now, reason)
+        self._answer(job, outcome, now, reason, wait_s)
 
     def _answer(
-        self, job: Job, outcome: JobOutcome, now: float, reason: str
+        self,
+        job: Job,
+        outcome: JobOutcome,
+        now: float,
+        reason: str,
+        wait_s: float = 0.0,
     ) -> None:
         del self._jobs[job.job_id]
         self._waiting.pop(job.job_id, None)
@@ -390,8 +420,9 @@
             over_objective_s=round(now - job.objective_at, 3),
         )
         took_s = now - job.arrived_at
+        retry_after_s = min(max(wait_s, RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
         self._actions.append(
-            AnswerJob(job.job_id, outcome, RETRY_AFTER_S, took_s)
+            AnswerJob(job.job_id, outcome, retry_after_s, took_s)
         )
 
     def _stop_all(self, job: Job) -> None:
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -27,6 +27,7 @@
     from collections.abc import Coroutine
 
     from fulmarscale.entry.jobs.actions import DispatchAction
+    from fulmarscale.entry.jobs.actions import JobState
     from fulmarscale.logs import EventLog
     from fulmarscale.runs.messages import AgentMessage
     from fulmarscale.runs.messages import EntryMessage
@@ -147,6 +148,14 @@
         del self._callers[job_id]
         self._decide(self._dispatcher.cancel, job_id)
 
+    def state_of(self, job_id: JobId) -> JobState | None:
+        """Tell how far a job is that has no answer yet."""
+        return self._dispatcher.state_of(job_id)
+
+    def revoke(self, job_id: JobId) -> None:
+        """Cancel a job at a caller's wish."""
+        self._decide(self._dispatcher.revoke, job_id)
+
     def adopt_site(self, site: SiteState) -> None:
         """Take in what operators have set."""
         self._decide(self._dispatcher.adopt_site, site)
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from fulmarscale.entry.jobs.actions import AnswerJob
+    from fulmarscale.entry.jobs.actions import JobState
     from fulmarscale.logs import EventLog
     from fulmarscale.runs.model import JobSpec
     from fulmarscale.runs.site_state import Queue
@@ -31,6 +32,7 @@
 DEADLINE_HEADER: Final = b"deadline-ms"
 
 UNAVAILABLE: Final = 503
+GONE: Final = 410
 
 LONGEST_WAIT_S: Final = 60.0
 """The wait of a caller that states none, and the longest that counts."""
@@ -39,6 +41,7 @@
     JobOutcome.COMPLETED: 200,
     JobOutcome.FAILED: 200,
     JobOutcome.NOT_RUN: 503,
+    JobOutcome.CANCELLED: 200,
     JobOutcome.UNFINISHED: 504,
 }
 """503 tells callers that nothing has run; after 504 they try again."""
@@ -68,6 +71,14 @@
     ) -> asyncio.Future[AnswerJob]:
         """Take in a job; each attempt gets a future of its own."""
 
+    @abstractmethod
+    def state_of(self, job_id: JobId) -> JobState | None:
+        """Tell how far a job is; none if it isn't known or has ended."""
+
+    @abstractmethod
+    def revoke(self, job_id: JobId) -> None:
+        """Cancel a job at a caller's wish."""
+
     @abstractmethod
     def leave(self, job_id: JobId, future: asyncio.Future[AnswerJob]) -> None:
         """Note that a caller has left."""
@@ -119,7 +130,7 @@
         if method == "GET" and not name:
             await respond(send, 200, b'{"pending":0}')
         elif method in ("GET", "DELETE"):
-            await respond(send, 410)
+            await self._show(send, method, JobId(name))
         elif method != "POST" or not name:
             await self._reject(send, scope, 405, "no such call")
         elif body is None:
@@ -130,6 +141,23 @@
                 scope, receive, send, queue, JobId(name), body, wait_s
             )
 
+    async def _show(self, send: Any, method: str, job_id: JobId) -> None:
+        """Tell a job's state, or cancel it.
+
+        Only jobs without an answer are known: nothing of a best-effort job
+        is kept.
+        """
+        state = self._desk.state_of(job_id)
+        if state is None:
+            await respond(send, GONE)
+            return
+        if method == "DELETE":
+            self._desk.revoke(job_id)
+            await respond(send, 200)
+            return
+        body = msgspec.json.encode({"state": state.value})
+        await respond(send, 200, body)
+
     async def _submit(
         self,
         scope: dict[str, Any],
