--- a/features/platform.feature
+++ b/features/platform.feature
@@ -111,3 +111,19 @@
     Given a runner that saw the fencing token 5000
     When a former life's target is renewed twice
     Then the first renewal extends no lease and the second does
+
+  Scenario Outline: The deploy templates give settings that are valid
+    When the template "<template>" is filled as the platform does
+    Then it is valid for the program "<program>"
+
+    Examples:
+      | template              | program |
+      | deploy/entry.json.tmpl | entry  |
+      | deploy/agent.json.tmpl | agent  |
+
+  Scenario: A settings file that changes is in force without a restart
+    Given an agent's settings file with the store at "10.0.0.1:80"
+    When the file names the store at "10.0.0.2:80"
+    Then the change is applied
+    When the file is cut short
+    Then nothing is applied
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import base64
+from pathlib import Path
+import re
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -13,6 +15,7 @@
 import msgspec
 
 from fulmarscale.agent.run_target import TargetUnreachableError
+from fulmarscale.cli._reload import SettingsWatcher
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import JobState
@@ -48,6 +51,9 @@
 from fulmarscale.runs.site_state import newer
 from fulmarscale.runs.site_state import Queue
 from fulmarscale.runs.site_state import SiteState
+from fulmarscale.settings import load_settings
+from fulmarscale.settings import SiteAgentSettings
+from fulmarscale.settings import SiteEntrySettings
 from standins.http_stub import HttpStub
 from standins.http_stub import StubAnswer
 
@@ -612,3 +618,85 @@
     bodies = [msgspec.json.decode(r.body) for r in context.stub.requests]
     assert "untilMs" not in bodies[0], bodies
     assert bodies[1]["untilMs"] > 5000, bodies
+
+
+PLATFORM_FIELDS: dict[str, Any] = {
+    "nodeName": "front-vest-a-1",
+    "zone": "vest-a",
+    "ip": "10.1.0.13",
+    "listen": {
+        "front": "10.1.0.13:8161",
+        "ready": "10.1.0.13:8167",
+        "control": "10.1.0.13:8166",
+    },
+    "internalPorts": [7720, 7735],
+    "platform": {"address": "10.200.1.7:8169"},
+}
+
+
+def fill_template(text: str) -> bytes:
+    """Fill in the placeholders that the templates use."""
+
+    def look_up(match: re.Match[str]) -> str:
+        value: Any = PLATFORM_FIELDS
+        for name in match[1].split("."):
+            value = value[int(name)] if name.isdigit() else value[name]
+        return msgspec.json.encode(value).decode()
+
+    return re.sub(r"{{([A-Za-z0-9.]+)\|json}}", look_up, text).encode()
+
+
+@when('the template "{path}" is filled as the platform does')
+def fill(context: Context, path: str) -> None:
+    root = Path(__file__).parents[2]
+    context.settings_path = Path(context.folder, "settings.json")
+    filled = fill_template((root / path).read_text())
+    context.settings_path.write_bytes(filled)
+
+
+@then('it is valid for the program "{program}"')
+def check_filled(context: Context, program: str) -> None:
+    kinds = {"entry": SiteEntrySettings, "agent": SiteAgentSettings}
+    settings = load_settings(context.settings_path, kinds[program])
+    assert settings.name == "front-vest-a-1", settings
+
+
+@given('an agent\'s settings file with the store at "{address}"')
+def write_settings(context: Context, address: str) -> None:
+    root = Path(__file__).parents[2]
+    text = (root / "deploy/agent.json.tmpl").read_text()
+    context.settings_path = Path(context.folder, "settings.json")
+    filled = fill_template(text).replace(b"10.200.1.7:8169", address.encode())
+    context.settings_path.write_bytes(filled)
+    context.applied = []
+    known = load_settings(context.settings_path, SiteAgentSettings)
+    context.watcher = SettingsWatcher(
+        context.settings_path, known, context.applied.append, LOG
+    )
+
+
+@when('the file names the store at "{address}"')
+def change_settings(context: Context, address: str) -> None:
+    text = context.settings_path.read_text()
+    text = text.replace("10.0.0.1:80", address)
+    context.settings_path.write_text(text)
+    context.watcher.look()
+
+
+@when("the file is cut short")
+def cut_settings(context: Context) -> None:
+    context.applied.clear()
+    text = context.settings_path.read_text()
+    context.settings_path.write_text(text[: len(text) // 2])
+    context.watcher.look()
+
+
+@then("the change is applied")
+def check_applied(context: Context) -> None:
+    stores = [settings.store_address for settings in context.applied]
+    assert stores == ["10.0.0.2:80"], stores
+
+
+@then("nothing is applied")
+def check_not_applied(context: Context) -> None:
+    assert not context.applied, context.applied
