--- a/features/platform.feature
+++ b/features/platform.feature
@@ -127,3 +127,9 @@
     Then the change is applied
     When the file is cut short
     Then nothing is applied
+
+  Scenario: A job passes through an entry, a stream and an agent to a runner
+    Given an entry, an agent and a scripted runner on loopback
+    When a job of 3 tasks is handed in to the entry
+    Then it is completed and the runner was told to start 3 tasks
+    And the agent's answer to a stop is that it holds no runs
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,6 +6,7 @@
 import base64
 from pathlib import Path
 import re
+import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from behave import when
 import msgspec
 
+from fulmarscale.agent.run_process import RunProcess
 from fulmarscale.agent.run_target import TargetUnreachableError
 from fulmarscale.cli._reload import SettingsWatcher
 from fulmarscale.entry.jobs.actions import AnswerJob
@@ -129,6 +131,13 @@
             self.body += message["body"]
 
 
+def free_port() -> int:
+    """Find a port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 class FakeDesk(JobDesk):
     """Gives every job the same outcome."""
 
@@ -700,3 +709,78 @@
 @then("nothing is applied")
 def check_not_applied(context: Context) -> None:
     assert not context.applied, context.applied
+
+
+class ScriptedRunner:
+    """Ends every run as done at once."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+        self._ended: list[list[Any]] = []
+
+    def answer(self, request: StubRequest) -> StubAnswer:
+        """Answer an order or a renewal."""
+        body = msgspec.json.decode(request.body)
+        if request.target == "/api/run-start":
+            self.started.append(body["task"])
+            position = len(self.started)
+            row = [position, body["task"], body["run"], "done", ""]
+            self._ended.append(row)
+        ended = [
+            row for row in self._ended if row[0] > body.get("lastSeen", 0)
+        ]
+        answer = {"clockMs": 500, "born": 77, "running": [], "ended": ended}
+        return StubAnswer(200, msgspec.json.encode(answer))
+
+
+@given("an entry, an agent and a scripted runner on loopback")
+def make_loopback(context: Context) -> None:
+    context.runner = ScriptedRunner()
+
+
+@when("a job of {tasks:d} tasks is handed in to the entry")
+def hand_in(context: Context, tasks: int) -> None:
+    report = TargetReport(
+        LIFE, ServiceName("press"), "here", TargetState.READY, Resources(16000)
+    )
+    site = SiteState(1, 1, (make_queue("/quick/"),))
+    step = Step(tasks, Resources(1600), 20.0)
+
+    async def run() -> None:
+        stub = HttpStub(context.runner.answer)
+        await stub.start()
+        runner = Runner(LOG)
+        runner.meet(LIFE, stub.address, 100)
+        agent = RunProcess("agent-1", "here", runner, LOG)
+        port = free_port()
+        await agent.start("127.0.0.1", port)
+        agent.adopt_site(site)
+        agent.see_target(report, 1)
+        entry = DispatchProcess("entry-1", "here", LOG)
+        entry.start()
+        entry.adopt_site(site)
+        entry.follow_agents({"agent-1": f"127.0.0.1:{port}"})
+        spec = JobSpec("text", (step,))
+        async with asyncio.timeout(20):
+            future = entry.submit(
+                JobId("0011"), make_queue("/quick/"), spec, 20.0
+            )
+            context.answer = await future
+        await agent.finish()
+        context.left = agent.guard.runs
+        await entry.close()
+        await agent.close()
+        await stub.close()
+
+    asyncio.run(run())
+
+
+@then("it is completed and the runner was told to start {count:d} tasks")
+def check_path(context: Context, count: int) -> None:
+    assert context.answer.outcome is JobOutcome.COMPLETED, context.answer
+    assert len(context.runner.started) == count, context.runner.started
+
+
+@then("the agent's answer to a stop is that it holds no runs")
+def check_left_runs(context: Context) -> None:
+    assert context.left == 0, context.left
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from random import SystemRandom
-from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -16,18 +15,15 @@
 from fulmarscale.agent.run_guard import RunGuard
 from fulmarscale.agent.run_target import TargetUnreachableError
 from fulmarscale.control.lease import INCARNATION_BITS
-from fulmarscale.errors import InvariantError
 from fulmarscale.events import Event
 from fulmarscale.runs.clock import steady_s
+from fulmarscale.runs.driver import Driver
 from fulmarscale.runs.metrics import SiteMetrics
 from fulmarscale.runs.metrics import SpanHistogram
 from fulmarscale.runs.streams import EntryStreamHandler
 from fulmarscale.runs.streams import RunStreamServer
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Coroutine
-
     from fulmarscale.agent.run_actions import RunAction
     from fulmarscale.agent.run_target import RunTarget
     from fulmarscale.ids import EntryId
@@ -50,21 +46,19 @@
 """How long a planned stop waits for runs; the platform kills after 6 s."""
 
 
-class RunProcess(EntryStreamHandler):
+class RunProcess(Driver, EntryStreamHandler):
     """One agent process, without its HTTP side."""
 
     def __init__(
         self, name: str, data_centre: str, target: RunTarget, log: EventLog
     ) -> None:
+        super().__init__(log)
         incarnation = SystemRandom().getrandbits(INCARNATION_BITS)
         self._guard = RunGuard(name, data_centre, incarnation)
         self._target = target
-        self._log = log
         self._server = RunStreamServer(self)
         self._sessions: dict[int, MessageQueue[AgentMessage]] = {}
         self._session_number = 0
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._failed = asyncio.Event()
         self._starting = SpanHistogram(
             "fulmarscale_start_seconds",
             "Time from a start order to the target's answer.",
@@ -81,11 +75,6 @@
         """The agent's metrics."""
         return self._metrics
 
-    @property
-    def failed(self) -> asyncio.Event:
-        """Set when a decision failed."""
-        return self._failed
-
     async def start(self, host: str, port: int) -> None:
         """Serve entries and follow the target."""
         await self._server.start(host, port)
@@ -103,9 +92,7 @@
 
     async def close(self) -> None:
         """End all streams and connections."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._end_tasks()
         await self._server.close()
         await self._target.close()
         self._log.write(Event.PROCESS_STOPPED)
@@ -167,25 +154,6 @@
                 continue
             self._decide(self._guard.list_runs, listed, asked_at)
 
-    def _decide(
-        self, decide: Callable[..., list[RunAction]], *inputs: Any
-    ) -> None:
-        """Hand inputs and the time to the decisions, carry out the result."""
-        if self._failed.is_set():
-            return
-        try:
-            actions = decide(*inputs, steady_s())
-        except InvariantError as error:
-            self._log.write_error(Event.INVARIANT_BROKEN, error)
-            self._failed.set()
-            return
-        except Exception as error:
-            # Decisions that failed half-way can't be trusted any more.
-            self._log.write_error(Event.UNEXPECTED_ERROR, error)
-            self._failed.set()
-            raise
-        self._perform(actions)
-
     def _perform(self, actions: list[RunAction]) -> None:
         for action in actions:
             match action:
@@ -235,8 +203,3 @@
         self._decide(
             self._guard.settle_stop, action.life, action.task, action.number
         )
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from random import SystemRandom
-from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -13,19 +12,16 @@
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import SendOrders
 from fulmarscale.entry.jobs.dispatcher import Dispatcher
-from fulmarscale.errors import InvariantError
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.clock import steady_s
+from fulmarscale.runs.driver import Driver
 from fulmarscale.runs.metrics import SiteMetrics
 from fulmarscale.runs.metrics import SpanHistogram
 from fulmarscale.runs.streams import AgentStream
 from fulmarscale.runs.streams import AgentStreamHandler
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Coroutine
-
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.actions import JobState
     from fulmarscale.logs import EventLog
@@ -49,19 +45,18 @@
 """How long a planned stop may take; the platform kills after 6 s."""
 
 
-class DispatchProcess(AgentStreamHandler):
+class DispatchProcess(Driver, AgentStreamHandler):
     """One entry process, without its HTTP side."""
 
     def __init__(self, name: str, data_centre: str, log: EventLog) -> None:
+        super().__init__(log)
         incarnation = SystemRandom().getrandbits(INCARNATION_BITS)
         entry = EntryId(name, incarnation)
         self._dispatcher = Dispatcher(entry, data_centre)
-        self._log = log
         self._streams: dict[str, AgentStream] = {}
         self._sessions: dict[int, MessageQueue[EntryMessage]] = {}
         self._session_number = 0
         self._callers: dict[JobId, list[asyncio.Future[AnswerJob]]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
         self._response = SpanHistogram(
             "fulmarscale_response_seconds",
             "Time from a job's arrival to its answer.",
@@ -69,7 +64,6 @@
         self._metrics = SiteMetrics(log, self._levels, (self._response,))
         self._is_stopping = False
         self._stopping_since = 0.0
-        self._failed = asyncio.Event()
 
     @property
     def dispatcher(self) -> Dispatcher:
@@ -81,11 +75,6 @@
         """The entry's metrics."""
         return self._metrics
 
-    @property
-    def failed(self) -> asyncio.Event:
-        """Set when a decision failed."""
-        return self._failed
-
     @property
     def site(self) -> SiteState:
         """What operators have set."""
@@ -122,9 +111,7 @@
 
     async def close(self) -> None:
         """End all streams."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._end_tasks()
         for stream in self._streams.values():
             await stream.close()
         self._log.write(Event.PROCESS_STOPPED)
@@ -199,25 +186,6 @@
             self._decide(self._dispatcher.tick)
             await asyncio.sleep(TICK_S)
 
-    def _decide(
-        self, decide: Callable[..., list[DispatchAction]], *inputs: Any
-    ) -> None:
-        """Hand inputs and the time to the decisions, carry out the result."""
-        if self._failed.is_set():
-            return
-        try:
-            actions = decide(*inputs, steady_s())
-        except InvariantError as error:
-            self._log.write_error(Event.INVARIANT_BROKEN, error)
-            self._failed.set()
-            return
-        except Exception as error:
-            # Decisions that failed half-way can't be trusted any more.
-            self._log.write_error(Event.UNEXPECTED_ERROR, error)
-            self._failed.set()
-            raise
-        self._perform(actions)
-
     def _perform(self, actions: list[DispatchAction]) -> None:
         for action in actions:
             match action:
@@ -244,8 +212,3 @@
         for future in self._callers.pop(action.job_id, []):
             if not future.done():
                 future.set_result(action)
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -25,6 +25,7 @@
 from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.wire.codec import MessagePackCodec
 from fulmarscale.wire.streams import CONNECT_TIMEOUT_S
+from fulmarscale.wire.streams import end_tasks
 from fulmarscale.wire.streams import STREAM_ERRORS
 
 if TYPE_CHECKING:
@@ -150,7 +151,7 @@
             )
         finally:
             self._handler.close_entry(session)
-            await _end_tasks(writer, reader)
+            await end_tasks(writer, reader)
 
     async def _read(
         self, stream: Stream[EntryMessage, AgentMessage], session: int
@@ -206,7 +207,7 @@
     async def close(self) -> None:
         """End the stream."""
         if self._task is not None:
-            await _end_tasks(self._task)
+            await end_tasks(self._task)
 
     async def _run(self) -> None:
         retry_s = RETRY_S
@@ -234,7 +235,7 @@
                 await self._read(stream, session)
             finally:
                 self._handler.close_agent(session)
-                await _end_tasks(writer)
+                await end_tasks(writer)
 
     async def _read(
         self, stream: Stream[EntryMessage, AgentMessage], session: int
@@ -253,9 +254,3 @@
             return await stream.recv_message()
     except STREAM_ERRORS:
         return None
-
-
-async def _end_tasks(*tasks: asyncio.Task) -> None:
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/fulmarscale/wire/streams.py
+++ b/src/fulmarscale/wire/streams.py
@@ -161,7 +161,7 @@
             )
         finally:
             self._handler.close_agent(session)
-            await _end_tasks(writer, reader)
+            await end_tasks(writer, reader)
 
     async def _read_agent(
         self, stream: Stream[AgentUplink, ToAgent], session: int
@@ -217,7 +217,7 @@
     async def close(self) -> None:
         """End the stream."""
         if self._task is not None:
-            await _end_tasks(self._task)
+            await end_tasks(self._task)
 
     def put(self, sender: Member, envelope: PeerEnvelope) -> None:
         """Queue a message; it is lost if too many wait."""
@@ -308,7 +308,7 @@
     async def close(self) -> None:
         """End the stream."""
         if self._task is not None:
-            await _end_tasks(self._task)
+            await end_tasks(self._task)
 
     def put(self, message: FromAgent) -> None:
         """Queue a message."""
@@ -342,7 +342,7 @@
                     self._handler.receive_entry(session, message)
             finally:
                 self._handler.close_entry(session)
-                await _end_tasks(writer)
+                await end_tasks(writer)
 
     async def _write_all(self, stream: Stream[ToAgent, AgentUplink]) -> None:
         with suppress(*STREAM_ERRORS):
@@ -376,7 +376,8 @@
             await stream.send_message(message)
 
 
-async def _end_tasks(*tasks: asyncio.Task) -> None:
+async def end_tasks(*tasks: asyncio.Task) -> None:
+    """Cancel tasks and wait until they have ended."""
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
