--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -66,6 +66,9 @@
 END_MEMORY_S: Final = 5.0
 """How long an end is kept for an entry whose stream broke."""
 
+FORGET_PAUSE_S: Final = 1.0
+"""Time between looks for what is too old to be kept."""
+
 NEWS_S: Final = 0.05
 """The longest wait of news that no entry has a use for at once."""
 
@@ -90,6 +93,7 @@
         self._sessions: dict[str, Session] = {}
         self._echoes: dict[EntryId, float] = {}
         self._next_target: tuple[TargetReport, int] | None = None
+        self._forgot_at = float("-inf")
         self._is_stopping = False
         self._favoured: Session | None = None
         self._actions: list[RunAction] = []
@@ -625,6 +629,10 @@
         return run
 
     def _forget(self, now: float) -> None:
+        """Drop what is too old to be asked for."""
+        if now - self._forgot_at < FORGET_PAUSE_S:
+            return
+        self._forgot_at = now
         self._ends = {
             task: kept
             for task, kept in self._ends.items()
