--- a/src/fulmarscale/entry/jobs/admission.py
+++ b/src/fulmarscale/entry/jobs/admission.py
@@ -14,14 +14,14 @@
     from fulmarscale.entry.jobs.estimates import RunTimes
     from fulmarscale.entry.jobs.job import Job
 
-ADMITTED_SHARE: Final = 0.75
+ADMITTED_SHARE: Final = 0.5
 """The longest predicted wait, as a share of the wait that is on time.
 
 More urgent jobs that come later, and the time that starts and reports take,
 are not part of the prediction.
 """
 
-LATE_SHARE: Final = 0.6
+LATE_SHARE: Final = 0.4
 """A job that has become late is kept if it ends this far into its use.
 
 The prediction is rough, and a job that is given up later has waited in vain.
