--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -32,7 +32,7 @@
     from fulmarscale.platform.http_client import Answer
     from fulmarscale.runs.model import TaskKey
 
-ORDER_TIMEOUT_S: Final = 0.4
+ORDER_TIMEOUT_S: Final = 0.2
 """How long the answer to an order may take.
 
 A sound runner answers within milliseconds; without an answer the order may
