Repeat an unanswered renewal sooner

Cause, by reading: a renewal that a target leaves unanswered was given up after 0.5 s, and the next one that extends the lease came 0.1 s before it ran out, so that a slow machine would lose all its runs. Change: given up after 0.4 s, repeated 0.05 s later.

--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -39,7 +39,7 @@
 RENEW_WAIT_S: Final = 0.25
 """How long the target may wait for an end before it answers a renewal."""
 
-LOOK_AGAIN_S: Final = 0.1
+LOOK_AGAIN_S: Final = 0.05
 """Pause before a target that gave no answer is asked again."""
 
 STOP_LIMIT_S: Final = 5.0
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -39,10 +39,10 @@
 be carried out up to 12 s later.
 """
 
-RENEW_SLACK_S: Final = 0.25
+RENEW_SLACK_S: Final = 0.15
 """How much longer than asked for the answer to a renewal may take.
 
-Two renewals fit in the lease.
+An unanswered renewal and two more tries fit in the lease.
 """
 
 MOST_CONNECTIONS: Final = 48
