Count only agents that are heard as capacity

Cause: an entry cut off from three of four targets went on counting their capacity, so that only 12 of 41 refusals came within a quarter of the objective. Ruled out: agents without a stream for a moment (reset connections come back in 0.1 s). Change: agents that were silent for 1.36 s serve nothing; after a standstill nothing is refused before what came in meanwhile is taken in. Tests: the new scenario failed before; 21 passed (runs).

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -92,6 +92,24 @@
     And job "b" is not run at entry 0
     And no task of job "b" was ever started
 
+  Scenario: An entry cut off from most targets refuses what the rest can't do
+    Given a run site of 1 entries and 4 targets of 16 cores
+    When targets 1 to 3 are cut off from entry 0
+    And 2 s pass
+    And 60 jobs of 4 tasks of 200 ms come 20 ms apart
+    And 4 s pass
+    Then at least 90 of 100 refusals came within 0.095 s
+    And at least 12 jobs are completed within their objective
+
+  Scenario: An entry that stood still refuses nothing for that alone
+    Given a run site of 1 entries and 4 targets of 16 cores
+    When entry 0 takes job "a" of 2 tasks of 2000 ms
+    And entry 0 is frozen for 0.9 s
+    And 0.3 s pass
+    And entry 0 takes job "b" of 2 tasks of 2000 ms
+    And 5 s pass
+    Then job "b" is completed at entry 0
+
   Scenario: A job that its caller cancels ends at once, and its runs soon
     Given a run site of 1 entries and 2 targets of 16 cores
     When entry 0 takes job "a" of 8 tasks of 4000 ms
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -346,3 +346,10 @@
 def check_idle(context: Context) -> None:
     running = [target.running for target in context.run_site.targets]
     assert not any(running), running
+
+
+@when("targets {first:d} to {last:d} are cut off from entry {number:d}")
+def cut_targets(context: Context, first: int, last: int, number: int) -> None:
+    site = context.run_site
+    for target in site.targets[first : last + 1]:
+        site.cut.add((site.entries[number].name, target.name))
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -312,9 +312,9 @@
 
         :returns: whether it was refused.
         """
-        if self._fleet.has_room(job, now):
+        if now < self._settled_at or self._fleet.has_room(job, now):
             return False
-        load = self._fleet.load(job)
+        load = self._fleet.load(job, now)
         wait_s = forecast.wait_s(job, load)
         if load.capacity == 0 and self._is_young(now):
             # The targets are not known yet: they are likely to be there.
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -6,6 +6,7 @@
 
 from fulmarscale.entry.jobs.admission import Load
 from fulmarscale.entry.jobs.agent_view import AgentView
+from fulmarscale.runs.limits import SURELY_OVER_S
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
@@ -39,8 +40,12 @@
         """Find an agent, or begin to know it."""
         return self._agents.setdefault(name, AgentView(name, now))
 
-    def load(self, job: Job) -> Load:
-        """Tell what serves a job, and what else waits for it."""
+    def load(self, job: Job, now: float) -> Load:
+        """Tell what serves a job, and what else waits for it.
+
+        Agents that have not been heard for so long that their runs have
+        surely ended serve nothing.
+        """
         capacity = 0
         free = 0
         others = 0
@@ -50,10 +55,11 @@
                 continue
             if target.data_centre in self._closed:
                 continue
+            if now - view.heard_at > SURELY_OVER_S:
+                continue
             if target.state is TargetState.READY:
                 capacity += target.capacity.cpu_millicores
-                room = max(0, view.room.cpu_millicores)
-                free += room
+                free += max(0, view.room.cpu_millicores)
             others = max(others, view.others_backlog)
         return Load(capacity, free, others)
 
