--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -546,7 +546,7 @@
         context.process.submit(
             JobId("0011"), make_queue("/quick/"), JOB_SPEC, 5.0
         )
-        context.process._decide(context.process.dispatcher.give_up_all)
+        context.process.revoke(JobId("0011"))
 
     asyncio.run(run())
 
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -20,8 +19,11 @@
 from fulmarscale.platform.wire import ENDS
 from fulmarscale.platform.wire import format_task
 from fulmarscale.platform.wire import parse_task
+from fulmarscale.platform.wire import WireHold
 from fulmarscale.platform.wire import WireRunAnswer
 from fulmarscale.platform.wire import WireRunList
+from fulmarscale.platform.wire import WireStart
+from fulmarscale.platform.wire import WireStop
 from fulmarscale.runs.clock import steady_s
 from fulmarscale.runs.limits import LEASE_S
 from fulmarscale.runs.model import RunEnd
@@ -95,13 +97,13 @@
         self, life: TargetLife, task: TaskKey, number: int, payload: str
     ) -> StartAnswer:
         """Start a run."""
-        body = {
-            "task": format_task(task),
-            "run": number,
-            "spec": payload,
-            "untilMs": self._lease_end_ms(),
-            "fencingToken": self._fencing_token,
-        }
+        body = WireStart(
+            task=format_task(task),
+            run=number,
+            spec=payload,
+            until_ms=self._lease_end_ms(),
+            fencing_token=self._fencing_token,
+        )
         try:
             answer = await self._call("/api/run-start", life, body)
         except CallError as error:
@@ -120,11 +122,11 @@
 
     async def stop(self, life: TargetLife, task: TaskKey, number: int) -> bool:
         """Stop a run, or see that it never starts."""
-        body = {
-            "task": format_task(task),
-            "run": number,
-            "fencingToken": self._fencing_token,
-        }
+        body = WireStop(
+            task=format_task(task),
+            run=number,
+            fencing_token=self._fencing_token,
+        )
         try:
             answer = await self._call("/api/run-stop", life, body)
         except CallError as error:
@@ -145,13 +147,13 @@
         extend: bool,
     ) -> RunList:
         """Look at all runs, wait for ends and extend the lease."""
-        body = {
-            "fencingToken": self._fencing_token,
-            "lastSeen": last_seen,
-            "waitMs": round(wait_s * 1000),
-        }
-        if extend and self._is_clock_known:
-            body["untilMs"] = self._lease_end_ms()
+        is_extended = extend and self._is_clock_known
+        body = WireHold(
+            fencing_token=self._fencing_token,
+            last_seen=last_seen,
+            wait_ms=round(wait_s * 1000),
+            until_ms=self._lease_end_ms() if is_extended else msgspec.UNSET,
+        )
         try:
             answer = await self._call(
                 "/api/hold", life, body, wait_s + RENEW_SLACK_S
@@ -172,7 +174,7 @@
         self,
         path: str,
         life: TargetLife,
-        body: dict[str, Any],
+        body: WireStart | WireStop | WireHold,
         timeout_s: float = ORDER_TIMEOUT_S,
     ) -> Answer:
         return await self._client.call(
--- a/src/fulmarscale/platform/store.py
+++ b/src/fulmarscale/platform/store.py
@@ -16,6 +16,8 @@
 from fulmarscale.platform.http_client import HttpClient
 from fulmarscale.platform.wire import WireRow
 from fulmarscale.platform.wire import WireRows
+from fulmarscale.platform.wire import WireRowWrite
+from fulmarscale.platform.wire import WireTransaction
 from fulmarscale.platform.wire import WireTransactionAnswer
 
 CALL_TIMEOUT_S: Final = 1.0
@@ -113,8 +115,7 @@
         :raises FulmarError: STORE_UNAVAILABLE; the write may have been done.
         """
         text = base64.b64encode(value).decode()
-        row = {"table": table, "part": "", "key": key, "value": text}
-        body = {"expectedRev": [], "setKeys": [row], "remove": []}
+        body = WireTransaction((WireRowWrite(table, "", key, text),))
         answer = await self._call(
             "POST", "/api/rows-tx", msgspec.json.encode(body), CALL_TIMEOUT_S
         )
--- a/src/fulmarscale/platform/wire.py
+++ b/src/fulmarscale/platform/wire.py
@@ -152,6 +152,40 @@
         )
 
 
+class WireStart(WireStruct):
+    """Tells a runner to start a run."""
+
+    task: str
+    run: int
+    """The run's number."""
+    spec: str
+    """Passed to the task unread."""
+    until_ms: int
+    """The end of the lease of all runs there, by the runner's clock."""
+    fencing_token: int
+
+
+class WireStop(WireStruct):
+    """Tells a runner to stop a run, or never to start it."""
+
+    task: str
+    run: int
+    """The run's number."""
+    fencing_token: int
+
+
+class WireHold(WireStruct):
+    """Asks a runner for its runs; not only a renewal of the lease."""
+
+    fencing_token: int
+    last_seen: int
+    """The newest end that was taken in; ends up to it are forgotten."""
+    wait_ms: int
+    """How long the answer may wait for an end."""
+    until_ms: int | msgspec.UnsetType = msgspec.UNSET
+    """The end of the lease of all runs there; unset to extend nothing."""
+
+
 class WireRunAnswer(WireStruct):
     """What a runner answers to an order."""
 
@@ -241,6 +275,26 @@
             raise ValueError(f"row {self.key}: not base64") from error
 
 
+class WireRowWrite(WireStruct):
+    """A row to be written."""
+
+    table: str
+    part: str
+    key: str
+    value: str
+    """Base64."""
+
+
+class WireTransaction(WireStruct):
+    """A transaction; all of it is done or nothing."""
+
+    set_keys: tuple[WireRowWrite, ...]
+    """Rows to write, whole rows in spite of the name."""
+    expected_rev: tuple[WireRowWrite, ...] = ()
+    """Conditions; none are made at present."""
+    remove: tuple[WireRowWrite, ...] = ()
+
+
 class WireRows(WireStruct):
     """Rows as of one moment, or changed since one."""
 
