Let no verdict of the adapter's tests hang on the machine's speed

Cause, by reading: scenarios with real sockets used the production timeouts of 0.15 to 1 s, so that a busy machine could change their verdicts. Change: the timeouts are arguments; tests allow seconds.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -35,6 +35,7 @@
 from fulmarscale.platform.ingress import IngressApp
 from fulmarscale.platform.ingress import JobDesk
 from fulmarscale.platform.runner import Runner
+from fulmarscale.platform.runner import RunnerTimeouts
 from fulmarscale.platform.store import HistoryGoneError
 from fulmarscale.platform.store import RowStore
 from fulmarscale.platform.wire import WireRow
@@ -68,6 +69,9 @@
 LOG = EventLog("test", "platform")
 ENTRY = EntryId("e", 1)
 LIFE = TargetLife(TargetId("i-1"), 77)
+PATIENT = RunnerTimeouts(order_s=3.0, renew_slack_s=20.0, connect_s=20.0)
+"""What a busy machine needs, so that no verdict hangs on its speed."""
+
 TASK = TaskKey(JobId("00"), 0, 0, 0)
 
 HEARTBEAT: dict[str, Any] = {
@@ -415,10 +419,10 @@
 
     async def run() -> None:
         await context.stub.start()
-        client = HttpClient(context.stub.address, 4)
-        for _ in range(2):
+        client = HttpClient(context.stub.address, 4, 20.0)
+        for timeout_s in (3.0, 20.0):
             try:
-                answer = await client.call("GET", "/x", b"", 0.2)
+                answer = await client.call("GET", "/x", b"", timeout_s)
                 context.results.append(answer.status)
             except CallError as error:
                 context.results.append(error.is_sent)
@@ -441,9 +445,9 @@
 @when("a call is made")
 def call_once(context: Context) -> None:
     async def run() -> None:
-        client = HttpClient(context.address, 4)
+        client = HttpClient(context.address, 4, 20.0)
         try:
-            await client.call("GET", "/x", b"", 0.5)
+            await client.call("GET", "/x", b"", 20.0)
         except CallError as error:
             context.error = error
 
@@ -463,7 +467,7 @@
     async def run() -> None:
         context.stub = HttpStub(script)
         await context.stub.start()
-        runner = Runner(LOG)
+        runner = Runner(LOG, PATIENT)
         runner.meet(LIFE, context.stub.address, 100)
         await work(runner)
         await runner.close()
@@ -587,7 +591,7 @@
     async def run() -> None:
         stub = HttpStub(context.script)
         await stub.start()
-        store = RowStore(stub.address)
+        store = RowStore(stub.address, call_timeout_s=4.0)
         announcer = AgentAnnouncer(store, "a", "10.0.0.1:7", LOG)
         context.found = await announcer.restore()
         await store.close()
@@ -609,7 +613,7 @@
     async def run() -> None:
         context.stub = HttpStub(context.script)
         await context.stub.start()
-        runner = Runner(LOG)
+        runner = Runner(LOG, PATIENT)
         runner.resume(LIFE, context.stub.address)
         for _ in range(2):
             try:
@@ -749,7 +753,7 @@
     async def run() -> None:
         stub = HttpStub(context.runner.answer)
         await stub.start()
-        runner = Runner(LOG)
+        runner = Runner(LOG, PATIENT)
         runner.meet(LIFE, stub.address, 100)
         agent = RunProcess("agent-1", "here", runner, LOG)
         port = free_port()
--- a/src/fulmarscale/platform/http_client.py
+++ b/src/fulmarscale/platform/http_client.py
@@ -125,8 +125,14 @@
 class HttpClient:
     """Calls one server."""
 
-    def __init__(self, address: str, most_connections: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        most_connections: int,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
         self._address = address
+        self._connect_timeout_s = connect_timeout_s
         self._idle: list[Connection] = []
         self._slots = asyncio.Semaphore(most_connections)
 
@@ -194,7 +200,7 @@
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
                     Connection, host, int(port)
                 )
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -15,6 +15,7 @@
 from fulmarscale.agent.run_target import TargetUnreachableError
 from fulmarscale.events import Event
 from fulmarscale.platform.http_client import CallError
+from fulmarscale.platform.http_client import CONNECT_TIMEOUT_S
 from fulmarscale.platform.http_client import HttpClient
 from fulmarscale.platform.wire import ENDS
 from fulmarscale.platform.wire import format_task
@@ -54,12 +55,29 @@
 CONFLICT: Final = 409
 
 
+class RunnerTimeouts(msgspec.Struct, frozen=True):
+    """How long a runner may take, in seconds."""
+
+    order_s: float = ORDER_TIMEOUT_S
+    """For the answer to an order."""
+    renew_slack_s: float = RENEW_SLACK_S
+    """For the answer to a renewal, beyond the wait that it asks for."""
+    connect_s: float = CONNECT_TIMEOUT_S
+    """For a connection to open."""
+
+
+DEFAULT_TIMEOUTS: Final = RunnerTimeouts()
+
+
 class Runner(RunTarget):
     """Calls one runner."""
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(
+        self, log: EventLog, timeouts: RunnerTimeouts = DEFAULT_TIMEOUTS
+    ) -> None:
         self._log = log
-        self._client = HttpClient("", MOST_CONNECTIONS)
+        self._timeouts = timeouts
+        self._client = HttpClient("", MOST_CONNECTIONS, timeouts.connect_s)
         self._life: TargetLife | None = None
         self._clock_offset_ms = float("-inf")
         """The runner's clock less ours, never too high."""
@@ -156,7 +174,7 @@
         )
         try:
             answer = await self._call(
-                "/api/hold", life, body, wait_s + RENEW_SLACK_S
+                "/api/hold", life, body, wait_s + self._timeouts.renew_slack_s
             )
         except CallError as error:
             raise TargetUnreachableError(error.detail) from error
@@ -175,13 +193,13 @@
         path: str,
         life: TargetLife,
         body: WireStart | WireStop | WireHold,
-        timeout_s: float = ORDER_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> Answer:
         return await self._client.call(
             "POST",
             path,
             msgspec.json.encode(body),
-            timeout_s,
+            self._timeouts.order_s if timeout_s is None else timeout_s,
             f"Target-Instance: {life.target}\r\n",
         )
 
--- a/src/fulmarscale/platform/store.py
+++ b/src/fulmarscale/platform/store.py
@@ -45,7 +45,10 @@
 class RowStore:
     """Calls the platform's store; holds no state of its own."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, call_timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
+        self._call_timeout_s = call_timeout_s
         self._client = HttpClient(address, MOST_CONNECTIONS)
 
     def move(self, address: str) -> None:
@@ -68,7 +71,9 @@
         start = ""
         while True:
             query = {"table": table, "part": "", "from": start}
-            answer = await self._get("/api/rows-get", query, CALL_TIMEOUT_S)
+            answer = await self._get(
+                "/api/rows-get", query, self._call_timeout_s
+            )
             rows = _decode(answer, WireRows)
             found += rows.rows
             if not rows.has_more or not rows.rows:
@@ -83,7 +88,7 @@
         :raises FulmarError: STORE_UNAVAILABLE.
         """
         query = {"table": table, "part": "", "from": key, "to": key + "\x00"}
-        answer = await self._get("/api/rows-get", query, CALL_TIMEOUT_S)
+        answer = await self._get("/api/rows-get", query, self._call_timeout_s)
         rows = _decode(answer, WireRows).rows
         try:
             return rows[0].read_value() if rows else None
@@ -117,7 +122,10 @@
         text = base64.b64encode(value).decode()
         body = WireTransaction((WireRowWrite(table, "", key, text),))
         answer = await self._call(
-            "POST", "/api/rows-tx", msgspec.json.encode(body), CALL_TIMEOUT_S
+            "POST",
+            "/api/rows-tx",
+            msgspec.json.encode(body),
+            self._call_timeout_s,
         )
         return _decode(answer, WireTransactionAnswer).ver
 
