Drop fields nothing reads; share what fake processes have in common

Found in a last read: first_ordered_at, least_number and serves had no reader, used_millicores of the fake target neither; killing and freezing of the two fake processes stood twice. No behaviour changes, no check touched.

--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -135,11 +135,6 @@
         """The highest fencing token seen; lower ones are refused."""
         self._until = float("inf")
 
-    @property
-    def used_millicores(self) -> int:
-        """What runs now."""
-        return len(self.running) * TASK.cpu_millicores
-
     def crash(self, down_s: float) -> None:
         """Lose everything and come back as another life."""
         self.is_up = False
@@ -243,7 +238,32 @@
         self.ended.append(ListedEnd(self._positions, task, number, end))
 
 
-class AgentNode:
+class Node:
+    """A process that can be killed or frozen."""
+
+    def __init__(self) -> None:
+        self.is_frozen = False
+        self.is_up = True
+        self.inbox: list[Any] = []
+
+    def do(self, action: Any) -> None:
+        """Do something as soon as the process is not frozen."""
+        if not self.is_up:
+            return
+        if self.is_frozen:
+            self.inbox.append(action)
+            return
+        action()
+
+    def thaw(self) -> None:
+        """Go on after a freeze."""
+        self.is_frozen = False
+        waiting, self.inbox = self.inbox, []
+        for action in waiting:
+            action()
+
+
+class AgentNode(Node):
     """An agent beside a target."""
 
     def __init__(
@@ -253,14 +273,12 @@
         life: int,
         first_beat_s: float = BEAT_S,
     ) -> None:
+        super().__init__()
         self._site = site
         self._clock = site.clock
         self.target = target
-        self.is_frozen = False
-        self.is_up = True
         self.token = life
         self.guard = RunGuard(f"agent-{target.name}", "here", life)
-        self.inbox: list[Any] = []
         self._tick()
         self._renew()
         self._beat(0, first_beat_s)
@@ -278,22 +296,6 @@
                 case CloseStream() | LogDecision():
                     pass
 
-    def do(self, action: Any) -> None:
-        """Do something as soon as the agent is not frozen."""
-        if not self.is_up:
-            return
-        if self.is_frozen:
-            self.inbox.append(action)
-            return
-        action()
-
-    def thaw(self) -> None:
-        """Go on after a freeze."""
-        self.is_frozen = False
-        waiting, self.inbox = self.inbox, []
-        for action in waiting:
-            action()
-
     def _tick(self) -> None:
         def act() -> None:
             self.perform(self.guard.tick(self._clock.now))
@@ -417,16 +419,15 @@
         self._clock.call_in(HOP_S, arrive)
 
 
-class EntryNode:
+class EntryNode(Node):
     """An entry."""
 
     def __init__(self, site: RunSite, name: str, life: int) -> None:
+        super().__init__()
         self._site = site
         self._clock = site.clock
         self.name = name
         self.entry = EntryId(name, life)
-        self.is_frozen = False
-        self.is_up = True
         self.dispatcher = Dispatcher(self.entry, "here")
         self.answers: dict[JobId, AnswerJob] = {}
         self.answered_at: dict[JobId, float] = {}
@@ -434,7 +435,6 @@
         self.objectives: dict[str, float] = {}
         """Each job's objective, in seconds, by its true work."""
         self.logs: list[LogDecision] = []
-        self.inbox: list[Any] = []
         self.sessions: dict[int, AgentNode] = {}
         self._tick()
 
@@ -450,22 +450,6 @@
                 case LogDecision():
                     self.logs.append(action)
 
-    def do(self, action: Any) -> None:
-        """Do something as soon as the entry is not frozen."""
-        if not self.is_up:
-            return
-        if self.is_frozen:
-            self.inbox.append(action)
-            return
-        action()
-
-    def thaw(self) -> None:
-        """Go on after a freeze."""
-        self.is_frozen = False
-        waiting, self.inbox = self.inbox, []
-        for action in waiting:
-            action()
-
     def submit(
         self,
         job_id: str,
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -489,7 +489,7 @@
         require(target is not None, "a start has a target")
         assert target is not None
         highest, _ = self._numbers.get(order.task, (0, now))
-        number = max(highest + 1, order.least_number)
+        number = highest + 1
         self._numbers[order.task] = (number, now)
         run = Run(order, number, session.entry)
         self._runs[order.task] = run
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -638,8 +638,6 @@
         task.progress_at = now
         task.stop_sent = False
         task.is_noted_slow = False
-        if job.first_ordered_at is None:
-            job.first_ordered_at = now
         self._order_number += 1
         view.add(
             StartOrder(
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -114,7 +114,6 @@
                 self._in_phase[task.phase][task.key] = task
         self.may_have_run = False
         """Whether a run may have begun."""
-        self.first_ordered_at: float | None = None
         self.objective_at = arrived_at
         """When the answer is due by the queue's objective."""
         self.useless_at = arrived_at
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -30,8 +30,6 @@
     """Passed to the target unread."""
     order: int
     """Names the order; its report carries it."""
-    least_number: int = 1
-    """The run's number is to be no lower than this."""
     required_label: str = ""
     """A label that the target must have; empty for none."""
 
--- a/src/fulmarscale/runs/site_state.py
+++ b/src/fulmarscale/runs/site_state.py
@@ -67,10 +67,6 @@
                 best = queue
         return best
 
-    def serves(self, service: ServiceName) -> bool:
-        """Tell whether any queue leads to a service."""
-        return any(queue.service == service for queue in self.queues)
-
 
 def newer(known: SiteState, read: SiteState) -> SiteState:
     """Choose the newer of two states.
