Pick stand-ins' ports outside the system's own range

Cause: KNOWN-RED listed a stand-in site that did not stand up once. Ports were probed by binding to port 0 and released; until the process listened on one, the system could give it to an outgoing connection or to another listener on port 0. Ruled out: two ports alike within one site; the probes are independent, so that is far rarer.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,7 +6,6 @@
 import base64
 from pathlib import Path
 import re
-import socket
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -59,6 +58,7 @@
 from fulmarscale.settings import SiteEntrySettings
 from standins.http_stub import HttpStub
 from standins.http_stub import StubAnswer
+from standins.ports import PORTS
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -135,13 +135,6 @@
             self.body += message["body"]
 
 
-def free_port() -> int:
-    """Find a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class FakeDesk(JobDesk):
     """Gives every job the same outcome."""
 
@@ -756,7 +749,7 @@
         runner = Runner(LOG, PATIENT)
         runner.meet(LIFE, stub.address, 100)
         agent = RunProcess("agent-1", "here", runner, LOG)
-        port = free_port()
+        port = PORTS.pick()
         await agent.start("127.0.0.1", port)
         agent.adopt_site(site)
         agent.see_target(report, 1)
--- a/standins/site.py
+++ b/standins/site.py
@@ -6,7 +6,6 @@
 import os
 from pathlib import Path
 import signal
-import socket
 import ssl
 import subprocess
 import sys
@@ -24,6 +23,7 @@
 from standins.certificates import CERTIFICATE
 from standins.certificates import KEY
 from standins.certificates import write_certificates
+from standins.ports import PORTS
 
 DATA_CENTRES: Final = ("vest-a", "vest-b", "vest-c", "vest-d")
 SECRET: Final = "stand-in-site-shared-secret"
@@ -178,7 +178,7 @@
         return self._processes[name].pid
 
     def _start_platform(self) -> PlatformState:
-        port = _free_port()
+        port = PORTS.pick()
         more: list[str] = []
         if self._with_tls:
             more = ["--tls-folder", str(self._folder)]
@@ -186,7 +186,7 @@
         return PlatformState(f"{self._scheme}://127.0.0.1:{port}", pid)
 
     def _start_target(self, number: int) -> TargetState:
-        port = _free_port()
+        port = PORTS.pick()
         name = f"target-{number}"
         pid = self._run_module(name, "standins.target", port)
         url = f"http://127.0.0.1:{port}"
@@ -212,14 +212,14 @@
 
     def _start_entry(self, number: int, platform: PlatformState) -> EntryState:
         name = f"entry-{number}"
-        http_port = _free_port()
+        http_port = PORTS.pick()
         pid = self._run_program(
             name,
             "fulmar-entry",
             {
                 "name": name,
                 "data_centre": self._data_centre(number),
-                "stream_address": f"127.0.0.1:{_free_port()}",
+                "stream_address": f"127.0.0.1:{PORTS.pick()}",
                 "http_address": f"127.0.0.1:{http_port}",
                 "platform": self._platform_settings(platform),
                 "secret": SECRET,
@@ -397,12 +397,6 @@
     raise TimeoutError(f"not true within {limit_s} s")
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def _hash(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
 
