Count a start as an extension of the target's lease

Cause: a start carries the end of the lease and so extends it, but the agent counted only renewals. A renewal that gets no answer is noticed after 0.4 s; a start sent meanwhile extends the lease up to 0.3 s beyond what the agent took for its end. With a target that carries out starts and answers nothing the agent then reported runs as ended that still ran, and the entry started them elsewhere. Ruled out: the margin of 0.1 s for the end of a lease; the overlap was 49 ms beyond it. Change: the guard notes the lease's end at each start, too. Before: the new scenario "A start after the last renewal counts for the lease's end" fails, 2 tasks ran twice at once.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -63,6 +63,15 @@
     And no target ever held more than its capacity
     And job "a" is completed at entry 0
 
+  Scenario: A start after the last renewal counts for the lease's end
+    Given a run site of 1 entries and 2 targets of 16 cores
+    When fake target 0 answers nothing any more
+    And 0.3 s pass
+    And entry 0 takes job "a" of 12 tasks of 4000 ms
+    And 15 s pass
+    Then no task ran twice at once
+    And job "a" is completed at entry 0
+
   Scenario: A draining target is given nothing
     Given a run site of 2 entries and 2 targets of 16 cores
     When target 0 says that it is draining
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -70,6 +70,11 @@
     context.run_site.targets[number].is_hung = True
 
 
+@when("fake target {number:d} answers nothing any more")
+def mute_target(context: Context, number: int) -> None:
+    context.run_site.targets[number].is_mute = True
+
+
 @given("fake target {number:d} fails all it starts")
 def fail_target(context: Context, number: int) -> None:
     context.run_site.targets[number].is_failing = True
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -122,6 +122,8 @@
         self.slowness = 1.0
         self.is_failing = False
         self.is_hung = False
+        self.is_mute = False
+        """Whether it carries out starts, stops later, and answers nothing."""
         self.late_grants = False
         """Whether the lease of a late order counts from its arrival."""
         self.late_orders: list[float] = []
@@ -331,6 +333,9 @@
             self.target.token = max(self.target.token, self.token)
             if extend:
                 self.target.extend(asked_at + LEASE_S)
+            if self.target.is_mute:
+                self._clock.call_in(RENEW_TIMEOUT_S, lambda: self.do(lost))
+                return
             self._wait_for_end(asked_at, asked_at + RENEW_WAIT_S, act)
 
         def lost() -> None:
@@ -397,12 +402,17 @@
 
         def arrive() -> None:
             found = self.target.start(action, until, token)
-            self._clock.call_in(HOP_S, lambda: self.do(lambda: answer(found)))
+            after_s = HOP_S
+            if self.target.is_mute:
+                found, after_s = StartAnswer.UNKNOWN, ORDER_TIMEOUT_S
+            self._clock.call_in(
+                after_s, lambda: self.do(lambda: answer(found))
+            )
 
         self._clock.call_in(HOP_S, arrive)
 
     def _stop(self, action: StopRun) -> None:
-        if not self.target.is_up:
+        if not self.target.is_up or self.target.is_mute:
             return
 
         def answer() -> None:
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -258,7 +258,7 @@
         return self._finish(now)
 
     def renew(self, sent_at: float) -> None:
-        """Note that a renewal of the lease was sent."""
+        """Note that a call was sent that extends the lease."""
         lapses_at = sent_at + LEASE_S * CLOCK_SLACK + LAPSE_MARGIN_S
         self._lapses_at = max(self._lapses_at, lapses_at)
 
@@ -497,6 +497,8 @@
             self.used.fits(target.capacity), "runs fit the target's capacity"
         )
         self._mark_dirty()
+        # A start extends the lease of all runs, as a renewal does.
+        self.renew(now)
         self._actions.append(
             StartRun(target.life, order.task, number, order.payload)
         )
