--- a/features/platform.feature
+++ b/features/platform.feature
@@ -24,7 +24,13 @@
       | fails all jobs           | a best-effort job  | 200    | state failed      |
       | runs no job              | a best-effort job  | 503    | Retry-After       |
       | leaves jobs unfinished   | a best-effort job  | 504    | no Retry-After    |
-      | completes all jobs       | a job to be kept   | 503    | Retry-After       |
+      | stores all jobs          | a job to be kept   | 200    | state stored      |
+      | runs no job              | a job to be kept   | 503    | Retry-After       |
+      | leaves jobs unfinished   | a job to be kept   | 504    | no Retry-After    |
+      | has no store             | a look at a kept job        | 503 | Retry-After |
+      | has no store             | a cancel of a kept job      | 503 | Retry-After |
+      | completes all jobs       | a look at a kept job        | 200 | state completed |
+      | completes all jobs       | a cancel of a kept job      | 200 | a kept cancel |
       | completes all jobs       | a gang             | 503    | Retry-After       |
       | completes all jobs       | a recurring job    | 503    | Retry-After       |
       | completes all jobs       | a job for advice   | 503    | Retry-After       |
@@ -133,3 +139,20 @@
     When a job of 3 tasks is handed in to the entry
     Then it is completed and the runner was told to start 3 tasks
     And the agent's answer to a stop is that it holds no runs
+
+  Scenario: A kept job passes through the store and all processes
+    Given an entry, an agent and a scripted runner on loopback
+    When a job of 3 tasks is kept by the entry
+    Then it is stored, and then completed after 3 starts
+
+  Scenario Outline: The answer to a transaction is taken for no more than it says
+    When a transaction is sent to a store that <state>
+    Then it is <status> and the row holds <value>
+
+    Examples:
+      | state               | status   | value   |
+      | is sound            | applied  | text    |
+      | has the row already | conflict | text    |
+      | is busy             | refused  | nothing |
+      | is silent           | unknown  | nothing |
+      | is loses_answers    | unknown  | text    |
--- /dev/null
+++ b/features/steps/kept_steps.py
@@ -0,0 +1,197 @@
+"""Steps about kept jobs under virtual time."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support.fake_rows import StoreMode
+from features.support.kept_chaos import play_kept_seed
+from features.support.kept_site import is_over
+from features.support.kept_site import KeptSite
+from fulmarscale.entry.kept.actions import KeepOutcome
+from fulmarscale.entry.kept.record import RECORD_TABLE
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+WORKERS = 3
+
+
+@given("a kept site of {entries:d} entries and {targets:d} targets")
+def make_site(context: Context, entries: int, targets: int) -> None:
+    context.run_site = KeptSite(entries, targets)
+    context.kept = []
+
+
+def keep(
+    context: Context, number: int, job: str, counts: tuple[int, ...], ms: int
+) -> None:
+    context.run_site.entries[number].keep(job, counts, ms)
+    context.kept.append(job)
+
+
+@when('entry {number:d} keeps job "{job}" of {tasks:d} tasks of {ms:d} ms')
+def keep_one(
+    context: Context, number: int, job: str, tasks: int, ms: int
+) -> None:
+    keep(context, number, job, (tasks,), ms)
+
+
+@when(
+    'entry {number:d} keeps job "{job}" of steps of {a:d}, {b:d} and {c:d}'
+    " tasks of {ms:d} ms"
+)
+def keep_steps(
+    context: Context, number: int, job: str, a: int, b: int, c: int, ms: int
+) -> None:
+    keep(context, number, job, (a, b, c), ms)
+
+
+@when(
+    "{jobs:d} kept jobs of {tasks:d} tasks of {ms:d} ms come {gap:d} ms apart"
+)
+def keep_many(
+    context: Context, jobs: int, tasks: int, ms: int, gap: int
+) -> None:
+    entries = context.run_site.entries
+    for number in range(jobs):
+        keep(context, number % len(entries), f"job{number}", (tasks,), ms)
+        context.run_site.run(gap / 1000)
+
+
+@when(
+    "the store refuses all for {span_s:g} s after"
+    ' entry {number:d} keeps job "{job}" of {tasks:d} tasks of {ms:d} ms'
+)
+def keep_and_refuse(
+    context: Context,
+    span_s: float,
+    number: int,
+    job: str,
+    tasks: int,
+    ms: int,
+) -> None:
+    keep(context, number, job, (tasks,), ms)
+    context.run_site.run(0.05)
+    set_mode(context, StoreMode.REFUSES, span_s)
+
+
+def set_mode(context: Context, mode: StoreMode, span_s: float) -> None:
+    rows = context.run_site.rows
+    rows.mode = mode
+
+    def mend() -> None:
+        rows.mode = StoreMode.SOUND
+
+    context.run_site.clock.call_in(span_s, mend)
+
+
+@when("the store refuses all for {span_s:g} s")
+def refuse_all(context: Context, span_s: float) -> None:
+    set_mode(context, StoreMode.REFUSES, span_s)
+
+
+@when("the store is {mode} for {span_s:g} s")
+def disturb_store(context: Context, mode: str, span_s: float) -> None:
+    set_mode(context, StoreMode(mode), span_s)
+
+
+@when("entry {number:d} is cut off from the store for {span_s:g} s")
+def cut_off(context: Context, number: int, span_s: float) -> None:
+    rows = context.run_site.rows
+    name = context.run_site.entries[number].name
+    rows.cut.add(name)
+    context.run_site.clock.call_in(span_s, lambda: rows.cut.discard(name))
+
+
+@when("kept entry {number:d} is killed for {down_s:g} s")
+def restart_entry(context: Context, number: int, down_s: float) -> None:
+    site = context.run_site
+    site.restart_entry(site.entries[number], down_s)
+
+
+@when("all entries and agents are killed for {down_s:g} s")
+def restart_all(context: Context, down_s: float) -> None:
+    context.run_site.restart_all(down_s)
+
+
+@when('kept job "{job}" is cancelled at entry {number:d}')
+def cancel(context: Context, job: str, number: int) -> None:
+    context.run_site.entries[number].cancel_kept(job)
+
+
+@then('the caller of job "{job}" was told that it is {outcome}')
+def check_told(context: Context, job: str, outcome: str) -> None:
+    found = context.run_site.outcomes().get(job)
+    assert found is KeepOutcome(outcome), found
+
+
+@then("{span_s:g} s pass")
+def pass_more_time(context: Context, span_s: float) -> None:
+    context.run_site.run(span_s)
+
+
+@then('job "{job}" is stored as {state}')
+def check_stored(context: Context, job: str, state: str) -> None:
+    record = context.run_site.record_of(job)
+    assert record is not None, "no record"
+    assert record.state.value == state, record
+
+
+@then("every job that was accepted is stored as completed")
+def check_all_stored(context: Context) -> None:
+    site = context.run_site
+    bad = []
+    for job, outcome in site.outcomes().items():
+        record = site.record_of(job)
+        if outcome is KeepOutcome.STORED and (
+            record is None or record.state.value != "completed"
+        ):
+            bad.append((job, record))
+    assert not bad, bad[:2]
+
+
+@then("no promise on kept jobs is broken")
+def check_promises(context: Context) -> None:
+    breaches = context.run_site.breaches()
+    assert not breaches, breaches[:2]
+
+
+@then("the agents hold nothing")
+def check_agents(context: Context) -> None:
+    site = context.run_site
+    bad = [agent.target.name for agent in site.agents if not is_over(agent)]
+    assert not bad, bad
+
+
+@then("{count:d} transactions were made on job records")
+def check_transactions(context: Context, count: int) -> None:
+    rows = context.run_site.rows.read_table(RECORD_TABLE)
+    found = context.run_site.rows.written[rows[0].name]
+    assert found == count, found
+
+
+@when("random kept sites are played with seeds {first:d} to {last:d}")
+def play_seeds(context: Context, first: int, last: int) -> None:
+    with ProcessPoolExecutor(WORKERS) as pool:
+        context.played = list(pool.map(play_kept_seed, range(first, last + 1)))
+    runs = sum(played.runs for played in context.played)
+    done = sum(played.completed for played in context.played)
+    print(f"{runs} runs, {done} jobs completed")
+
+
+@then("no random kept site broke a promise")
+def check_played(context: Context) -> None:
+    broken = [(p.seed, p.breaches[:2]) for p in context.played if p.breaches]
+    assert not broken, broken[:3]
+
+
+@then("every accepted job of the random kept sites has ended")
+def check_ended(context: Context) -> None:
+    bad = [(p.seed, p.open_jobs[:3]) for p in context.played if p.open_jobs]
+    assert not bad, bad[:5]
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -20,7 +20,15 @@
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import JobState
+from fulmarscale.entry.jobs.desk import JobDesk
+from fulmarscale.entry.jobs.desk import KeptJobs
 from fulmarscale.entry.jobs.process import DispatchProcess
+from fulmarscale.entry.kept.record import KeptState
+from fulmarscale.entry.kept.record import RECORD_TABLE
+from fulmarscale.entry.kept.rows import RowKey
+from fulmarscale.entry.kept.rows import RowWrite
+from fulmarscale.errors import FulmarError
+from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.logs import EventLog
@@ -32,7 +40,6 @@
 from fulmarscale.platform.http_client import CallError
 from fulmarscale.platform.http_client import HttpClient
 from fulmarscale.platform.ingress import IngressApp
-from fulmarscale.platform.ingress import JobDesk
 from fulmarscale.platform.runner import Runner
 from fulmarscale.platform.runner import RunnerTimeouts
 from fulmarscale.platform.store import HistoryGoneError
@@ -59,11 +66,12 @@
 from standins.http_stub import HttpStub
 from standins.http_stub import StubAnswer
 from standins.ports import PORTS
+from standins.row_store import RowStoreStandIn
+from standins.row_store import StoreFault
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
-    from fulmarscale.errors import FulmarError
     from standins.http_stub import StubRequest
 
 LOG = EventLog("test", "platform")
@@ -135,6 +143,33 @@
             self.body += message["body"]
 
 
+class FakeKeeper(KeptJobs):
+    """Knows one kept job, 0033, that has ended."""
+
+    def __init__(self) -> None:
+        self.is_away = False
+        self.cancelled: list[str] = []
+
+    def owns(self, job_id: Any) -> bool:
+        return False
+
+    async def state_of(self, job_id: Any) -> KeptState | None:
+        self._check()
+        return KeptState.COMPLETED if job_id == "0033" else None
+
+    async def cancel(self, job_id: Any) -> bool:
+        self._check()
+        self.cancelled.append(job_id)
+        return job_id == "0033"
+
+    def pending_of(self, queue: str) -> int:
+        return 7 if queue == "/quick/" else 0
+
+    def _check(self) -> None:
+        if self.is_away:
+            raise FulmarError(ResultCode.STORE_UNAVAILABLE, "away")
+
+
 class FakeDesk(JobDesk):
     """Gives every job the same outcome."""
 
@@ -144,6 +179,11 @@
         self.known = SiteState(1, 1, (make_queue("/quick/"),))
         self.left: list[str] = []
         self.revoked: list[str] = []
+        self.kept = FakeKeeper()
+
+    @property
+    def keeper(self) -> FakeKeeper:
+        return self.kept
 
     @property
     def site(self) -> SiteState:
@@ -166,6 +206,10 @@
     def state_of(self, job_id: Any) -> JobState | None:
         return JobState.RUNNING if job_id == "0022" else None
 
+    async def keep(self, job_id: Any, *_: Any) -> AnswerJob:
+        assert self.outcome is not None
+        return AnswerJob(job_id, self.outcome, 1.0)
+
     def revoke(self, job_id: Any) -> None:
         self.revoked.append(job_id)
 
@@ -213,8 +257,11 @@
         "runs no job": JobOutcome.NOT_RUN,
         "leaves jobs unfinished": JobOutcome.UNFINISHED,
         "is about to stop": JobOutcome.COMPLETED,
+        "stores all jobs": JobOutcome.STORED,
+        "has no store": JobOutcome.NOT_RUN,
     }
     context.desk = FakeDesk(outcomes.get(state))
+    context.desk.kept.is_away = state == "has no store"
     context.desk.stopping = state == "is about to stop"
     if state == "knows no configuration":
         context.desk.known = SiteState()
@@ -254,6 +301,10 @@
             method, path = "GET", "/quick/"
         case "a look at a job":
             method = "GET"
+        case "a look at a kept job":
+            method, path = "GET", "/quick/0033"
+        case "a cancel of a kept job":
+            method, path = "DELETE", "/quick/0033"
         case "a look at a job under way":
             method, path = "GET", "/quick/0022"
         case "a cancel of a job under way":
@@ -278,8 +329,11 @@
             assert msgspec.json.decode(exchange.body)["state"] == state
         case ["a", "cancel"]:
             assert context.desk.revoked == ["0022"], context.desk.revoked
+        case ["a", "kept", "cancel"]:
+            cancelled = context.desk.kept.cancelled
+            assert cancelled == ["0033"], cancelled
         case ["pending"]:
-            assert msgspec.json.decode(exchange.body)["pending"] == 0
+            assert msgspec.json.decode(exchange.body)["pending"] == 7
         case _:
             assert exchange.headers[b"connection"] == b"close"
 
@@ -312,7 +366,7 @@
         self._feeds = feeds
         self.ended = asyncio.Event()
 
-    async def read(self, table: str) -> WireRows:
+    async def read(self, table: str, part: str = "") -> WireRows:
         return await self._next(self._readings)
 
     async def follow(self, table: str, after: int, wait_s: float) -> WireRows:
@@ -538,7 +592,7 @@
 def make_entry(context: Context) -> None:
     async def run() -> None:
         log = EventLog("test", "entry")
-        context.process = DispatchProcess("e", "here", log)
+        context.process = DispatchProcess("e", "here", RowStore(""), log)
         log.write(Event.JOB_REJECTED, status=404)
         context.process.submit(
             JobId("0011"), make_queue("/quick/"), JOB_SPEC, 5.0
@@ -735,43 +789,128 @@
     context.runner = ScriptedRunner()
 
 
+class Loopback:
+    """An entry, an agent, a scripted runner and a store on loopback."""
+
+    def __init__(self, runner: ScriptedRunner) -> None:
+        self.store = RowStoreStandIn()
+        self._stub = HttpStub(runner.answer)
+        self.agent: RunProcess
+        self.entry: DispatchProcess
+
+    async def __aenter__(self) -> Loopback:
+        site = SiteState(1, 1, (make_queue("/quick/"),))
+        report = TargetReport(
+            LIFE,
+            ServiceName("press"),
+            "here",
+            TargetState.READY,
+            Resources(16000),
+        )
+        await self.store.start()
+        await self._stub.start()
+        runner = Runner(LOG, PATIENT)
+        runner.meet(LIFE, self._stub.address, 100)
+        self.agent = RunProcess("agent-1", "here", runner, LOG)
+        port = PORTS.pick()
+        await self.agent.start("127.0.0.1", port)
+        self.agent.adopt_site(site)
+        self.agent.see_target(report, 1)
+        self.start_entry(site, port)
+        return self
+
+    def start_entry(self, site: SiteState, port: int) -> None:
+        rows = RowStore(self.store.address)
+        self.entry = DispatchProcess("entry-1", "here", rows, LOG)
+        self.entry.start()
+        self.entry.adopt_site(site)
+        self.entry.follow_agents({"agent-1": f"127.0.0.1:{port}"})
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.entry.close()
+        await self.agent.close()
+        await self._stub.close()
+        await self.store.close()
+
+
 @when("a job of {tasks:d} tasks is handed in to the entry")
 def hand_in(context: Context, tasks: int) -> None:
-    report = TargetReport(
-        LIFE, ServiceName("press"), "here", TargetState.READY, Resources(16000)
-    )
-    site = SiteState(1, 1, (make_queue("/quick/"),))
     step = Step(tasks, Resources(1600), 20.0)
 
     async def run() -> None:
-        stub = HttpStub(context.runner.answer)
-        await stub.start()
-        runner = Runner(LOG, PATIENT)
-        runner.meet(LIFE, stub.address, 100)
-        agent = RunProcess("agent-1", "here", runner, LOG)
-        port = PORTS.pick()
-        await agent.start("127.0.0.1", port)
-        agent.adopt_site(site)
-        agent.see_target(report, 1)
-        entry = DispatchProcess("entry-1", "here", LOG)
-        entry.start()
-        entry.adopt_site(site)
-        entry.follow_agents({"agent-1": f"127.0.0.1:{port}"})
         spec = JobSpec("text", (step,))
-        async with asyncio.timeout(20):
-            future = entry.submit(
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            future = site.entry.submit(
                 JobId("0011"), make_queue("/quick/"), spec, 20.0
             )
             context.answer = await future
-        await agent.finish()
-        context.left = agent.guard.runs
-        await entry.close()
-        await agent.close()
-        await stub.close()
+            await site.agent.finish()
+            context.left = site.agent.guard.runs
+
+    asyncio.run(run())
+
+
+@when("a job of {tasks:d} tasks is kept by the entry")
+def keep_on_loopback(context: Context, tasks: int) -> None:
+    step = Step(tasks, Resources(1600), 20.0)
+    job_id = JobId("0011")
+
+    async def run() -> None:
+        spec = JobSpec("text", (step,), is_kept=True)
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            queue = make_queue("/quick/")
+            context.answer = await site.entry.keep(job_id, queue, spec, 20.0)
+            while True:
+                context.state = await site.entry.keeper.state_of(job_id)
+                if context.state is not KeptState.OPEN:
+                    break
+            await site.agent.finish()
+            context.held = site.agent.guard.held_ends
+            context.keys = site.store.keys(RECORD_TABLE)
+
+    asyncio.run(run())
+
+
+@then("it is stored, and then completed after {count:d} starts")
+def check_kept_path(context: Context, count: int) -> None:
+    assert context.answer.outcome is JobOutcome.STORED, context.answer
+    assert context.state is KeptState.COMPLETED, context.state
+    assert len(set(context.runner.started)) == count, context.runner.started
+    assert context.held == 0, context.held
+    assert context.keys == ["0011"], context.keys
+
+
+ROW = RowKey("jobs", "s1", "a")
+
+
+@when("a transaction is sent to a store that {state}")
+def send_transaction(context: Context, state: str) -> None:
+    async def run() -> None:
+        store = RowStoreStandIn()
+        await store.start()
+        rows = RowStore(store.address, call_timeout_s=0.3)
+        write = RowWrite(ROW, b"text", 0)
+        if state == "has the row already":
+            await rows.commit((write,))
+        elif state != "is sound":
+            store.fault = StoreFault(state.removeprefix("is ").strip())
+        context.commit = await rows.commit((write,))
+        store.fault = StoreFault.NONE
+        row = await rows.read_row(ROW)
+        context.row_value = None if row is None else row.value
+        await rows.close()
+        await store.close()
 
     asyncio.run(run())
 
 
+@then("it is {status} and the row holds {value}")
+def check_transaction(context: Context, status: str, value: str) -> None:
+    assert context.commit.status.value == status, context.commit
+    expected = None if value == "nothing" else value.encode()
+    assert context.row_value == expected, context.row_value
+
+
 @then("it is completed and the runner was told to start {count:d} tasks")
 def check_path(context: Context, count: int) -> None:
     assert context.answer.outcome is JobOutcome.COMPLETED, context.answer
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -23,6 +23,7 @@
 from fulmarscale.agent.run_actions import StartRun
 from fulmarscale.agent.run_actions import StopRun
 from fulmarscale.agent.run_guard import RunGuard
+from fulmarscale.agent.run_process import HELD_PAUSE_S
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import SendOrders
@@ -135,6 +136,9 @@
         self.most_running = 0
         self.token = 0
         """The highest fencing token seen; lower ones are refused."""
+        self.noted: list[HistoryRun] = []
+        """Runs that were done and then taken note of."""
+        self._unnoted: dict[int, HistoryRun] = {}
         self._until = float("inf")
 
     def crash(self, down_s: float) -> None:
@@ -196,6 +200,9 @@
     def list_runs(self, last_seen: int) -> RunList:
         """List what runs and what has ended."""
         self.ended = [end for end in self.ended if end.position > last_seen]
+        for position in sorted(self._unnoted):
+            if position <= last_seen:
+                self.noted.append(self._unnoted.pop(position))
         running = tuple(
             ListedRun(task, number, self._percent(run))
             for task, (number, run) in self.running.items()
@@ -211,6 +218,7 @@
     def _rise(self) -> None:
         self.life = TargetLife(self.life.target, round(self._clock.now * 1000))
         self.ended = []
+        self._unnoted.clear()
         self.forbidden = {}
         self.token = 0
         self._until = float("inf")
@@ -221,6 +229,8 @@
 
     def _check_lease(self) -> None:
         if self._clock.now >= self._until:
+            # What was not taken note of by now never counts.
+            self._unnoted.clear()
             self._end_all(RunEnd.LAPSED)
 
     def _end_all(self, end: RunEnd) -> None:
@@ -237,6 +247,8 @@
         forbidden = self.forbidden.get(task, 0)
         self.forbidden[task] = max(forbidden, number)
         self._positions += 1
+        if end is RunEnd.DONE:
+            self._unnoted[self._positions] = known[1]
         self.ended.append(ListedEnd(self._positions, task, number, end))
 
 
@@ -358,7 +370,10 @@
             self.perform(
                 self.guard.list_runs(listed, asked_at, self._clock.now)
             )
-            again()
+            if self.guard.held_ends:
+                self._clock.call_in(HELD_PAUSE_S, lambda: self.do(again))
+            else:
+                again()
 
         self.do(act)
 
@@ -532,7 +547,7 @@
             )
         for number in range(entries):
             self._life += 1
-            self.entries.append(EntryNode(self, f"e{number}", self._life))
+            self.entries.append(self.make_entry(f"e{number}", self._life))
         for agent in self.agents:
             agent.perform(agent.guard.adopt_site(self.site, self.clock.now))
         for entry in self.entries:
@@ -549,6 +564,10 @@
         runs = [run for target in self.targets for run in target.history]
         return sorted(runs, key=lambda run: run.began_at)
 
+    def make_entry(self, name: str, life: int) -> EntryNode:
+        """Start an entry."""
+        return EntryNode(self, name, life)
+
     def run(self, span_s: float) -> None:
         """Let time pass."""
         self.clock.run_until(self.clock.now + span_s)
--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -30,11 +30,13 @@
         "backlog",
         "entry",
         "expected",
+        "has_kept_jobs",
         "is_dirty",
         "number",
         "offered_at",
         "reports",
         "sent_at",
+        "shown_ends",
         "site_revision",
         "urgent_at",
     )
@@ -44,6 +46,10 @@
         self.entry = entry
         self.expected: set[ExpectedRun] = set()
         """Runs that the entry counts on, and that are not answered for."""
+        self.has_kept_jobs = True
+        """Whether the entry knows of kept jobs; so until it has spoken."""
+        self.shown_ends: set[int] = set()
+        """Ends that are held, and that this stream has carried."""
         self.asked_sequence = 0
         self.sent_at = now - PING_S
         self.is_dirty = True
--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -82,6 +82,7 @@
         "stop_acknowledged_at",
         "stop_sent_at",
         "task",
+        "tenure",
     )
 
     def __init__(self, order: StartOrder, number: int, entry: EntryId) -> None:
@@ -90,6 +91,7 @@
         self.number = number
         self.entry = entry
         self.demand = order.demand
+        self.tenure = order.tenure
         self.phase = RunPhase.STARTING
         self.confirmed = False
         """Whether the target is known to have started it."""
@@ -98,3 +100,8 @@
         """When the target's word on the start came."""
         self.stop_sent_at = float("-inf")
         self.stop_acknowledged_at = float("inf")
+
+    @property
+    def is_kept(self) -> bool:
+        """Whether its end is held until it is stored."""
+        return self.tenure > 0
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -14,6 +14,7 @@
 
 from fulmarscale.agent.entry_session import choose_favoured
 from fulmarscale.agent.entry_session import Session
+from fulmarscale.agent.held_ends import HeldEnds
 from fulmarscale.agent.run import Run
 from fulmarscale.agent.run import RunPhase
 from fulmarscale.agent.run import StartAnswer
@@ -31,6 +32,7 @@
 from fulmarscale.runs.limits import PING_S
 from fulmarscale.runs.limits import SILENCE_S
 from fulmarscale.runs.messages import AgentMessage
+from fulmarscale.runs.messages import KeptEnd
 from fulmarscale.runs.messages import RunProgress
 from fulmarscale.runs.messages import RunReport
 from fulmarscale.runs.model import RefusalReason
@@ -49,6 +51,7 @@
     from fulmarscale.agent.run import RunList
     from fulmarscale.agent.run_actions import RunAction
     from fulmarscale.ids import EntryId
+    from fulmarscale.runs.messages import EndReceipt
     from fulmarscale.runs.messages import EntryMessage
     from fulmarscale.runs.messages import ExpectedRun
     from fulmarscale.runs.messages import StartOrder
@@ -85,7 +88,7 @@
         self._target_sequence = 0
         self._is_listed = False
         self._lapses_at = float("-inf")
-        self._last_seen = 0
+        self._held = HeldEnds()
         self._runs: dict[TaskKey, Run] = {}
         self._orphans: dict[TaskKey, int] = {}
         self._numbers: dict[TaskKey, tuple[int, float]] = {}
@@ -123,14 +126,22 @@
         """Whether the lease may be extended.
 
         Not while the target gives no answer: then all runs are to end with
-        the lease, which tells when they surely have.
+        the lease, which tells when they surely have. Nor while an end is
+        held that must never count.
         """
+        if self._held.must_lapse:
+            return False
         return self._is_listed or not self._runs
 
     @property
     def last_seen(self) -> int:
-        """The newest place in the target's list of ends taken in."""
-        return self._last_seen
+        """The newest place in the target's list of ends to be forgotten."""
+        return self._held.last_seen
+
+    @property
+    def held_ends(self) -> int:
+        """Ends that wait to be stored."""
+        return len(self._held.ends)
 
     @property
     def runs(self) -> int:
@@ -200,6 +211,7 @@
             return []
         session.asked_sequence = message.sequence
         session.site_revision = message.site_revision
+        session.has_kept_jobs = message.has_kept_jobs
         session.backlog = message.backlog
         session.urgent_at = now + message.slack_s
         if message.starts:
@@ -211,6 +223,8 @@
             known = self._echoes.get(message.entry, float("-inf"))
             self._echoes[message.entry] = max(known, echo.time_s)
         session.expected.update(message.expected)
+        for receipt in message.receipts:
+            self._settle_end(receipt, session)
         for task in message.stops:
             self._withdraw(session, task, now)
         for order in message.starts:
@@ -290,8 +304,8 @@
             self._mark_dirty()
             self._log(Event.TARGET_REACHED, target=target.life.target)
         for end in listed.ended:
-            self._last_seen = max(self._last_seen, end.position)
-            self._take_end(end, now)
+            if self._held.is_news(end.position):
+                self._take_end(end, now)
         self._compare(listed, asked_at, now)
         return self._finish(now)
 
@@ -348,6 +362,7 @@
                 self._stop_all_of(entry, now)
         for run in self._runs.values():
             self._repeat_stop(run, now)
+        self._check_held(now)
         self._forget(now)
         return self._finish(now)
 
@@ -414,7 +429,9 @@
         self._orphans.clear()
         self._numbers.clear()
         self._is_listed = False
-        self._last_seen = 0
+        self._held.reset()
+        for session in self._sessions.values():
+            session.shown_ends.clear()
         self._mark_dirty()
 
     def _answer_expected(self) -> None:
@@ -436,6 +453,12 @@
         asked_by = None if run is None else (run.entry, run.order)
         if asked_by == (session.entry, expected.order):
             return
+        if any(
+            (end.task, end.order) == (expected.task, expected.order)
+            for end in self._held.ends
+        ):
+            # The end is shown on the new stream by itself.
+            return
         kept = self._ends.get(expected.task)
         if kept is not None and kept[0].order == expected.order:
             session.reports.append(kept[0])
@@ -468,7 +491,7 @@
         target = self._target
         if self._echo_age_s(session.entry, now) > FRESH_S:
             return RefusalReason.STALE
-        if target is None or not self._is_listed:
+        if target is None or not self._is_listed or self._held.must_lapse:
             return RefusalReason.NO_TARGET
         if self._is_stopping or target.state is not TargetState.READY:
             return RefusalReason.DRAINING
@@ -545,9 +568,85 @@
             del self._orphans[end.task]
             self._mark_dirty()
         run = self._runs.get(end.task)
-        if run is not None and run.number == end.number:
+        if run is not None and run.number != end.number:
+            run = None
+        counts = end.end in (RunEnd.DONE, RunEnd.FAILED)
+        if counts and (run is None or run.is_kept):
+            self._hold(end, run, now)
+        if run is not None:
             self._end(run, end.end, now)
 
+    def _hold(self, end: ListedEnd, run: Run | None, now: float) -> None:
+        """Keep the target from forgetting an end until it is stored.
+
+        :param end: the end.
+        :param run: the run; none if another life of the agent started it.
+        :param now: the agent's time.
+        """
+        if self._target is None:
+            return
+        held = KeptEnd(
+            life=self._target.life,
+            position=end.position,
+            task=end.task,
+            is_done=end.end is RunEnd.DONE,
+            entry=None if run is None else run.entry,
+            order=0 if run is None else run.order,
+            tenure=0 if run is None else run.tenure,
+        )
+        self._held.hold(held, now)
+        self._mark_dirty()
+        if run is None:
+            self._log(
+                Event.END_UNKNOWN,
+                task=_text(end.task),
+                run=end.number,
+                position=end.position,
+            )
+
+    def _settle_end(self, receipt: EndReceipt, session: Session) -> None:
+        if receipt.is_void:
+            self._log(
+                Event.LEASE_TO_LAPSE,
+                entry=session.entry.name,
+                position=receipt.position,
+            )
+        self._held.settle(receipt)
+
+    def _check_held(self, now: float) -> None:
+        """Release ends that can't count or that no job waits for."""
+        self._held.void_unclaimed(now)
+        if self._held.must_lapse and now > self._lapses_at:
+            self._held.release_all()
+            self._mark_dirty()
+        sessions = self._sessions.values()
+        if sessions and not any(each.has_kept_jobs for each in sessions):
+            self._held.release_unknown()
+
+    def _ends_for(self, session: Session, now: float) -> tuple[KeptEnd, ...]:
+        """List held ends that an entry has not been shown on this stream.
+
+        Ends of entries that are gone are shown to all: one of them takes
+        the jobs over.
+        """
+        found = []
+        for end in self._held.ends:
+            if end.position in session.shown_ends:
+                continue
+            is_own = end.entry == session.entry
+            if is_own or self._is_gone(end.entry, now):
+                session.shown_ends.add(end.position)
+                found.append(end)
+        return tuple(found)
+
+    def _is_gone(self, entry: EntryId | None, now: float) -> bool:
+        if entry is None:
+            return True
+        session = self._sessions.get(entry.name)
+        if session is not None and session.entry == entry:
+            return False
+        return self._echo_age_s(entry, now) > SILENCE_S
+
     def _compare(self, listed: RunList, asked_at: float, now: float) -> None:
         """Compare the target's running tasks with the runs known here."""
         present: set[TaskKey] = set()
@@ -613,12 +712,15 @@
         refusal: RefusalReason | None = None,
     ) -> None:
         del self._runs[run.task]
+        self._mark_dirty()
+        if run.is_kept and end in (RunEnd.DONE, RunEnd.FAILED):
+            # Its entry is shown the end itself, which is held.
+            return
         report = RunReport(run.task, run.order, run.number, end, refusal)
         self._ends[run.task] = (report, now)
         session = self._sessions.get(run.entry.name)
         if session is not None and session.entry == run.entry:
             session.reports.append(report)
-        self._mark_dirty()
 
     def _find(
         self, life: TargetLife, task: TaskKey, number: int
@@ -645,6 +747,9 @@
             for entry, echo_s in self._echoes.items()
             if now - echo_s <= END_MEMORY_S
         }
+        positions = {end.position for end in self._held.ends}
+        for session in self._sessions.values():
+            session.shown_ends &= positions
         self._numbers = {
             task: kept
             for task, kept in self._numbers.items()
@@ -659,10 +764,10 @@
         self._answer_expected()
         self._choose_favoured(now)
         for session in self._sessions.values():
-            if session.reports or now - session.sent_at >= self._pause(
-                session
-            ):
-                self._send(session, now)
+            ends = self._ends_for(session, now) if self._held.ends else ()
+            is_due = now - session.sent_at >= self._pause(session)
+            if session.reports or ends or is_due:
+                self._send(session, ends, now)
         actions = self._actions
         self._actions = []
         return actions
@@ -679,7 +784,9 @@
             return PING_S
         return 0.0 if session.backlog else NEWS_S
 
-    def _send(self, session: Session, now: float) -> None:
+    def _send(
+        self, session: Session, ends: tuple[KeptEnd, ...], now: float
+    ) -> None:
         site = self._site
         is_behind = session.site_revision < site.revision
         others = sum(
@@ -699,6 +806,7 @@
             target=self._target if self._is_listed else None,
             used=used,
             reports=tuple(session.reports),
+            held_ends=ends,
             progress=self._progress_of(session.entry),
             site_revision=site.revision,
             site=site if is_behind else None,
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -42,6 +42,9 @@
 LOOK_AGAIN_S: Final = 0.05
 """Pause before a target that gave no answer is asked again."""
 
+HELD_PAUSE_S: Final = 0.01
+"""Pause between looks while ends are held; a task takes 50 ms and more."""
+
 STOP_LIMIT_S: Final = 5.0
 """How long a planned stop waits for runs; the platform kills after 6 s."""
 
@@ -87,7 +90,9 @@
         self._log.write(Event.STOP_REQUESTED, runs=self._guard.runs)
         self._decide(self._guard.stop_taking)
         ends_at = steady_s() + STOP_LIMIT_S
-        while self._guard.runs and steady_s() < ends_at:
+        while (
+            self._guard.runs or self._guard.held_ends
+        ) and steady_s() < ends_at:
             await asyncio.sleep(TICK_S)
 
     async def close(self) -> None:
@@ -141,6 +146,10 @@
                 self._guard.renew(asked_at)
             # A target that gave no answer is to show itself at once.
             wait_s = RENEW_WAIT_S if self._guard.is_listed else 0.0
+            if self._guard.held_ends:
+                # The target answers at once while it lists any end.
+                wait_s = 0.0
+                await asyncio.sleep(HELD_PAUSE_S)
             try:
                 listed = await self._target.renew(
                     target.life,
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -22,6 +22,7 @@
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.follow import follow_agents
 from fulmarscale.platform.follow import follow_site
+from fulmarscale.platform.follow import KeptFollower
 from fulmarscale.platform.http import MetricsApp
 from fulmarscale.platform.ingress import IngressApp
 from fulmarscale.platform.ingress import ReadyApp
@@ -46,7 +47,7 @@
 
     watcher = SettingsWatcher(path, settings, apply, log)
     watcher.start()
-    process = DispatchProcess(settings.name, settings.data_centre, log)
+    process = DispatchProcess(settings.name, settings.data_centre, store, log)
     ready = AppServer(
         ReadyApp(process), *split_address(settings.ready_address)
     )
@@ -61,6 +62,7 @@
     followers = (
         follow_site(store, process.adopt_site, log),
         follow_agents(store, process.follow_agents, log),
+        KeptFollower(store, process.keeper, log),
     )
     process.start()
     for part in (ready, ingress, metrics, *followers):
--- a/src/fulmarscale/entry/jobs/actions.py
+++ b/src/fulmarscale/entry/jobs/actions.py
@@ -9,6 +9,7 @@
 
 from fulmarscale.events import Event
 from fulmarscale.runs.messages import EntryMessage
+from fulmarscale.runs.messages import KeptEnd
 from fulmarscale.runs.model import JobId
 
 
@@ -19,6 +20,8 @@
     """All tasks have ended well."""
     FAILED = "failed"
     """A task has failed as often as the queue allows."""
+    STORED = "stored"
+    """It is kept and will be run; only for kept jobs."""
     NOT_RUN = "not_run"
     """Nothing of it has run, and nothing will by this attempt."""
     CANCELLED = "cancelled"
@@ -53,6 +56,26 @@
     """Time since the job's arrival."""
 
 
+class CloseKeptJob(DispatchAction):
+    """Store how a kept job has ended."""
+
+    job_id: JobId
+    """The job."""
+    outcome: JobOutcome
+    """COMPLETED or FAILED."""
+
+
+class TakeKeptEnd(DispatchAction):
+    """Store an end that an agent holds, or release it."""
+
+    agent: str
+    """The agent's name."""
+    end: KeptEnd
+    """The end."""
+    is_counted: bool
+    """Whether its task was waiting for just this end."""
+
+
 class SendOrders(DispatchAction):
     """Send a message to an agent."""
 
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -14,7 +14,9 @@
 
 if TYPE_CHECKING:
     from fulmarscale.runs.messages import AgentMessage
+    from fulmarscale.runs.messages import EndReceipt
     from fulmarscale.runs.messages import ExpectedRun
+    from fulmarscale.runs.messages import KeptEnd
     from fulmarscale.runs.messages import StartOrder
     from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TargetReport
@@ -52,6 +54,10 @@
         self.starts: list[StartOrder] = []
         """Orders that wait to be sent."""
         self.stops: list[TaskKey] = []
+        self.receipts: list[EndReceipt] = []
+        """Words on held ends that wait to be sent."""
+        self.held: dict[int, KeptEnd] = {}
+        """Ends that the agent holds, by their place on its target's list."""
         self.expected: tuple[ExpectedRun, ...] = ()
         self.is_dirty = False
         self.told_backlog = False
@@ -111,6 +117,8 @@
         self._unheard.clear()
         self.starts.clear()
         self.stops.clear()
+        self.receipts.clear()
+        self.held.clear()
 
     def is_usable(
         self, service: ServiceName, closed: tuple[str, ...], now: float
@@ -138,6 +146,13 @@
         self._unheard.append((self.sequence + 1, order.demand))
         self.is_dirty = True
 
+    def add_receipts(self, receipts: tuple[EndReceipt, ...]) -> None:
+        """Queue words on held ends for the next message."""
+        self.receipts += receipts
+        for receipt in receipts:
+            self.held.pop(receipt.position, None)
+        self.is_dirty = True
+
     def is_due(self, now: float) -> bool:
         """Tell whether a message has to be sent."""
         pause_s = PING_S if self.ordered else IDLE_PING_S
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -11,10 +11,12 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.actions import AnswerJob
+from fulmarscale.entry.jobs.actions import CloseKeptJob
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import JobState
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import SendOrders
+from fulmarscale.entry.jobs.actions import TakeKeptEnd
 from fulmarscale.entry.jobs.admission import Forecast
 from fulmarscale.entry.jobs.admission import is_hopeless
 from fulmarscale.entry.jobs.admission import is_servable
@@ -32,6 +34,7 @@
 from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.runs.messages import ExpectedRun
 from fulmarscale.runs.messages import StartOrder
+from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import RunEnd
 from fulmarscale.runs.site_state import newer
@@ -41,10 +44,12 @@
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.agent_view import AgentView
     from fulmarscale.entry.jobs.job import Task
+    from fulmarscale.entry.kept.record import JobRecord
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.messages import AgentMessage
+    from fulmarscale.runs.messages import EndReceipt
+    from fulmarscale.runs.messages import KeptEnd
     from fulmarscale.runs.messages import RunReport
-    from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import JobSpec
     from fulmarscale.runs.model import TaskKey
     from fulmarscale.runs.site_state import Queue
@@ -84,6 +89,15 @@
 """The latest: a target that is lost is back or replaced by then."""
 
 
+def retry_after_s(wait_s: float) -> float:
+    """Tell when another attempt is likely to be taken.
+
+    :param wait_s: the predicted wait, in seconds.
+    :returns: seconds.
+    """
+    return min(max(wait_s, RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
+
+
 class Dispatcher:
     """The decisions of one entry."""
 
@@ -97,6 +111,7 @@
         self._sessions: dict[int, AgentView] = {}
         self._run_times = RunTimes()
         self._order_number = 0
+        self._has_kept_jobs = True
         self._last_event_at: float | None = None
         self._settled_at = float("-inf")
         self._started_at = float("-inf")
@@ -160,8 +175,86 @@
         )
         return self._finish(now)
 
+    def begin_kept(
+        self,
+        job_id: JobId,
+        record: JobRecord,
+        now: float,
+    ) -> list[DispatchAction]:
+        """Run a job that is stored.
+
+        :param job_id: the caller's name for it.
+        :param record: what is stored of it.
+        :param now: the entry's time.
+        """
+        self._note_time(now)
+        job = Job(job_id, record.queue, record.spec, now, float("inf"))
+        job.tenure = record.tenure
+        self._set_objective(job)
+        job.restore(record.done, record.failures)
+        self._jobs[job_id] = job
+        self._note_waiting(job)
+        if job.tenure > 1:
+            job.held_until = now + SURELY_OVER_S
+            job.may_have_run = True
+            self._take_strays(job, now)
+        self._log(
+            Event.JOB_TAKEN,
+            job=job_id,
+            queue=record.queue.name,
+            tasks=len(job.tasks),
+            version=self._site.configuration_version,
+            done=len(record.done),
+        )
+        self._close_kept(job, now)
+        return self._finish(now)
+
+    def hopeless_wait_s(
+        self, queue: Queue, spec: JobSpec, now: float
+    ) -> float | None:
+        """Predict the wait of a job that would end too late to be of use.
+
+        :param queue: the queue that it is to be handed in to.
+        :param spec: what to run.
+        :param now: the entry's time.
+        :returns: seconds; none if the job can be served.
+        """
+        job = Job(JobId(""), queue, spec, now, float("inf"))
+        self._set_objective(job)
+        if self._fleet.has_room(job, now) or self._is_young(now):
+            return None
+        waiting = [*self._waiting.values(), job]
+        forecast = Forecast(waiting, self._run_times)
+        wait_s = forecast.wait_s(job, self._fleet.load(job, now))
+        chain_s = job.objective_at - job.latest_start_at
+        return None if now + wait_s + chain_s <= job.useless_at else wait_s
+
+    def settle_ends(
+        self, agent: str, receipts: tuple[EndReceipt, ...], now: float
+    ) -> list[DispatchAction]:
+        """Tell an agent what became of ends that it holds."""
+        view = self._fleet.find(agent)
+        if view is not None:
+            view.add_receipts(receipts)
+        return self._finish(now)
+
+    def note_kept_jobs(self, *, is_any: bool) -> None:
+        """Note whether any jobs are kept at all, as agents want to know."""
+        if is_any != self._has_kept_jobs:
+            self._has_kept_jobs = is_any
+            for view in self._fleet.views:
+                view.is_dirty = True
+
+    def pending(self) -> dict[str, int]:
+        """Count kept jobs of which no task has begun, by queue."""
+        found: dict[str, int] = {}
+        for job in self._jobs.values():
+            if job.is_kept and not job.may_have_run and not job.is_ordered:
+                found[job.queue.name] = found.get(job.queue.name, 0) + 1
+        return found
+
     def cancel(self, job_id: JobId, now: float) -> list[DispatchAction]:
-        """Drop a job whose caller has left."""
+        """Drop a job whose caller has left, or that is another's now."""
         self._note_time(now)
         job = self._jobs.pop(job_id, None)
         self._waiting.pop(job_id, None)
@@ -183,17 +276,18 @@
         return JobState.RUNNING if is_begun else JobState.QUEUED
 
     def revoke(self, job_id: JobId, now: float) -> list[DispatchAction]:
-        """Cancel a job at a caller's wish and answer all who wait for it."""
+        """Cancel a best-effort job and answer all who wait for it."""
         self._note_time(now)
         job = self._jobs.get(job_id)
-        if job is not None:
+        if job is not None and not job.is_kept:
             self._answer(job, JobOutcome.CANCELLED, now, "cancelled")
         return self._finish(now)
 
     def give_up_all(self, now: float) -> list[DispatchAction]:
         """Answer all jobs, as the entry is about to stop."""
         for job in list(self._jobs.values()):
-            self._give_up(job, now, "entry_stops")
+            if not job.is_kept:
+                self._give_up(job, now, "entry_stops")
         return self._finish(now)
 
     def open_agent(
@@ -244,6 +338,8 @@
             self._note_progress(progress.task, progress.percent, now)
         for report in message.reports:
             self._take_report(view, report, now)
+        for end in message.held_ends:
+            self._take_held_end(view, end, now)
         return self._finish(now)
 
     def adopt_site(self, site: SiteState, now: float) -> list[DispatchAction]:
@@ -295,7 +391,8 @@
         if now >= job.deadline_at:
             self._give_up(job, now, "deadline")
             return
-        if not job.may_have_run and not job.is_ordered:
+        is_begun = job.may_have_run or job.is_ordered
+        if not is_begun and not job.is_kept:
             self._refuse_hopeless(job, forecast, now, is_new=False)
             return
         for task in job.ordered:
@@ -420,10 +517,12 @@
             took_s=round(now - job.arrived_at, 3),
             over_objective_s=round(now - job.objective_at, 3),
         )
+        if job.is_kept:
+            self._actions.append(CloseKeptJob(job.job_id, outcome))
+            return
         took_s = now - job.arrived_at
-        retry_after_s = min(max(wait_s, RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
         self._actions.append(
-            AnswerJob(job.job_id, outcome, retry_after_s, took_s)
+            AnswerJob(job.job_id, outcome, retry_after_s(wait_s), took_s)
         )
 
     def _stop_all(self, job: Job) -> None:
@@ -503,6 +602,56 @@
                 )
                 self._move(job, task, TaskPhase.WAITING)
 
+    def _take_held_end(
+        self, view: AgentView, end: KeptEnd, now: float
+    ) -> None:
+        """Take in an end that must be stored before the target forgets it."""
+        key = end.task
+        job = self._jobs.get(key.job_id)
+        task = None if job is None else job.find(key)
+        view.held[end.position] = end
+        is_own = end.entry == self._entry
+        is_ordered = is_own and view.ordered.get(key) == end.order
+        if is_ordered:
+            del view.ordered[key]
+        if job is None or task is None:
+            self._actions.append(TakeKeptEnd(view.name, end, False))
+            return
+        is_awaited = task.phase is TaskPhase.ORDERED and is_ordered
+        is_awaited = is_awaited and task.agent == view.name
+        is_counted = is_awaited or job.inherits(task, end.tenure)
+        self._actions.append(TakeKeptEnd(view.name, end, is_counted))
+        if not is_counted:
+            return
+        if end.is_done:
+            self._note_done(view, job, task, now)
+        else:
+            self._note_failed(view, job, task, now)
+
+    def _take_strays(self, job: Job, now: float) -> None:
+        """Take in what agents hold of a job that is taken over.
+
+        Of several runs of a task only the newest order's can count.
+        """
+        strays = [
+            (end.task, -end.order, end, view)
+            for view in self._fleet.views
+            for end in view.held.values()
+            if end.task.job_id == job.job_id
+        ]
+        for _, _, end, view in sorted(strays, key=lambda stray: stray[:2]):
+            self._take_held_end(view, end, now)
+
+    def _close_kept(self, job: Job, now: float) -> None:
+        """Close a job that was taken over with nothing left to do."""
+        if job.job_id not in self._jobs:
+            return
+        most = max((task.failures for task in job.tasks), default=0)
+        if job.is_done:
+            self._answer(job, JobOutcome.COMPLETED, now, "done")
+        elif most >= job.queue.max_attempts:
+            self._answer(job, JobOutcome.FAILED, now, "attempts_used_up")
+
     def _note_done(
         self, view: AgentView, job: Job, task: Task, now: float
     ) -> None:
@@ -596,6 +745,8 @@
         )
         passed_over = 0
         for job in waiting:
+            if now < job.held_until:
+                continue
             views = self._fleet.usable(job, now)
             if not views:
                 continue
@@ -647,6 +798,7 @@
                 payload=job.spec.payload,
                 order=self._order_number,
                 required_label=task.step.required_label,
+                tenure=job.tenure,
             )
         )
 
@@ -684,12 +836,15 @@
             site=self._site if is_behind else None,
             backlog=backlog,
             slack_s=slack_s,
+            receipts=tuple(view.receipts),
+            has_kept_jobs=self._has_kept_jobs,
         )
         view.told_backlog = backlog > 0
         if is_behind:
             view.site_revision = self._site.revision
         view.starts = []
         view.stops = []
+        view.receipts = []
         view.expected = ()
         view.is_dirty = False
         view.sent_at = now
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -112,6 +112,10 @@
                 self._tasks.append(task)
                 self._by_key[task.key] = task
                 self._in_phase[task.phase][task.key] = task
+        self.tenure = 0
+        """Which ownership of a kept job this is; 0 if it is not kept."""
+        self.held_until = arrived_at
+        """Before then runs of another owner may not have ended."""
         self.may_have_run = False
         """Whether a run may have begun."""
         self.objective_at = arrived_at
@@ -152,6 +156,11 @@
         """All tasks."""
         return self._tasks
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether it is stored, and run to its end whatever it takes."""
+        return self.tenure > 0
+
     @property
     def is_done(self) -> bool:
         """Whether all tasks have ended well."""
@@ -183,6 +192,32 @@
         task.phase = phase
         self._in_phase[phase][task.key] = task
 
+    def restore(
+        self, done: tuple[int, ...], failures: tuple[tuple[int, int], ...]
+    ) -> None:
+        """Take over what an earlier owner stored.
+
+        :param done: numbers of tasks that have ended well.
+        :param failures: numbers of tasks, and how many runs failed.
+        """
+        for number in done:
+            self.move(self._tasks[number], TaskPhase.DONE)
+        for number, count in failures:
+            self._tasks[number].failures = count
+        self.unblock()
+
+    def inherits(self, task: Task, tenure: int) -> bool:
+        """Tell whether a run of the ownership before may still count.
+
+        Not once the task was ordered again: it may have started again.
+
+        :param task: the task.
+        :param tenure: the ownership that ordered the run.
+        """
+        if tenure == 0 or tenure != self.tenure - 1:
+            return False
+        return task.phase is TaskPhase.WAITING and task.ordered_at == 0.0
+
     def find(self, key: TaskKey) -> Task | None:
         """Find a task by its name."""
         return self._by_key.get(key)
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -9,9 +9,18 @@
 
 from fulmarscale.control.lease import INCARNATION_BITS
 from fulmarscale.entry.jobs.actions import AnswerJob
+from fulmarscale.entry.jobs.actions import CloseKeptJob
+from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import SendOrders
+from fulmarscale.entry.jobs.actions import TakeKeptEnd
+from fulmarscale.entry.jobs.desk import JobDesk
 from fulmarscale.entry.jobs.dispatcher import Dispatcher
+from fulmarscale.entry.jobs.dispatcher import retry_after_s
+from fulmarscale.entry.kept.actions import KeepOutcome
+from fulmarscale.entry.kept.process import JobRunner
+from fulmarscale.entry.kept.process import KeeperProcess
+from fulmarscale.entry.kept.record import KeptState
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.clock import steady_s
@@ -24,8 +33,11 @@
 if TYPE_CHECKING:
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.actions import JobState
+    from fulmarscale.entry.kept.record import JobRecord
+    from fulmarscale.entry.kept.rows import RowTable
     from fulmarscale.logs import EventLog
     from fulmarscale.runs.messages import AgentMessage
+    from fulmarscale.runs.messages import EndReceipt
     from fulmarscale.runs.messages import EntryMessage
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import JobSpec
@@ -35,6 +47,17 @@
 
 TICK_S: Final = 0.05
 
+KEEP_OUTCOMES: Final = {
+    KeepOutcome.STORED: JobOutcome.STORED,
+    KeepOutcome.REFUSED: JobOutcome.NOT_RUN,
+    KeepOutcome.UNKNOWN: JobOutcome.UNFINISHED,
+}
+
+CLOSED_STATES: Final = {
+    JobOutcome.COMPLETED: KeptState.COMPLETED,
+    JobOutcome.FAILED: KeptState.FAILED,
+}
+
 NOT_READY_S: Final = 2.2
 """How long the balancer may take to see that the entry is not ready.
 
@@ -45,14 +68,17 @@
 """How long a planned stop may take; the platform kills after 6 s."""
 
 
-class DispatchProcess(Driver, AgentStreamHandler):
+class DispatchProcess(Driver, AgentStreamHandler, JobDesk, JobRunner):
     """One entry process, without its HTTP side."""
 
-    def __init__(self, name: str, data_centre: str, log: EventLog) -> None:
+    def __init__(
+        self, name: str, data_centre: str, rows: RowTable, log: EventLog
+    ) -> None:
         super().__init__(log)
         incarnation = SystemRandom().getrandbits(INCARNATION_BITS)
         entry = EntryId(name, incarnation)
         self._dispatcher = Dispatcher(entry, data_centre)
+        self._keeper = KeeperProcess(entry, rows, self, log)
         self._streams: dict[str, AgentStream] = {}
         self._sessions: dict[int, MessageQueue[EntryMessage]] = {}
         self._session_number = 0
@@ -75,6 +101,11 @@
         """The entry's metrics."""
         return self._metrics
 
+    @property
+    def keeper(self) -> KeeperProcess:
+        """The jobs that are kept."""
+        return self._keeper
+
     @property
     def site(self) -> SiteState:
         """What operators have set."""
@@ -93,6 +124,7 @@
     def start(self) -> None:
         """Begin to decide."""
         self._spawn(self._tick_forever())
+        self._keeper.start()
         self._log.write(Event.PROCESS_STARTED)
 
     async def turn_away(self) -> None:
@@ -111,6 +143,7 @@
 
     async def close(self) -> None:
         """End all streams."""
+        await self._keeper.close()
         await self._end_tasks()
         for stream in self._streams.values():
             await stream.close()
@@ -143,6 +176,46 @@
         """Cancel a job at a caller's wish."""
         self._decide(self._dispatcher.revoke, job_id)
 
+    async def keep(
+        self, job_id: JobId, queue: Queue, spec: JobSpec, wait_s: float
+    ) -> AnswerJob:
+        """Take in a job that is to be kept, and wait until it is stored."""
+        wait = self._dispatcher.hopeless_wait_s(queue, spec, steady_s())
+        if wait is not None:
+            self._log.write(
+                Event.JOB_HOPELESS, job=job_id, wait_s=round(wait, 3)
+            )
+            return AnswerJob(job_id, JobOutcome.NOT_RUN, retry_after_s(wait))
+        future = self._keeper.keep(job_id, queue, spec)
+        try:
+            async with asyncio.timeout(wait_s):
+                outcome = await future
+        except TimeoutError:
+            outcome = KeepOutcome.UNKNOWN
+        return AnswerJob(job_id, KEEP_OUTCOMES[outcome], retry_after_s(0))
+
+    def begin_kept(self, job_id: JobId, record: JobRecord) -> None:
+        """Run a stored job."""
+        self._decide(self._dispatcher.begin_kept, job_id, record)
+
+    def drop_kept(self, job_id: JobId) -> None:
+        """Stop what runs of a job."""
+        self._decide(self._dispatcher.cancel, job_id)
+
+    def settle_ends(
+        self, agent: str, receipts: tuple[EndReceipt, ...]
+    ) -> None:
+        """Tell an agent what became of ends that it holds."""
+        self._decide(self._dispatcher.settle_ends, agent, receipts)
+
+    def pending(self) -> dict[str, int]:
+        """Count kept jobs of which no task has begun, by queue."""
+        return self._dispatcher.pending()
+
+    def note_kept_jobs(self, *, is_any: bool) -> None:
+        """Note whether any jobs are kept at all."""
+        self._dispatcher.note_kept_jobs(is_any=is_any)
+
     def adopt_site(self, site: SiteState) -> None:
         """Take in what operators have set."""
         self._decide(self._dispatcher.adopt_site, site)
@@ -195,6 +268,13 @@
                         outgoing.put(action.message)
                 case AnswerJob():
                     self._answer(action)
+                case TakeKeptEnd():
+                    self._keeper.take_end(
+                        action.agent, action.end, is_counted=action.is_counted
+                    )
+                case CloseKeptJob():
+                    state = CLOSED_STATES[action.outcome]
+                    self._keeper.close_job(action.job_id, state)
                 case LogDecision():
                     self._log.write(action.event, **action.fields)
 
--- a/src/fulmarscale/platform/announce.py
+++ b/src/fulmarscale/platform/announce.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from fulmarscale.entry.kept.rows import RowKey
 from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
 from fulmarscale.runs.model import TargetReport
@@ -69,8 +70,10 @@
         :returns: the row; none if there is none or the store is away.
         """
         try:
-            value = await self._store.read_value(AGENT_TABLE, self._name)
-            return None if value is None else decode_agent_row(value)
+            row = await self._store.read_row(
+                RowKey(AGENT_TABLE, "", self._name)
+            )
+            return None if row is None else decode_agent_row(row.value)
         except (FulmarError, msgspec.MsgspecError) as error:
             # A heartbeat will tell the same, a second later.
             self._log.write(Event.AGENT_ROW_UNKNOWN, detail=str(error))
--- a/src/fulmarscale/platform/follow.py
+++ b/src/fulmarscale/platform/follow.py
@@ -8,6 +8,10 @@
 
 import msgspec
 
+from fulmarscale.entry.kept.record import CANCEL_TABLE
+from fulmarscale.entry.kept.record import MEMBER_TABLE
+from fulmarscale.entry.kept.rows import Row
+from fulmarscale.entry.kept.rows import RowKey
 from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
 from fulmarscale.platform.announce import AGENT_TABLE
@@ -15,13 +19,15 @@
 from fulmarscale.platform.store import HistoryGoneError
 from fulmarscale.platform.wire import decode_site
 from fulmarscale.platform.wire import OPERATOR_TABLE
+from fulmarscale.platform.wire import WireRow
+from fulmarscale.platform.wire import WireRows
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fulmarscale.entry.kept.process import KeeperProcess
     from fulmarscale.logs import EventLog
     from fulmarscale.platform.store import RowStore
-    from fulmarscale.platform.wire import WireRows
     from fulmarscale.runs.site_state import SiteState
 
 FEED_WAIT_S: Final = 2.0
@@ -35,6 +41,10 @@
 """Pause before a failed call is repeated."""
 
 
+Rows = dict[RowKey, Row]
+"""Rows by their names."""
+
+
 class TableFollower:
     """Follows one table, and tells of each change in full."""
 
@@ -42,14 +52,17 @@
         self,
         store: RowStore,
         table: str,
-        take: Callable[[dict[str, bytes], int], None],
+        take: Callable[[Rows, int], None],
         log: EventLog,
+        *,
+        is_split: bool = False,
     ) -> None:
         self._store = store
         self._table = table
         self._take = take
         self._log = log
-        self._rows: dict[str, bytes] = {}
+        self._is_split = is_split
+        self._rows: Rows = {}
         self._version = 0
         self._is_lost = False
         self._task: asyncio.Task[None] | None = None
@@ -85,7 +98,7 @@
 
         :returns: false if the store answered from before what is known.
         """
-        read = await self._store.read(self._table)
+        read = await self._read_parts()
         if read.ver < self._version:
             self._log.write(
                 Event.STORE_ANSWERED_STALE,
@@ -100,6 +113,16 @@
         self._take(self._rows, self._version)
         return True
 
+    async def _read_parts(self) -> WireRows:
+        """Read all parts; changes meanwhile are in the first feed."""
+        if not self._is_split:
+            return await self._store.read(self._table)
+        found: list[WireRow] = []
+        oldest = await self._store.read(self._table)
+        for part in await self._store.list_parts(self._table):
+            found += (await self._store.read(self._table, part)).rows
+        return WireRows(oldest.ver, tuple(found))
+
     async def _read_changes(self) -> None:
         read = await self._store.follow(
             self._table, self._version, FEED_WAIT_S
@@ -113,13 +136,16 @@
 
     def _merge(self, read: WireRows) -> None:
         for row in read.rows:
+            name = RowKey(row.table, row.part, row.key)
             if row.removed:
-                self._rows.pop(row.key, None)
+                self._rows.pop(name, None)
                 continue
             try:
-                self._rows[row.key] = row.read_value()
+                value = row.read_value()
             except ValueError as error:
                 self._log.write(Event.ROW_UNREADABLE, detail=str(error))
+                continue
+            self._rows[name] = Row(name, value, row.ver)
         self._version = max(self._version, read.ver)
 
     def _note_answer(self) -> None:
@@ -145,9 +171,10 @@
     :param log: where unreadable rows are noted.
     """
 
-    def take_rows(rows: dict[str, bytes], revision: int) -> None:
+    def take_rows(rows: Rows, revision: int) -> None:
+        values = {name.key: row.value for name, row in rows.items()}
         try:
-            take(decode_site(rows, revision))
+            take(decode_site(values, revision))
         except msgspec.MsgspecError as error:
             log.write(Event.ROW_UNREADABLE, detail=str(error))
 
@@ -164,13 +191,56 @@
     :param log: where unreadable rows are noted.
     """
 
-    def take_rows(rows: dict[str, bytes], revision: int) -> None:
+    def take_rows(rows: Rows, revision: int) -> None:
         found = {}
-        for name, value in sorted(rows.items()):
+        for row in sorted(rows.values(), key=lambda row: row.name.key):
+            key = row.name.key
             try:
-                found[name] = decode_agent_row(value).address
+                found[key] = decode_agent_row(row.value).address
             except msgspec.MsgspecError as error:
-                log.write(Event.ROW_UNREADABLE, detail=f"{name}: {error}")
+                log.write(Event.ROW_UNREADABLE, detail=f"{key}: {error}")
         take(found)
 
     return TableFollower(store, AGENT_TABLE, take_rows, log)
+
+
+class KeptFollower:
+    """Follows what entries tell each other about kept jobs.
+
+    Only once there are any: each table followed costs calls to the store.
+    """
+
+    def __init__(
+        self, store: RowStore, keeper: KeeperProcess, log: EventLog
+    ) -> None:
+        self._keeper = keeper
+        self._followers = (
+            TableFollower(store, MEMBER_TABLE, self._take_members, log),
+            TableFollower(
+                store, CANCEL_TABLE, self._take_cancels, log, is_split=True
+            ),
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to follow as soon as there are kept jobs."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for follower in self._followers:
+            await follower.close()
+
+    async def _run(self) -> None:
+        await self._keeper.activated.wait()
+        for follower in self._followers:
+            follower.start()
+
+    def _take_members(self, rows: Rows, revision: int) -> None:
+        self._keeper.see_members(tuple(rows.values()))
+
+    def _take_cancels(self, rows: Rows, revision: int) -> None:
+        self._keeper.see_cancels(tuple(rows.values()))
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC
-from abc import abstractmethod
 import asyncio
 import math
 from typing import Any
@@ -13,6 +11,9 @@
 import msgspec
 
 from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.entry.jobs.actions import JobState
+from fulmarscale.entry.kept.record import KeptState
+from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
 from fulmarscale.platform.http import DisconnectedError
 from fulmarscale.platform.http import read_body
@@ -22,11 +23,9 @@
 
 if TYPE_CHECKING:
     from fulmarscale.entry.jobs.actions import AnswerJob
-    from fulmarscale.entry.jobs.actions import JobState
+    from fulmarscale.entry.jobs.desk import JobDesk
     from fulmarscale.logs import EventLog
-    from fulmarscale.runs.model import JobSpec
     from fulmarscale.runs.site_state import Queue
-    from fulmarscale.runs.site_state import SiteState
 
 READY_PATH: Final = "/api/ready"
 DEADLINE_HEADER: Final = b"deadline-ms"
@@ -39,6 +38,7 @@
 
 STATUSES: Final = {
     JobOutcome.COMPLETED: 200,
+    JobOutcome.STORED: 200,
     JobOutcome.FAILED: 200,
     JobOutcome.NOT_RUN: 503,
     JobOutcome.CANCELLED: 200,
@@ -47,43 +47,6 @@
 """503 tells callers that nothing has run; after 504 they try again."""
 
 
-class JobDesk(ABC):
-    """Takes in jobs for the ingress."""
-
-    @property
-    @abstractmethod
-    def site(self) -> SiteState:
-        """What operators have set."""
-
-    @property
-    @abstractmethod
-    def is_stopping(self) -> bool:
-        """Whether callers should go elsewhere with their next request."""
-
-    @property
-    @abstractmethod
-    def is_ready(self) -> bool:
-        """Whether callers may be sent here."""
-
-    @abstractmethod
-    def submit(
-        self, job_id: JobId, queue: Queue, spec: JobSpec, wait_s: float
-    ) -> asyncio.Future[AnswerJob]:
-        """Take in a job; each attempt gets a future of its own."""
-
-    @abstractmethod
-    def state_of(self, job_id: JobId) -> JobState | None:
-        """Tell how far a job is; none if it isn't known or has ended."""
-
-    @abstractmethod
-    def revoke(self, job_id: JobId) -> None:
-        """Cancel a job at a caller's wish."""
-
-    @abstractmethod
-    def leave(self, job_id: JobId, future: asyncio.Future[AnswerJob]) -> None:
-        """Note that a caller has left."""
-
-
 class ReadyApp:
     """An ASGI application that tells the balancer whether to send callers."""
 
@@ -128,9 +91,10 @@
         name = scope["path"].removeprefix(queue.path_prefix)
         method = scope["method"]
         if method == "GET" and not name:
-            await respond(send, 200, b'{"pending":0}')
+            pending = self._desk.keeper.pending_of(queue.name)
+            await respond(send, 200, msgspec.json.encode({"pending": pending}))
         elif method in ("GET", "DELETE"):
-            await self._show(send, method, JobId(name))
+            await self._show(scope, send, JobId(name))
         elif method != "POST" or not name:
             await self._reject(send, scope, 405, "no such call")
         elif body is None:
@@ -141,22 +105,49 @@
                 scope, receive, send, queue, JobId(name), body, wait_s
             )
 
-    async def _show(self, send: Any, method: str, job_id: JobId) -> None:
-        """Tell a job's state, or cancel it.
-
-        Only jobs without an answer are known: nothing of a best-effort job
-        is kept.
-        """
+    async def _show(
+        self, scope: dict[str, Any], send: Any, job_id: JobId
+    ) -> None:
+        """Tell a job's state, or cancel it."""
+        is_cancel = scope["method"] == "DELETE"
         state = self._desk.state_of(job_id)
-        if state is None:
-            await respond(send, GONE)
-            return
-        if method == "DELETE":
+        if state is not None and is_cancel:
+            # A best-effort job ends here; one that is kept goes on below.
             self._desk.revoke(job_id)
-            await respond(send, 200)
+        try:
+            found = await self._find(job_id, state, is_cancel=is_cancel)
+        except FulmarError as error:
+            await self._reject(send, scope, UNAVAILABLE, str(error))
             return
-        body = msgspec.json.encode({"state": state.value})
-        await respond(send, 200, body)
+        self._log.write(
+            Event.JOB_SHOWN, job=job_id, state=found, cancel=is_cancel
+        )
+        if not found:
+            await respond(send, GONE)
+            return
+        await respond(send, 200, msgspec.json.encode({"state": found}))
+
+    async def _find(
+        self, job_id: JobId, state: JobState | None, *, is_cancel: bool
+    ) -> str:
+        """Find a job's state, and cancel it if that is wished.
+
+        :returns: the word for it; empty if there is no such job.
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        keeper = self._desk.keeper
+        if is_cancel:
+            is_known = await keeper.cancel(job_id) or state is not None
+            return KeptState.CANCELLED.value if is_known else ""
+        if state is not None and not keeper.owns(job_id):
+            return state.value
+        kept = await keeper.state_of(job_id)
+        if kept is None:
+            return ""
+        if kept is KeptState.OPEN:
+            # Its tasks are known to the entry that owns it.
+            return (state or JobState.RUNNING).value
+        return kept.value
 
     async def _submit(
         self,
@@ -180,6 +171,10 @@
         if unserved:
             await self._reject(send, scope, UNAVAILABLE, unserved)
             return
+        if spec.is_kept:
+            answer = await self._desk.keep(job_id, queue, spec, wait_s)
+            await self._answer(send, answer)
+            return
         future = self._desk.submit(job_id, queue, spec, wait_s)
         leaving = asyncio.create_task(_wait_disconnect(receive))
         await asyncio.wait(
--- a/src/fulmarscale/platform/store.py
+++ b/src/fulmarscale/platform/store.py
@@ -9,13 +9,22 @@
 
 import msgspec
 
+from fulmarscale.entry.kept.rows import CommitAnswer
+from fulmarscale.entry.kept.rows import CommitStatus
+from fulmarscale.entry.kept.rows import Row
+from fulmarscale.entry.kept.rows import RowKey
+from fulmarscale.entry.kept.rows import RowTable
+from fulmarscale.entry.kept.rows import RowWrite
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.platform.http_client import Answer
 from fulmarscale.platform.http_client import CallError
 from fulmarscale.platform.http_client import HttpClient
+from fulmarscale.platform.wire import WireParts
 from fulmarscale.platform.wire import WireRow
+from fulmarscale.platform.wire import WireRowName
 from fulmarscale.platform.wire import WireRows
+from fulmarscale.platform.wire import WireRowVersion
 from fulmarscale.platform.wire import WireRowWrite
 from fulmarscale.platform.wire import WireTransaction
 from fulmarscale.platform.wire import WireTransactionAnswer
@@ -26,11 +35,20 @@
 FEED_SLACK_S: Final = 0.8
 """How much longer than asked for an answer to a feed may take."""
 
-MOST_CONNECTIONS: Final = 8
-"""Two feeds and a few calls at once."""
+MOST_CONNECTIONS: Final = 20
+"""Four feeds, a transaction for each of 8 shards, and a few reads."""
 
 OK: Final = 200
 
+CONFLICT: Final = 412
+"""A row of a transaction did not have the version that was expected."""
+
+NOTHING_DONE: Final = (429, 503)
+"""The store has done nothing, and never will by that call."""
+
+PARTS_PAGE: Final = 1_000
+"""Parts in one answer, by the platform's pages."""
+
 GONE: Final = 410
 """The platform no longer has the history asked for."""
 
@@ -42,7 +60,7 @@
         super().__init__(ResultCode.STORE_UNAVAILABLE, "history is gone")
 
 
-class RowStore:
+class RowStore(RowTable):
     """Calls the platform's store; holds no state of its own."""
 
     def __init__(
@@ -62,15 +80,15 @@
         """End all connections."""
         self._client.close()
 
-    async def read(self, table: str) -> WireRows:
-        """Read a table's rows in its empty part.
+    async def read(self, table: str, part: str = "") -> WireRows:
+        """Read the rows of one part of a table.
 
         :raises FulmarError: STORE_UNAVAILABLE.
         """
         found: list[WireRow] = []
         start = ""
         while True:
-            query = {"table": table, "part": "", "from": start}
+            query = {"table": table, "part": part, "from": start}
             answer = await self._get(
                 "/api/rows-get", query, self._call_timeout_s
             )
@@ -81,19 +99,59 @@
             # The smallest key that comes after the last one read.
             start = rows.rows[-1].key + "\x00"
 
-    async def read_value(self, table: str, key: str) -> bytes | None:
-        """Read one row's value.
+    async def read_part(self, table: str, part: str) -> tuple[Row, ...]:
+        """Read all rows of one part of a table.
+
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        return decode_rows((await self.read(table, part)).rows)
+
+    async def read_row(self, name: RowKey) -> Row | None:
+        """Read one row.
 
-        :returns: the value; none if there is no such row.
+        :returns: none if there is no such row.
         :raises FulmarError: STORE_UNAVAILABLE.
         """
-        query = {"table": table, "part": "", "from": key, "to": key + "\x00"}
+        query = {
+            "table": name.table,
+            "part": name.part,
+            "from": name.key,
+            "to": name.key + "\x00",
+        }
         answer = await self._get("/api/rows-get", query, self._call_timeout_s)
-        rows = _decode(answer, WireRows).rows
+        rows = decode_rows(_decode(answer, WireRows).rows)
+        return rows[0] if rows else None
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """List the parts of a table that hold rows.
+
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        found: list[str] = []
+        while True:
+            query = {"table": table}
+            if found:
+                query["after"] = found[-1]
+            answer = await self._get(
+                "/api/rows-parts", query, self._call_timeout_s
+            )
+            parts = _decode(answer, WireParts).parts
+            found += parts
+            if len(parts) < PARTS_PAGE:
+                return tuple(found)
+
+    async def commit(self, writes: tuple[RowWrite, ...]) -> CommitAnswer:
+        """Apply all writes or none; all rows are in one part."""
+        body = msgspec.json.encode(_encode_transaction(writes))
         try:
-            return rows[0].read_value() if rows else None
-        except ValueError as error:
-            raise _unavailable(str(error)) from error
+            answer = await self._client.call(
+                "POST", "/api/rows-tx", body, self._call_timeout_s
+            )
+        except CallError as error:
+            if error.is_sent:
+                return CommitAnswer(CommitStatus.UNKNOWN)
+            return CommitAnswer(CommitStatus.REFUSED)
+        return _read_commit(answer)
 
     async def follow(self, table: str, after: int, wait_s: float) -> WireRows:
         """Wait for changes of a table.
@@ -153,6 +211,58 @@
         raise _unavailable(f"status {answer.status}")
 
 
+def _encode_transaction(writes: tuple[RowWrite, ...]) -> WireTransaction:
+    conditions = []
+    changed = []
+    removed = []
+    for write in writes:
+        name = write.name
+        conditions.append(
+            WireRowVersion(
+                name.table, name.part, name.key, write.expected_version
+            )
+        )
+        if write.value is None:
+            removed.append(WireRowName(name.table, name.part, name.key))
+            continue
+        text = base64.b64encode(write.value).decode()
+        changed.append(WireRowWrite(name.table, name.part, name.key, text))
+    return WireTransaction(tuple(changed), tuple(conditions), tuple(removed))
+
+
+def _read_commit(answer: Answer) -> CommitAnswer:
+    """Read the answer to a transaction; what can't be read tells nothing."""
+    if answer.status in NOTHING_DONE:
+        return CommitAnswer(CommitStatus.REFUSED)
+    try:
+        if answer.status == OK:
+            read = msgspec.json.decode(answer.body, type=WireTransactionAnswer)
+            return CommitAnswer(CommitStatus.APPLIED, read.ver)
+        if answer.status == CONFLICT:
+            rows = msgspec.json.decode(answer.body, type=WireRows).rows
+            return CommitAnswer(CommitStatus.CONFLICT, 0, decode_rows(rows))
+    except (msgspec.MsgspecError, FulmarError):
+        return CommitAnswer(CommitStatus.UNKNOWN)
+    return CommitAnswer(CommitStatus.UNKNOWN)
+
+
+def decode_rows(rows: tuple[WireRow, ...]) -> tuple[Row, ...]:
+    """Give rows in the product's terms, without those that are gone.
+
+    :raises FulmarError: STORE_UNAVAILABLE if one can't be read.
+    """
+    found = []
+    for row in rows:
+        if row.removed or row.ver == 0:
+            continue
+        name = RowKey(row.table, row.part, row.key)
+        try:
+            found.append(Row(name, row.read_value(), row.ver))
+        except ValueError as error:
+            raise _unavailable(str(error)) from error
+    return tuple(found)
+
+
 def _decode(answer: Answer, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(answer.body, type=kind)
--- a/src/fulmarscale/platform/wire.py
+++ b/src/fulmarscale/platform/wire.py
@@ -100,11 +100,11 @@
     @property
     def unserved(self) -> str:
         """What the job asks for that is not served yet; empty for nothing."""
-        if not self.best_effort:
-            return "jobs can't be kept yet"
         if self.long_running or self.run_count > 0:
             return "jobs that last or recur are not served yet"
-        if any(step.gang or step.fills for step in self.steps):
+        if any(
+            (step.gang and step.count > 1) or step.fills for step in self.steps
+        ):
             return "gangs and tasks that fill are not served yet"
         return ""
 
@@ -117,7 +117,7 @@
             if any(earlier >= number for earlier in step.after):
                 raise ValueError("a step may only come after earlier ones")
         steps = tuple(step.decode() for step in self.steps)
-        return JobSpec(self.spec, steps)
+        return JobSpec(self.spec, steps, is_kept=not self.best_effort)
 
 
 class WireHeartbeat(WireStruct):
@@ -275,6 +275,24 @@
             raise ValueError(f"row {self.key}: not base64") from error
 
 
+class WireRowName(WireStruct):
+    """Names a row."""
+
+    table: str
+    part: str
+    key: str
+
+
+class WireRowVersion(WireStruct):
+    """A row and the version that it must have."""
+
+    table: str
+    part: str
+    key: str
+    ver: int
+    """0 if it must not exist."""
+
+
 class WireRowWrite(WireStruct):
     """A row to be written."""
 
@@ -290,20 +308,26 @@
 
     set_keys: tuple[WireRowWrite, ...]
     """Rows to write, whole rows in spite of the name."""
-    expected_rev: tuple[WireRowWrite, ...] = ()
-    """Conditions; none are made at present."""
-    remove: tuple[WireRowWrite, ...] = ()
+    expected_rev: tuple[WireRowVersion, ...] = ()
+    """Conditions; rows with their versions, not one revision."""
+    remove: tuple[WireRowName, ...] = ()
 
 
 class WireRows(WireStruct):
     """Rows as of one moment, or changed since one."""
 
-    ver: int
+    ver: int = 0
     """The newest version of the whole store, not of these rows."""
     rows: tuple[WireRow, ...] = ()
     has_more: bool = False
 
 
+class WireParts(WireStruct):
+    """The parts of a table that hold rows."""
+
+    parts: tuple[str, ...] = ()
+
+
 class WireTransactionAnswer(WireStruct):
     """The answer to a transaction that was applied."""
 
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -10,6 +10,7 @@
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import RunEnd
 from fulmarscale.runs.model import ServiceName
+from fulmarscale.runs.model import TargetLife
 from fulmarscale.runs.model import TargetReport
 from fulmarscale.runs.model import TaskKey
 from fulmarscale.runs.site_state import SiteState
@@ -32,6 +33,11 @@
     """Names the order; its report carries it."""
     required_label: str = ""
     """A label that the target must have; empty for none."""
+    tenure: int = 0
+    """Which ownership of a kept job gives the order; 0 if it is not kept.
+
+    The end of a kept job's run is stored before the target forgets it.
+    """
 
 
 class RunReport(Record):
@@ -67,6 +73,39 @@
     """The order that asked for it."""
 
 
+class KeptEnd(Record):
+    """An end that an agent holds until it is stored."""
+
+    life: TargetLife
+    """The target's life that listed it."""
+    position: int
+    """Its place on that life's list of ends."""
+    task: TaskKey
+    """The task."""
+    is_done: bool
+    """Whether the run ended well; otherwise it failed."""
+    entry: EntryId | None = None
+    """Who ordered the run; none if another life of the agent knew."""
+    order: int = 0
+    """The order that asked for it."""
+    tenure: int = 0
+    """Which ownership of the job gave the order."""
+
+
+class EndReceipt(Record):
+    """An entry's word on an end that an agent holds."""
+
+    life: TargetLife
+    """The target's life that listed it."""
+    position: int
+    """Its place on that life's list of ends."""
+    is_void: bool = False
+    """Whether it must not count: its task may have been started again.
+
+    The target may forget it only after its lease has run out.
+    """
+
+
 class EntryMessage(Record):
     """From an entry to an agent."""
 
@@ -90,6 +129,10 @@
     """Thousandths of a core that waiting tasks ask for at the entry."""
     slack_s: float = 0.0
     """Time that the most urgent waiting job has left to start on time."""
+    receipts: tuple[EndReceipt, ...] = ()
+    """What became of ends that the agent holds."""
+    has_kept_jobs: bool = False
+    """Whether any job is kept, as far as the entry knows."""
 
 
 class AgentMessage(Record):
@@ -119,3 +162,5 @@
     """Thousandths of a core that waiting tasks ask for at other entries."""
     is_stopping: bool = False
     """Whether the agent takes no new runs as it is about to stop."""
+    held_ends: tuple[KeptEnd, ...] = ()
+    """Ends to be stored: the entry's own, and those of entries gone."""
--- a/src/fulmarscale/runs/model.py
+++ b/src/fulmarscale/runs/model.py
@@ -96,6 +96,8 @@
     """Passed to each task unread."""
     steps: tuple[Step, ...]
     """The steps."""
+    is_kept: bool = False
+    """Whether it is stored before it is accepted, and run to its end."""
 
 
 class TargetState(Enum):
