--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -16,24 +16,21 @@
 from fulmarscale.entry.jobs.actions import JobState
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import RenewTenure
-from fulmarscale.entry.jobs.actions import SendOrders
 from fulmarscale.entry.jobs.actions import TakeKeptEnd
 from fulmarscale.entry.jobs.admission import Forecast
 from fulmarscale.entry.jobs.admission import is_hopeless
 from fulmarscale.entry.jobs.admission import is_servable
-from fulmarscale.entry.jobs.admission import waiting_demand
 from fulmarscale.entry.jobs.estimates import RunTimes
 from fulmarscale.entry.jobs.estimates import SLOW_FACTOR
 from fulmarscale.entry.jobs.fleet import Fleet
 from fulmarscale.entry.jobs.job import Job
 from fulmarscale.entry.jobs.job import TaskPhase
+from fulmarscale.entry.jobs.outbox import Outbox
 from fulmarscale.entry.jobs.stragglers import judge
 from fulmarscale.entry.jobs.stragglers import LEAST_ELAPSED_S
 from fulmarscale.entry.jobs.stragglers import Verdict
 from fulmarscale.events import Event
-from fulmarscale.runs.limits import NEWS_S
 from fulmarscale.runs.limits import SURELY_OVER_S
-from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.runs.messages import ExpectedRun
 from fulmarscale.runs.messages import StartOrder
 from fulmarscale.runs.model import JobId
@@ -110,11 +107,10 @@
         self._waiting: dict[JobId, Job] = {}
         """Jobs with tasks that wait for room."""
         self._fleet = Fleet(data_centre)
+        self._outbox = Outbox(entry, self._fleet)
         self._sessions: dict[int, AgentView] = {}
         self._run_times = RunTimes()
         self._order_number = 0
-        self._has_kept_jobs = True
-        self._had_backlog = False
         self._must_place = False
         """Whether more may be ordered than when it was looked at last."""
         self._last_event_at: float | None = None
@@ -256,10 +252,7 @@
 
     def note_kept_jobs(self, *, is_any: bool) -> None:
         """Note whether any jobs are kept at all, as agents want to know."""
-        if is_any != self._has_kept_jobs:
-            self._has_kept_jobs = is_any
-            for view in self._fleet.views:
-                view.mark_dirty()
+        self._outbox.note_kept_jobs(is_any=is_any)
 
     def pending(self) -> dict[str, int]:
         """Count kept jobs of which no task has begun, by queue."""
@@ -375,10 +368,7 @@
         for job in list(self._jobs.values()):
             self._check_time(job, forecast, now)
         self._must_place = True
-        self._tell_backlog(now)
-        for view in self._fleet.views:
-            if view.is_due(now):
-                view.mark_dirty()
+        self._outbox.tick(now)
         return self._finish(now)
 
     def _move(self, job: Job, task: Task, phase: TaskPhase) -> None:
@@ -843,67 +833,12 @@
         if self._must_place:
             self._must_place = False
             self._place(now)
-        has_backlog = bool(self._waiting)
-        if has_backlog != self._had_backlog:
-            self._had_backlog = has_backlog
-            self._tell_backlog(now)
-        self._send_to(self._fleet.take_dirty(), now)
+        self._actions += self._outbox.collect(
+            self._waiting.values(), self._site, now
+        )
         actions = self._actions
         self._actions = []
         return actions
 
-    def _tell_backlog(self, now: float) -> None:
-        """Tell agents whether tasks wait, but few of them often."""
-        pause_s = self._fleet.news_pause_s
-        for view in self._fleet.views:
-            if view.told_backlog == self._had_backlog:
-                continue
-            if pause_s <= NEWS_S or now - view.sent_at >= pause_s:
-                view.mark_dirty()
-
-    def _send_to(self, views: list[AgentView], now: float) -> None:
-        if not views:
-            return
-        backlog = sum(map(waiting_demand, self._waiting.values()))
-        slack_s = min(
-            (job.latest_start_at - now for job in self._waiting.values()),
-            default=0.0,
-        )
-        for view in views:
-            if view.session is not None:
-                self._send(view, backlog, slack_s, now)
-
-    def _send(
-        self, view: AgentView, backlog: int, slack_s: float, now: float
-    ) -> None:
-        if view.session is None:
-            return
-        view.sequence += 1
-        is_behind = view.site_revision < self._site.revision
-        message = EntryMessage(
-            entry=self._entry,
-            sequence=view.sequence,
-            echo=view.token,
-            starts=tuple(view.starts),
-            stops=tuple(view.stops),
-            expected=view.expected,
-            site_revision=self._site.revision,
-            site=self._site if is_behind else None,
-            backlog=backlog,
-            slack_s=slack_s,
-            news_pause_s=max(NEWS_S, self._fleet.news_pause_s),
-            receipts=tuple(view.receipts),
-            has_kept_jobs=self._has_kept_jobs,
-        )
-        view.told_backlog = backlog > 0
-        if is_behind:
-            view.site_revision = self._site.revision
-        view.starts = []
-        view.stops = []
-        view.receipts = []
-        view.expected = ()
-        view.sent_at = now
-        self._actions.append(SendOrders(view.session, message))
-
     def _log(self, event: Event, **fields: Any) -> None:
         self._actions.append(LogDecision(event, fields))
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -0,0 +1,115 @@
+"""What an entry sends to agents, and when."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fulmarscale.entry.jobs.actions import SendOrders
+from fulmarscale.entry.jobs.admission import waiting_demand
+from fulmarscale.runs.limits import NEWS_S
+from fulmarscale.runs.messages import EntryMessage
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.fleet import Fleet
+    from fulmarscale.entry.jobs.job import Job
+    from fulmarscale.ids import EntryId
+    from fulmarscale.runs.site_state import SiteState
+
+
+class Outbox:
+    """Collects messages to agents."""
+
+    def __init__(self, entry: EntryId, fleet: Fleet) -> None:
+        self._entry = entry
+        self._fleet = fleet
+        self._had_backlog = False
+        self._has_kept_jobs = True
+
+    def note_kept_jobs(self, *, is_any: bool) -> None:
+        """Note whether any jobs are kept at all, as agents want to know."""
+        if is_any == self._has_kept_jobs:
+            return
+        self._has_kept_jobs = is_any
+        for view in self._fleet.views:
+            view.mark_dirty()
+
+    def tick(self, now: float) -> None:
+        """Have messages sent that are due though nothing is new."""
+        self._tell_backlog(now)
+        for view in self._fleet.views:
+            if view.is_due(now):
+                view.mark_dirty()
+
+    def collect(
+        self, waiting: Collection[Job], site: SiteState, now: float
+    ) -> list[SendOrders]:
+        """Make all messages that are to be sent now.
+
+        :param waiting: jobs with tasks that wait for room.
+        :param site: what operators have set.
+        :param now: the entry's time.
+        """
+        has_backlog = bool(waiting)
+        if has_backlog != self._had_backlog:
+            self._had_backlog = has_backlog
+            self._tell_backlog(now)
+        views = self._fleet.take_dirty()
+        if not views:
+            return []
+        backlog = sum(map(waiting_demand, waiting))
+        slack_s = min(
+            (job.latest_start_at - now for job in waiting), default=0.0
+        )
+        return [
+            self._make(view, site, backlog, slack_s, now)
+            for view in views
+            if view.session is not None
+        ]
+
+    def _tell_backlog(self, now: float) -> None:
+        """Tell agents whether tasks wait, but few of them often."""
+        pause_s = self._fleet.news_pause_s
+        for view in self._fleet.views:
+            if view.told_backlog == self._had_backlog:
+                continue
+            if pause_s <= NEWS_S or now - view.sent_at >= pause_s:
+                view.mark_dirty()
+
+    def _make(
+        self,
+        view: AgentView,
+        site: SiteState,
+        backlog: int,
+        slack_s: float,
+        now: float,
+    ) -> SendOrders:
+        assert view.session is not None
+        view.sequence += 1
+        is_behind = view.site_revision < site.revision
+        message = EntryMessage(
+            entry=self._entry,
+            sequence=view.sequence,
+            echo=view.token,
+            starts=tuple(view.starts),
+            stops=tuple(view.stops),
+            expected=view.expected,
+            site_revision=site.revision,
+            site=site if is_behind else None,
+            backlog=backlog,
+            slack_s=slack_s,
+            news_pause_s=max(NEWS_S, self._fleet.news_pause_s),
+            receipts=tuple(view.receipts),
+            has_kept_jobs=self._has_kept_jobs,
+        )
+        view.told_backlog = backlog > 0
+        if is_behind:
+            view.site_revision = site.revision
+        view.starts = []
+        view.stops = []
+        view.receipts = []
+        view.expected = ()
+        view.sent_at = now
+        return SendOrders(view.session, message)
