Show that entries hear little of many idle agents

Bounds from the stated pauses: one ping in 0.25 s from each of 60 agents is 240 a second; 400 news and a ping in 0.13 s from each are 861.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -195,6 +195,17 @@
     Then at least 90 of 100 refusals came within 0.095 s
     And at least 80 jobs are completed within their objective
 
+  Scenario: An entry with nothing to do hears little of many agents
+    Given a run site of 2 entries and 60 targets of 16 cores
+    When 2 s pass while messages are counted
+    Then an entry heard at most 240 messages a second
+
+  Scenario: With many agents news come 400 times a second, beside pings
+    Given a run site of 2 entries and 60 targets of 16 cores
+    When 240 jobs of 4 tasks of 200 ms come 10 ms apart, with messages counted
+    Then an entry heard at most 861 messages a second
+    And at least 240 jobs are completed within their objective
+
   Scenario Outline: Mixed faults never make a task run twice at once
     When random run sites are played with seeds <first> to <last>
     Then no random run site broke a rule
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from features.support.run_site import AgentNode
+    from fulmarscale.agent.run_actions import SendMessage
+
 WORKERS = 3
 
 
@@ -378,3 +381,45 @@
     site = context.run_site
     for target in site.targets[first : last + 1]:
         site.cut.discard((site.entries[number].name, target.name))
+
+
+def count_messages(context: Context) -> list[int]:
+    """Count messages to entries from now on."""
+    site = context.run_site
+    carry = site.to_entry
+    counted = [0]
+
+    def count(agent: AgentNode, action: SendMessage) -> None:
+        counted[0] += 1
+        carry(agent, action)
+
+    site.to_entry = count
+    return counted
+
+
+@when("{span_s:g} s pass while messages are counted")
+def count_idle(context: Context, span_s: float) -> None:
+    counted = count_messages(context)
+    context.run_site.run(span_s)
+    entries = len(context.run_site.entries)
+    context.messages_per_s = counted[0] / span_s / entries
+
+
+@when(
+    "{jobs:d} jobs of {tasks:d} tasks of {work_ms:d} ms"
+    " come {gap_ms:d} ms apart, with messages counted"
+)
+def count_busy(
+    context: Context, jobs: int, tasks: int, work_ms: int, gap_ms: int
+) -> None:
+    counted = count_messages(context)
+    submit_stream(context, jobs, tasks, work_ms, gap_ms)
+    span_s = jobs * gap_ms / 1000
+    entries = len(context.run_site.entries)
+    context.messages_per_s = counted[0] / span_s / entries
+    context.run_site.run(2.0)
+
+
+@then("an entry heard at most {most:d} messages a second")
+def check_messages(context: Context, most: int) -> None:
+    assert context.messages_per_s <= most, context.messages_per_s
