Ask about kept jobs without owning any; count what waits over restarts

Cause: a count of a queue made its entry hold a lease. And an owner that started anew told 0 waiting jobs until it had taken its jobs over, which the platform counts as a false count. Ruled out: no count at all where this entry keeps none; others may keep some. Change: a count looks in the store, once a second at most; an entry begins to own jobs only when there are rows or a job comes. A lease that replaces or removes another's goes on telling its count until the jobs are taken over.

--- a/features/kept.feature
+++ b/features/kept.feature
@@ -160,6 +160,20 @@
     Then job "a" is stored as completed
     And no promise on kept jobs is broken
 
+  Scenario: Jobs that wait count as pending also after their owner's restart
+    Given a kept site of 2 entries and 1 targets
+    When entry 0 keeps job "a" of 10 tasks of 6000 ms
+    And 0.2 s pass
+    And entry 0 keeps job "b" of 4 tasks of 300 ms
+    And entry 0 keeps job "c" of 4 tasks of 300 ms
+    And 1.5 s pass
+    Then entry 1 counts 2 pending jobs
+    When kept entry 0 is killed for 0.3 s
+    And 1.2 s pass
+    Then entry 1 counts at least 2 pending jobs
+    And 25 s pass
+    And entry 1 counts 0 pending jobs
+
   Scenario: Nobody is told that a job will not run that is stored elsewhere
     Given a kept site of 2 entries and 2 targets
     When entry 0 keeps job "a" of 2 tasks of 300 ms
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -145,6 +145,11 @@
     When a job of 3 tasks is kept by the entry
     Then it is stored, and then completed after 3 starts
 
+  Scenario: Questions about kept jobs cost nothing where there are none
+    Given an entry, an agent and a scripted runner on loopback
+    When a caller asks an entry without kept jobs for a queue's count
+    Then the count is 0 and the entry holds no lease in the store
+
   Scenario Outline: The answer to a transaction is taken for no more than it says
     When a transaction is sent to a store that <state>
     Then it is <status> and the row holds <value>
--- a/features/steps/kept_steps.py
+++ b/features/steps/kept_steps.py
@@ -13,6 +13,7 @@
 from features.support.kept_chaos import play_kept_seed
 from features.support.kept_site import is_over
 from features.support.kept_site import KeptSite
+from features.support.run_site import QUEUE
 from fulmarscale.entry.kept.actions import KeepOutcome
 from fulmarscale.entry.kept.record import RECORD_TABLE
 
@@ -195,3 +196,18 @@
 def check_ended(context: Context) -> None:
     bad = [(p.seed, p.open_jobs[:3]) for p in context.played if p.open_jobs]
     assert not bad, bad[:5]
+
+
+@then("entry {number:d} counts {count:d} pending jobs")
+def check_pending(context: Context, number: int, count: int) -> None:
+    keeper = context.run_site.entries[number].keeper
+    assert keeper.pending_of(QUEUE.name) == count, keeper.pending_of(
+        QUEUE.name
+    )
+
+
+@then("entry {number:d} counts at least {least:d} pending jobs")
+def check_least_pending(context: Context, number: int, least: int) -> None:
+    keeper = context.run_site.entries[number].keeper
+    found = keeper.pending_of(QUEUE.name)
+    assert found >= least, found
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -162,7 +162,7 @@
         self.cancelled.append(job_id)
         return job_id == "0033"
 
-    def pending_of(self, queue: str) -> int:
+    async def pending_of(self, queue: str) -> int:
         return 7 if queue == "/quick/" else 0
 
     def _check(self) -> None:
@@ -880,6 +880,27 @@
     assert context.keys == ["0011"], context.keys
 
 
+@when("a caller asks an entry without kept jobs for a queue's count")
+def ask_count(context: Context) -> None:
+    async def run() -> None:
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            keeper = site.entry.keeper
+            context.pending = await keeper.pending_of("/quick/")
+            context.was_active = keeper.activated.is_set()
+            context.state = await keeper.state_of(JobId("0044"))
+            context.rows = site.store.keys("entries")
+
+    asyncio.run(run())
+
+
+@then("the count is {count:d} and the entry holds no lease in the store")
+def check_count(context: Context, count: int) -> None:
+    assert context.pending == count, context.pending
+    assert context.state is None, context.state
+    assert not context.was_active
+    assert not context.rows, context.rows
+
+
 ROW = RowKey("jobs", "s1", "a")
 
 
--- a/src/fulmarscale/entry/jobs/desk.py
+++ b/src/fulmarscale/entry/jobs/desk.py
@@ -42,7 +42,7 @@
         """
 
     @abstractmethod
-    def pending_of(self, queue: str) -> int:
+    async def pending_of(self, queue: str) -> int:
         """Count the accepted jobs of a queue that have not begun."""
 
 
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -197,7 +197,7 @@
         self._note_waiting(job)
         if job.tenure > 1:
             job.held_until = now + SURELY_OVER_S
-            job.may_have_run = True
+            job.may_have_run = bool(record.ends)
             self._take_strays(job, now)
         self._log(
             Event.JOB_TAKEN,
--- a/src/fulmarscale/entry/kept/keeper.py
+++ b/src/fulmarscale/entry/kept/keeper.py
@@ -312,6 +312,8 @@
         if not self._is_active:
             return self._finish(now)
         self._check_lease(now)
+        if self._membership.has_inherited and self._is_settled:
+            self._membership.note_taken_over()
         renewal = self._membership.renew(pending, now)
         if renewal is not None:
             self._actions.append(renewal)
@@ -319,6 +321,16 @@
         self._expire(now)
         return self._finish(now)
 
+    @property
+    def _is_settled(self) -> bool:
+        """Whether all jobs that fall to this entry are its own."""
+        is_scanned = not self._must_scan and not self._is_scanning
+        return (
+            self._is_owner
+            and is_scanned
+            and all(job.stored is not None for job in self._jobs.values())
+        )
+
     def _refusal(self, now: float) -> KeepOutcome | None:
         """Tell what the caller of a new job is told if it can't be stored.
 
--- a/src/fulmarscale/entry/kept/membership.py
+++ b/src/fulmarscale/entry/kept/membership.py
@@ -73,12 +73,19 @@
         self._is_writing = False
         self._removing: set[str] = set()
         self._others: dict[str, OtherEntry] = {}
+        self._inherited: dict[str, int] = {}
+        """Counts of former owners whose jobs are not taken over yet."""
 
     @property
     def others(self) -> dict[str, OtherEntry]:
         """Other entries' rows by name."""
         return self._others
 
+    @property
+    def has_inherited(self) -> bool:
+        """Whether counts of former owners are told."""
+        return bool(self._inherited)
+
     def holds_lease(self, now: float) -> bool:
         """Tell whether this entry may own jobs."""
         return now - self._confirmed_at < LEASE_S
@@ -151,7 +158,9 @@
         if name != self._entry.name:
             self._removing.discard(name)
             if answer.status is CommitStatus.APPLIED:
-                self._others.pop(name, None)
+                removed = self._others.pop(name, None)
+                if removed is not None:
+                    self._inherit(removed.member.pending)
                 return True
             other = self._others.get(name)
             if other is not None and answer.status is CommitStatus.CONFLICT:
@@ -185,6 +194,27 @@
         found = decode_member(rows[0].value)
         if found is None or found.incarnation != self._entry.incarnation:
             self._confirmed_at = float("-inf")
+        if found is not None and found.incarnation != self._entry.incarnation:
+            self._inherit(found.pending)
+
+    def _inherit(self, pending: dict[str, int]) -> None:
+        """Go on telling of jobs until they are this entry's own."""
+        self._inherited = _add_counts(self._inherited, pending)
+        self._sent_at = float("-inf")
+
+    def note_taken_over(self) -> None:
+        """Tell only of own jobs from now on: all others are taken over."""
+        self._inherited = {}
+        self._sent_at = float("-inf")
+
+
+def _add_counts(
+    first: dict[str, int], second: dict[str, int]
+) -> dict[str, int]:
+    return {
+        queue: first.get(queue, 0) + second.get(queue, 0)
+        for queue in sorted({*first, *second})
+    }
 
 
 def _rank(name: str, entry: str) -> tuple[int, str]:
--- a/src/fulmarscale/entry/kept/process.py
+++ b/src/fulmarscale/entry/kept/process.py
@@ -5,6 +5,7 @@
 from abc import ABC
 from abc import abstractmethod
 import asyncio
+from contextlib import suppress
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,7 @@
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
+from fulmarscale.runs.clock import steady_s
 from fulmarscale.runs.driver import Driver
 from fulmarscale.runs.model import JobId
 
@@ -56,6 +58,9 @@
 """Pause before the store is asked again whether jobs are kept there."""
 
 
+MEMBERS_WAIT_S: Final = 1.0
+"""How long a count waits for the other entries' first counts."""
+
 END_WAIT_S: Final = 0.06
 """How long a question for the state of an open job waits for its end.
 
@@ -105,6 +110,8 @@
         self._rows = rows
         self._runner = runner
         self._activated = asyncio.Event()
+        self._members_seen = asyncio.Event()
+        self._looked_at = float("-inf")
         self._keeping: dict[JobId, list[asyncio.Future[KeepOutcome]]] = {}
         self._ending: dict[JobId, list[asyncio.Future[KeepOutcome]]] = {}
         """Those who wait for a job's end, or for its cancelling."""
@@ -152,7 +159,6 @@
         :returns: whether there is such a job.
         :raises FulmarError: STORE_UNAVAILABLE; it may have been cancelled.
         """
-        self.activate()
         if self._keeper.stored_state(job_id) is None:
             return await self._cancel_elsewhere(job_id)
         future: asyncio.Future[KeepOutcome] = asyncio.Future()
@@ -172,19 +178,27 @@
         :returns: none if there is no such job.
         :raises FulmarError: STORE_UNAVAILABLE.
         """
-        self.activate()
         if self._keeper.stored_state(job_id) is KeptState.OPEN:
             await self._wait_for_end(job_id)
         known = self._keeper.stored_state(job_id)
         if known is not None:
             return known
-        row = await self._rows.read_row(record_key(job_id))
-        record = None if row is None else decode_record(row.value)
+        record = await self._read_record(job_id)
         return None if record is None else record.state
 
-    def pending_of(self, queue: str) -> int:
-        """Count the accepted jobs of a queue that have not begun."""
-        self.activate()
+    async def pending_of(self, queue: str) -> int:
+        """Count the accepted jobs of a queue that have not begun.
+
+        Without kept jobs it is 0, which the store is asked for: an entry
+        that has seen none may have missed those of others.
+        """
+        is_old = steady_s() - self._looked_at > LOOK_PAUSE_S
+        if not self._activated.is_set() and is_old:
+            await self._look()
+        if self._activated.is_set():
+            with suppress(TimeoutError):
+                async with asyncio.timeout(MEMBERS_WAIT_S):
+                    await self._members_seen.wait()
         return self._keeper.pending_of(queue)
 
     def take_end(self, agent: str, end: KeptEnd, *, is_counted: bool) -> None:
@@ -207,6 +221,7 @@
 
     def see_members(self, rows: tuple[Row, ...]) -> None:
         """Take in all entries' rows."""
+        self._members_seen.set()
         self._decide(self._keeper.see_members, read_members(rows))
 
     def see_cancels(self, rows: tuple[Row, ...]) -> None:
@@ -228,20 +243,35 @@
 
     async def _look_for_jobs(self) -> None:
         """Ask the store until it tells whether there are kept jobs."""
-        while not self._activated.is_set():
-            try:
-                is_any = bool(await self._rows.list_parts(RECORD_TABLE))
-            except FulmarError as error:
-                self._log.write(
-                    Event.STORE_LOST, table=RECORD_TABLE, detail=error.detail
-                )
-                await asyncio.sleep(LOOK_PAUSE_S)
-                continue
-            if is_any:
-                self.activate()
-            elif not self._activated.is_set():
-                self._runner.note_kept_jobs(is_any=False)
-            return
+        while not self._activated.is_set() and not await self._look():
+            await asyncio.sleep(LOOK_PAUSE_S)
+
+    async def _look(self) -> bool:
+        """Ask the store whether there are kept jobs.
+
+        :returns: whether it answered.
+        """
+        try:
+            is_any = bool(await self._rows.list_parts(RECORD_TABLE))
+        except FulmarError as error:
+            self._log.write(
+                Event.STORE_LOST, table=RECORD_TABLE, detail=error.detail
+            )
+            return False
+        self._looked_at = steady_s()
+        if is_any:
+            self.activate()
+        elif not self._activated.is_set():
+            self._runner.note_kept_jobs(is_any=False)
+        return True
+
+    async def _read_record(self, job_id: JobId) -> JobRecord | None:
+        """Read a job's row; one that is there shows that jobs are kept."""
+        row = await self._rows.read_row(record_key(job_id))
+        if row is None:
+            return None
+        self.activate()
+        return decode_record(row.value)
 
     def _perform(self, actions: list[KeeperAction]) -> None:
         for action in actions:
@@ -331,6 +361,7 @@
         record = None if row is None else decode_record(row.value)
         if row is None or record is None:
             return False
+        self.activate()
         if record.state is not KeptState.OPEN:
             return True
         cancelled = record.end_as(KeptState.CANCELLED)
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -91,7 +91,7 @@
         name = scope["path"].removeprefix(queue.path_prefix)
         method = scope["method"]
         if method == "GET" and not name:
-            pending = self._desk.keeper.pending_of(queue.name)
+            pending = await self._desk.keeper.pending_of(queue.name)
             await respond(send, 200, msgspec.json.encode({"pending": pending}))
         elif method in ("GET", "DELETE"):
             await self._show(scope, send, JobId(name))
