Choose agents for a job from a heap

Ruled out: a choice of some agents at random; it would change who is chosen. Change: the agents are ranked once for a step; what is ordered meanwhile only makes a rank worse, so the head of the heap is looked at again.

--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -788,12 +788,13 @@
         :returns: whether all of them found room.
         """
         is_complete = True
+        placement = self._fleet.placement(job, views, now)
         for task in job.waiting:
             if self._fleet.is_held(task.key):
                 # A run for an earlier attempt has not surely ended.
                 is_complete = False
                 continue
-            view = self._fleet.choose(job, task, views, now)
+            view = placement.choose(task)
             if view is None:
                 is_complete = False
                 continue
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from heapq import heapify
+from heapq import heappop
+from heapq import heapreplace
 from typing import Final
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.admission import Load
@@ -23,6 +27,21 @@
 """
 
 
+class Rank(NamedTuple):
+    """How well an agent suits a task; what counts most comes first."""
+
+    has_failed: bool
+    """Whether a run of the task failed there."""
+    is_slow: bool
+    """Whether runs take far longer there of late."""
+    is_off_rack: bool
+    """Whether the task's data is on another rack."""
+    used: float
+    """What is free, negated, as a share of the target's capacity."""
+    is_remote: bool
+    """Whether it is in another data centre than the entry."""
+
+
 class Fleet:
     """All agents that an entry has heard of."""
 
@@ -121,21 +140,18 @@
         """Tell whether an agent still answers for a run of a task."""
         return any(key in view.ordered for view in self._agents.values())
 
-    def choose(
-        self, job: Job, task: Task, views: list[AgentView], now: float
-    ) -> AgentView | None:
-        """Choose the agent for a task among those that may have it."""
-        best: AgentView | None = None
-        best_key: tuple[bool, bool, bool, float, bool] | None = None
-        for view in views:
-            if not self._may_hold(job, task, view):
-                continue
-            key = self._rank(task, view, now)
-            if best_key is None or key > best_key:
-                best, best_key = view, key
-        return best
+    def placement(
+        self, job: Job, views: list[AgentView], now: float
+    ) -> Placement:
+        """Begin to choose agents for a job's tasks.
+
+        :param job: the job.
+        :param views: the agents that may be given its runs.
+        :param now: the entry's time.
+        """
+        return Placement(self, job, views, now)
 
-    def _may_hold(self, job: Job, task: Task, view: AgentView) -> bool:
+    def may_hold(self, job: Job, task: Task, view: AgentView) -> bool:
         """Tell whether an agent's target may run a task and has room."""
         step = task.step
         if view.target is None or not step.demand.fits(view.room):
@@ -152,16 +168,74 @@
         )
         return held < step.most_per_target
 
-    def _rank(
-        self, task: Task, view: AgentView, now: float
-    ) -> tuple[bool, bool, bool, float, bool]:
-        """Rank an agent for a task; the highest is the best."""
+    def rank(self, task: Task, view: AgentView, now: float) -> Rank:
+        """Rank an agent for a task; the lowest is the best."""
         rack = task.step.data_rack
         free = view.room.cpu_millicores / max(view.capacity.cpu_millicores, 1)
-        return (
-            view.name not in task.failed_on,
-            not view.slowness.is_slow(now),
-            not rack or view.has_label(rack),
-            free,
-            view.data_centre == self._data_centre,
+        return Rank(
+            has_failed=view.name in task.failed_on,
+            is_slow=view.slowness.is_slow(now),
+            is_off_rack=bool(rack) and not view.has_label(rack),
+            used=-free,
+            is_remote=view.data_centre != self._data_centre,
         )
+
+
+class Candidate(NamedTuple):
+    """An agent that may get a task, in the order of choice."""
+
+    rank: Rank
+    """As it was when it was looked at last."""
+    position: int
+    """Decides between equals."""
+    view: AgentView
+    """The agent."""
+
+
+class Placement:
+    """Chooses agents for the tasks of one job, at one moment.
+
+    What is ordered meanwhile only takes room, so an agent's rank only gets
+    worse and one that can't hold a task is out for its whole step.
+    """
+
+    def __init__(
+        self, fleet: Fleet, job: Job, views: list[AgentView], now: float
+    ) -> None:
+        self._fleet = fleet
+        self._job = job
+        self._views = views
+        self._now = now
+        self._heaps: dict[int, list[Candidate]] = {}
+
+    def choose(self, task: Task) -> AgentView | None:
+        """Choose the agent for a task; none if none has room."""
+        if task.failed_on:
+            # Such a task ranks agents in its own way.
+            return self._first(self._rank_all(task), task)
+        step = task.key.step
+        if step not in self._heaps:
+            self._heaps[step] = self._rank_all(task)
+        return self._first(self._heaps[step], task)
+
+    def _rank_all(self, task: Task) -> list[Candidate]:
+        found = [
+            Candidate(self._fleet.rank(task, view, self._now), position, view)
+            for position, view in enumerate(self._views)
+            if self._fleet.may_hold(self._job, task, view)
+        ]
+        heapify(found)
+        return found
+
+    def _first(self, heap: list[Candidate], task: Task) -> AgentView | None:
+        while heap:
+            first = heap[0]
+            view = first.view
+            if not self._fleet.may_hold(self._job, task, view):
+                heappop(heap)
+                continue
+            rank = self._fleet.rank(task, view, self._now)
+            if rank == first.rank:
+                return view
+            heapreplace(heap, Candidate(rank, first.position, view))
+        return None
