Let cancels that cross an end release it; look before refusing a kept job

Cause: found on reading. An owner whose write met another entry's cancel gave the job up without a word to the agents, which then held its ends for 20 s. And a kept job refused for load was told "not run" though an earlier attempt could be stored. Change: a cancelled row releases what was held; a refusal for load looks for the row first, and says that the outcome is unknown if the store can't tell.

--- a/features/kept.feature
+++ b/features/kept.feature
@@ -186,6 +186,25 @@
     Then the caller of job "a" was told that it is unknown
     And job "a" is stored as completed
 
+  Scenario: A cancel elsewhere that crosses an end lets agents go on
+    Given a kept site of 2 entries and 2 targets
+    When entry 0 keeps job "a" of 2 tasks of 300 ms
+    And 0.28 s pass
+    And the job "a" of another is cancelled at entry 1
+    And 3 s pass
+    Then job "a" is stored as cancelled
+    And the agents hold nothing
+    And no promise on kept jobs is broken
+
+  Scenario: A cancel elsewhere stops what runs
+    Given a kept site of 2 entries and 2 targets
+    When entry 0 keeps job "a" of 4 tasks of 5000 ms
+    And 0.5 s pass
+    And the job "a" of another is cancelled at entry 1
+    And 0.6 s pass
+    Then job "a" is stored as cancelled
+    And nothing runs any more
+
   Scenario: The same job handed in at two entries is one job
     Given a kept site of 2 entries and 3 targets
     When entry 0 keeps job "a" of 4 tasks of 500 ms
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -150,6 +150,17 @@
     When a caller asks an entry without kept jobs for a queue's count
     Then the count is 0 and the entry holds no lease in the store
 
+  Scenario Outline: Nobody is told of a stored job that it will not run
+    Given an entry, an agent and a scripted runner on loopback
+    When a job that is <state> is handed in to be kept when none can be served
+    Then its caller is told <outcome>
+
+    Examples:
+      | state          | outcome    |
+      | new            | not_run    |
+      | stored already | stored     |
+      | unknown        | unfinished |
+
   Scenario Outline: The answer to a transaction is taken for no more than it says
     When a transaction is sent to a store that <state>
     Then it is <status> and the row holds <value>
--- a/features/steps/kept_steps.py
+++ b/features/steps/kept_steps.py
@@ -126,6 +126,11 @@
     context.run_site.entries[number].cancel_kept(job)
 
 
+@when('the job "{job}" of another is cancelled at entry {number:d}')
+def cancel_elsewhere(context: Context, job: str, number: int) -> None:
+    context.run_site.entries[number].cancel_elsewhere(job)
+
+
 @then('the caller of job "{job}" was told that it is {outcome}')
 def check_told(context: Context, job: str, outcome: str) -> None:
     found = context.run_site.outcomes().get(job)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,6 +8,7 @@
 import re
 from typing import Any
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -22,6 +23,7 @@
 from fulmarscale.entry.jobs.actions import JobState
 from fulmarscale.entry.jobs.desk import JobDesk
 from fulmarscale.entry.jobs.desk import KeptJobs
+from fulmarscale.entry.jobs.dispatcher import Dispatcher
 from fulmarscale.entry.jobs.process import DispatchProcess
 from fulmarscale.entry.kept.record import KeptState
 from fulmarscale.entry.kept.record import RECORD_TABLE
@@ -871,6 +873,34 @@
     asyncio.run(run())
 
 
+@when("a job that is {state} is handed in to be kept when none can be served")
+def keep_under_load(context: Context, state: str) -> None:
+    step = Step(1, Resources(1600), 20.0)
+    spec = JobSpec("text", (step,), is_kept=True)
+
+    async def run() -> None:
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            queue = make_queue("/quick/")
+            job_id = JobId("0011")
+            if state == "stored already":
+                await site.entry.keep(job_id, queue, spec, 20.0)
+            if state == "unknown":
+                site.store.fault = StoreFault.BUSY
+            refuse = mock.patch.object(
+                Dispatcher, "hopeless_wait_s", return_value=3.0
+            )
+            with refuse:
+                answer = await site.entry.keep(job_id, queue, spec, 20.0)
+            context.told = answer.outcome
+
+    asyncio.run(run())
+
+
+@then("its caller is told {outcome}")
+def check_told(context: Context, outcome: str) -> None:
+    assert context.told is JobOutcome(outcome), context.told
+
+
 @then("it is stored, and then completed after {count:d} starts")
 def check_kept_path(context: Context, count: int) -> None:
     assert context.answer.outcome is JobOutcome.STORED, context.answer
--- a/features/support/kept_site.py
+++ b/features/support/kept_site.py
@@ -30,13 +30,16 @@
 from fulmarscale.entry.kept.keeper import Keeper
 from fulmarscale.entry.kept.process import read_members
 from fulmarscale.entry.kept.process import read_records
+from fulmarscale.entry.kept.record import cancel_key
 from fulmarscale.entry.kept.record import CANCEL_TABLE
 from fulmarscale.entry.kept.record import decode_record
+from fulmarscale.entry.kept.record import encode_row
 from fulmarscale.entry.kept.record import JobRecord
 from fulmarscale.entry.kept.record import KeptState
 from fulmarscale.entry.kept.record import MEMBER_TABLE
 from fulmarscale.entry.kept.record import record_key
 from fulmarscale.entry.kept.record import RECORD_TABLE
+from fulmarscale.entry.kept.rows import RowWrite
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import RunEnd
@@ -114,6 +117,18 @@
             )
         )
 
+    def cancel_elsewhere(self, job_id: str) -> None:
+        """Cancel a job that another entry owns, as a caller wishes."""
+        row = self._rows.rows[record_key(JobId(job_id))]
+        record = decode_record(row.value)
+        assert record is not None
+        cancelled = encode_row(record.end_as(KeptState.CANCELLED))
+        writes = (
+            RowWrite(row.name, cancelled, row.version),
+            RowWrite(cancel_key(JobId(job_id)), b"", 0),
+        )
+        self._rows.commit(self.name, writes, lambda answer: None)
+
     def _decide(self, actions: list[Any]) -> None:
         now = self._clock.now
         for action in actions:
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -22,6 +22,8 @@
 from fulmarscale.entry.kept.process import JobRunner
 from fulmarscale.entry.kept.process import KeeperProcess
 from fulmarscale.entry.kept.record import KeptState
+from fulmarscale.entry.kept.record import RECORD_TABLE
+from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.clock import steady_s
@@ -186,7 +188,7 @@
             self._log.write(
                 Event.JOB_HOPELESS, job=job_id, wait_s=round(wait, 3)
             )
-            return AnswerJob(job_id, JobOutcome.NOT_RUN, retry_after_s(wait))
+            return await self._refuse_kept(job_id, wait)
         future = self._keeper.keep(job_id, queue, spec)
         try:
             async with asyncio.timeout(wait_s):
@@ -195,6 +197,22 @@
             outcome = KeepOutcome.UNKNOWN
         return AnswerJob(job_id, KEEP_OUTCOMES[outcome], retry_after_s(0))
 
+    async def _refuse_kept(self, job_id: JobId, wait_s: float) -> AnswerJob:
+        """Refuse a job that can't be served, unless it is stored already.
+
+        A caller's earlier attempt may have been; if the store can't tell,
+        nobody may say that the job will not run.
+        """
+        outcome = JobOutcome.UNFINISHED
+        try:
+            state = await self._keeper.state_of(job_id)
+            outcome = JobOutcome.STORED if state else JobOutcome.NOT_RUN
+        except FulmarError as error:
+            self._log.write(
+                Event.STORE_LOST, table=RECORD_TABLE, detail=error.detail
+            )
+        return AnswerJob(job_id, outcome, retry_after_s(wait_s))
+
     def begin_kept(self, job_id: JobId, record: JobRecord) -> None:
         """Run a stored job."""
         self._decide(self._dispatcher.begin_kept, job_id, record)
--- a/src/fulmarscale/entry/kept/keeper.py
+++ b/src/fulmarscale/entry/kept/keeper.py
@@ -209,12 +209,9 @@
         elif is_stored is None:
             self._settle_stray(agent, job, end, now)
         elif is_stored:
+            # The agent has connected anew since it was told.
             receipt = EndReceipt(end.life, end.position)
             self._actions.append(SettleEnds(agent, (receipt,)))
-        else:
-            # The agent connected anew; its next receipt names the stream
-            # that is open then.
-            pass
         return self._finish(now)
 
     def see_members(
@@ -472,34 +469,43 @@
             # An earlier attempt of the same write took effect.
             self._note_stored(item, row.version, now)
             return
-        self._take_row(job, row, now)
+        self._take_row(item, row, now)
 
-    def _take_row(self, job: KeptJob, row: Row, now: float) -> None:
+    def _take_row(self, item: BatchItem, row: Row, now: float) -> None:
         """Go on from a row that is not as this entry wrote it last."""
+        job = item.job
         record = decode_record(row.value)
         is_own = record is not None and record.owner == self._entry
-        if record is not None and is_own and record.state is KeptState.OPEN:
-            if job.is_new:
-                # Stored before this entry lost its lease.
-                seen = SeenRecord(job.job_id, record, row.version)
-                self._take_over(seen, now)
-                self._answer(job.job_id, KeepOutcome.STORED)
-                return
-            job.version = row.version
-            job.mark_dirty(now, is_urgent=True)
-            self._ledger.add(job)
+        if record is None or not is_own or job.is_new:
+            self._give_up(job, record, row.version, now)
             return
-        is_new = job.is_new
-        self._lose(job, "the row has changed", row.version)
-        if is_new:
-            # The caller's earlier attempt was stored at another entry.
-            self._answer(job.job_id, KeepOutcome.STORED)
+        job.version = row.version
+        if record.state is KeptState.CANCELLED:
+            job.held = [*item.held, *job.held]
+            self._note_cancelled(job, row.version, now)
+            return
+        self._write_again(item, now)
+
+    def _give_up(
+        self, job: KeptJob, record: JobRecord | None, version: int, now: float
+    ) -> None:
+        """Leave a job to the owner that its row names."""
+        if not job.is_new:
+            self._lose(job, "the row has changed", version)
+            return
+        # The caller's earlier attempt was stored.
+        self._jobs.pop(job.job_id)
+        self._answer(job.job_id, KeepOutcome.STORED)
+        if record is not None and record.owner == self._entry:
+            # By this entry, before it lost its lease.
+            seen = SeenRecord(job.job_id, record, version)
+            self._take_over(seen, now)
 
     def _lose(self, job: KeptJob, reason: str, version: int) -> None:
         self._log(
             Event.JOB_LOST, job=job.job_id, reason=reason, version=version
         )
-        if job.is_open and not job.is_new:
+        if job.is_open:
             self._actions.append(DropJob(job.job_id))
         self._answer_end(job.job_id, KeepOutcome.UNKNOWN)
         self._jobs.pop(job.job_id, None)
@@ -536,6 +542,7 @@
         job.version = version
         job.stored = job.record
         job.is_dirty = False
+        self._answer_end(job.job_id, KeepOutcome.STORED)
 
     def _expire(self, now: float) -> None:
         for job in list(self._jobs.values()):
--- a/src/fulmarscale/entry/kept/process.py
+++ b/src/fulmarscale/entry/kept/process.py
@@ -112,6 +112,8 @@
         self._activated = asyncio.Event()
         self._members_seen = asyncio.Event()
         self._looked_at = float("-inf")
+        self._removing: set[str] = set()
+        """Cancelled jobs whose rows are being removed."""
         self._keeping: dict[JobId, list[asyncio.Future[KeepOutcome]]] = {}
         self._ending: dict[JobId, list[asyncio.Future[KeepOutcome]]] = {}
         """Those who wait for a job's end, or for its cancelling."""
@@ -231,7 +233,9 @@
             if self._keeper.stored_state(job_id) is None:
                 continue
             self._decide(self._keeper.see_cancel, job_id, row.version)
-            self._spawn(self._remove_cancel(row))
+            if row.name.key not in self._removing:
+                self._removing.add(row.name.key)
+                self._spawn(self._remove_cancel(row))
 
     def _tick(self) -> None:
         self._decide(self._keeper.tick, self._runner.pending())
@@ -386,6 +390,7 @@
         answer = await self._rows.commit(
             (RowWrite(row.name, None, row.version),)
         )
+        self._removing.discard(row.name.key)
         if answer.status is not CommitStatus.APPLIED:
             self._log.write(
                 Event.COMMIT_FAILED,
