--- /dev/null
+++ b/features/steps/loopback_steps.py
@@ -0,0 +1,176 @@
+"""Steps through real streams and sockets on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support.loopback import Loopback
+from features.support.loopback import make_queue
+from features.support.loopback import ScriptedRunner
+from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.entry.jobs.dispatcher import Dispatcher
+from fulmarscale.entry.kept.record import KeptState
+from fulmarscale.entry.kept.record import RECORD_TABLE
+from fulmarscale.entry.kept.rows import RowKey
+from fulmarscale.entry.kept.rows import RowWrite
+from fulmarscale.platform.store import RowStore
+from fulmarscale.runs.model import JobId
+from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import Resources
+from fulmarscale.runs.model import Step
+from standins.row_store import RowStoreStandIn
+from standins.row_store import StoreFault
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+
+@given("an entry, an agent and a scripted runner on loopback")
+def make_loopback(context: Context) -> None:
+    context.runner = ScriptedRunner()
+
+
+@when("a job of {tasks:d} tasks is handed in to the entry")
+def hand_in(context: Context, tasks: int) -> None:
+    step = Step(tasks, Resources(1600), 20.0)
+
+    async def run() -> None:
+        spec = JobSpec("text", (step,))
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            future = site.entry.submit(
+                JobId("0011"), make_queue("/quick/"), spec, 20.0
+            )
+            context.answer = await future
+            await site.agent.finish()
+            context.left = site.agent.guard.runs
+
+    asyncio.run(run())
+
+
+@when("a job of {tasks:d} tasks is kept by the entry")
+def keep_on_loopback(context: Context, tasks: int) -> None:
+    step = Step(tasks, Resources(1600), 20.0)
+    job_id = JobId("0011")
+
+    async def run() -> None:
+        spec = JobSpec("text", (step,), is_kept=True)
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            queue = make_queue("/quick/")
+            context.answer = await site.entry.keep(job_id, queue, spec, 20.0)
+            while True:
+                context.state = await site.entry.keeper.state_of(job_id)
+                if context.state is not KeptState.OPEN:
+                    break
+            await site.agent.finish()
+            context.held = site.agent.guard.held_ends
+            context.keys = site.store.keys(RECORD_TABLE)
+
+    asyncio.run(run())
+
+
+@when("a job that is {state} is handed in to be kept when none can be served")
+def keep_under_load(context: Context, state: str) -> None:
+    step = Step(1, Resources(1600), 20.0)
+    spec = JobSpec("text", (step,), is_kept=True)
+
+    async def run() -> None:
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            queue = make_queue("/quick/")
+            job_id = JobId("0011")
+            if state == "stored already":
+                await site.entry.keep(job_id, queue, spec, 20.0)
+            if state == "unknown":
+                site.store.fault = StoreFault.BUSY
+            refuse = mock.patch.object(
+                Dispatcher, "hopeless_wait_s", return_value=3.0
+            )
+            with refuse:
+                answer = await site.entry.keep(job_id, queue, spec, 20.0)
+            context.told = answer.outcome
+
+    asyncio.run(run())
+
+
+@then("its caller is told {outcome}")
+def check_told(context: Context, outcome: str) -> None:
+    assert context.told is JobOutcome(outcome), context.told
+
+
+@then("it is stored, and then completed after {count:d} starts")
+def check_kept_path(context: Context, count: int) -> None:
+    assert context.answer.outcome is JobOutcome.STORED, context.answer
+    assert context.state is KeptState.COMPLETED, context.state
+    assert len(set(context.runner.started)) == count, context.runner.started
+    assert context.held == 0, context.held
+    assert context.keys == ["0011"], context.keys
+
+
+@when("a caller asks an entry without kept jobs for a queue's count")
+def ask_count(context: Context) -> None:
+    async def run() -> None:
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            keeper = site.entry.keeper
+            context.pending = await keeper.pending_of("/quick/")
+            context.was_active = keeper.activated.is_set()
+            context.state = await keeper.state_of(JobId("0044"))
+            context.rows = site.store.keys("entries")
+
+    asyncio.run(run())
+
+
+@then("the count is {count:d} and the entry holds no lease in the store")
+def check_count(context: Context, count: int) -> None:
+    assert context.pending == count, context.pending
+    assert context.state is None, context.state
+    assert not context.was_active
+    assert not context.rows, context.rows
+
+
+ROW = RowKey("jobs", "s1", "a")
+
+
+@when("a transaction is sent to a store that {state}")
+def send_transaction(context: Context, state: str) -> None:
+    async def run() -> None:
+        store = RowStoreStandIn()
+        await store.start()
+        rows = RowStore(store.address, call_timeout_s=0.3)
+        write = RowWrite(ROW, b"text", 0)
+        if state == "has the row already":
+            await rows.commit((write,))
+        elif state != "is sound":
+            store.fault = StoreFault(state.removeprefix("is ").strip())
+        context.commit = await rows.commit((write,))
+        store.fault = StoreFault.NONE
+        row = await rows.read_row(ROW)
+        context.row_value = None if row is None else row.value
+        await rows.close()
+        await store.close()
+
+    asyncio.run(run())
+
+
+@then("it is {status} and the row holds {value}")
+def check_transaction(context: Context, status: str, value: str) -> None:
+    assert context.commit.status.value == status, context.commit
+    expected = None if value == "nothing" else value.encode()
+    assert context.row_value == expected, context.row_value
+
+
+@then("it is completed and the runner was told to start {count:d} tasks")
+def check_path(context: Context, count: int) -> None:
+    assert context.answer.outcome is JobOutcome.COMPLETED, context.answer
+    # A busy machine may see a run end and start anew: tasks count, not runs.
+    started = set(context.runner.started)
+    assert len(started) == count, context.runner.started
+
+
+@then("the agent's answer to a stop is that it holds no runs")
+def check_left_runs(context: Context) -> None:
+    assert context.left == 0, context.left
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,14 +8,16 @@
 import re
 from typing import Any
 from typing import TYPE_CHECKING
-from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 import msgspec
 
-from fulmarscale.agent.run_process import RunProcess
+from features.support.loopback import LIFE
+from features.support.loopback import LOG
+from features.support.loopback import make_queue
+from features.support.loopback import PATIENT
 from fulmarscale.agent.run_target import TargetUnreachableError
 from fulmarscale.cli._reload import SettingsWatcher
 from fulmarscale.entry.jobs.actions import AnswerJob
@@ -23,12 +25,8 @@
 from fulmarscale.entry.jobs.actions import JobState
 from fulmarscale.entry.jobs.desk import JobDesk
 from fulmarscale.entry.jobs.desk import KeptJobs
-from fulmarscale.entry.jobs.dispatcher import Dispatcher
 from fulmarscale.entry.jobs.process import DispatchProcess
 from fulmarscale.entry.kept.record import KeptState
-from fulmarscale.entry.kept.record import RECORD_TABLE
-from fulmarscale.entry.kept.rows import RowKey
-from fulmarscale.entry.kept.rows import RowWrite
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
@@ -43,43 +41,32 @@
 from fulmarscale.platform.http_client import HttpClient
 from fulmarscale.platform.ingress import IngressApp
 from fulmarscale.platform.runner import Runner
-from fulmarscale.platform.runner import RunnerTimeouts
 from fulmarscale.platform.store import HistoryGoneError
 from fulmarscale.platform.store import RowStore
 from fulmarscale.platform.wire import WireRow
 from fulmarscale.platform.wire import WireRows
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
-from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import ServiceName
 from fulmarscale.runs.model import Step
-from fulmarscale.runs.model import TargetId
-from fulmarscale.runs.model import TargetLife
 from fulmarscale.runs.model import TargetReport
 from fulmarscale.runs.model import TargetState
 from fulmarscale.runs.model import TaskKey
 from fulmarscale.runs.site_state import newer
-from fulmarscale.runs.site_state import Queue
 from fulmarscale.runs.site_state import SiteState
 from fulmarscale.settings import load_settings
 from fulmarscale.settings import SiteAgentSettings
 from fulmarscale.settings import SiteEntrySettings
 from standins.http_stub import HttpStub
 from standins.http_stub import StubAnswer
-from standins.ports import PORTS
-from standins.row_store import RowStoreStandIn
-from standins.row_store import StoreFault
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
     from standins.http_stub import StubRequest
 
-LOG = EventLog("test", "platform")
 ENTRY = EntryId("e", 1)
-LIFE = TargetLife(TargetId("i-1"), 77)
-PATIENT = RunnerTimeouts(order_s=3.0, renew_slack_s=20.0, connect_s=20.0)
 """What a busy machine needs, so that no verdict hangs on its speed."""
 
 TASK = TaskKey(JobId("00"), 0, 0, 0)
@@ -219,13 +206,6 @@
         self.left.append(job_id)
 
 
-def make_queue(prefix: str) -> Queue:
-    """Make a queue whose name is its prefix."""
-    return Queue(
-        QueueName(prefix), "site.example", prefix, ServiceName("press")
-    )
-
-
 @when("a heartbeat comes with {change}")
 def send_heartbeat(context: Context, change: str) -> None:
     heartbeat = dict(HEARTBEAT)
@@ -762,214 +742,3 @@
 @then("nothing is applied")
 def check_not_applied(context: Context) -> None:
     assert not context.applied, context.applied
-
-
-class ScriptedRunner:
-    """Ends every run as done at once."""
-
-    def __init__(self) -> None:
-        self.started: list[str] = []
-        self._ended: list[list[Any]] = []
-
-    def answer(self, request: StubRequest) -> StubAnswer:
-        """Answer an order or a renewal."""
-        body = msgspec.json.decode(request.body)
-        if request.target == "/api/run-start":
-            self.started.append(body["task"])
-            position = len(self.started)
-            row = [position, body["task"], body["run"], "done", ""]
-            self._ended.append(row)
-        ended = [
-            row for row in self._ended if row[0] > body.get("lastSeen", 0)
-        ]
-        answer = {"clockMs": 500, "born": 77, "running": [], "ended": ended}
-        return StubAnswer(200, msgspec.json.encode(answer))
-
-
-@given("an entry, an agent and a scripted runner on loopback")
-def make_loopback(context: Context) -> None:
-    context.runner = ScriptedRunner()
-
-
-class Loopback:
-    """An entry, an agent, a scripted runner and a store on loopback."""
-
-    def __init__(self, runner: ScriptedRunner) -> None:
-        self.store = RowStoreStandIn()
-        self._stub = HttpStub(runner.answer)
-        self.agent: RunProcess
-        self.entry: DispatchProcess
-
-    async def __aenter__(self) -> Loopback:
-        site = SiteState(1, 1, (make_queue("/quick/"),))
-        report = TargetReport(
-            LIFE,
-            ServiceName("press"),
-            "here",
-            TargetState.READY,
-            Resources(16000),
-        )
-        await self.store.start()
-        await self._stub.start()
-        runner = Runner(LOG, PATIENT)
-        runner.meet(LIFE, self._stub.address, 100)
-        self.agent = RunProcess("agent-1", "here", runner, LOG)
-        port = PORTS.pick()
-        await self.agent.start("127.0.0.1", port)
-        self.agent.adopt_site(site)
-        self.agent.see_target(report, 1)
-        self.start_entry(site, port)
-        return self
-
-    def start_entry(self, site: SiteState, port: int) -> None:
-        rows = RowStore(self.store.address)
-        self.entry = DispatchProcess("entry-1", "here", rows, LOG)
-        self.entry.start()
-        self.entry.adopt_site(site)
-        self.entry.follow_agents({"agent-1": f"127.0.0.1:{port}"})
-
-    async def __aexit__(self, *_: object) -> None:
-        await self.entry.close()
-        await self.agent.close()
-        await self._stub.close()
-        await self.store.close()
-
-
-@when("a job of {tasks:d} tasks is handed in to the entry")
-def hand_in(context: Context, tasks: int) -> None:
-    step = Step(tasks, Resources(1600), 20.0)
-
-    async def run() -> None:
-        spec = JobSpec("text", (step,))
-        async with Loopback(context.runner) as site, asyncio.timeout(20):
-            future = site.entry.submit(
-                JobId("0011"), make_queue("/quick/"), spec, 20.0
-            )
-            context.answer = await future
-            await site.agent.finish()
-            context.left = site.agent.guard.runs
-
-    asyncio.run(run())
-
-
-@when("a job of {tasks:d} tasks is kept by the entry")
-def keep_on_loopback(context: Context, tasks: int) -> None:
-    step = Step(tasks, Resources(1600), 20.0)
-    job_id = JobId("0011")
-
-    async def run() -> None:
-        spec = JobSpec("text", (step,), is_kept=True)
-        async with Loopback(context.runner) as site, asyncio.timeout(20):
-            queue = make_queue("/quick/")
-            context.answer = await site.entry.keep(job_id, queue, spec, 20.0)
-            while True:
-                context.state = await site.entry.keeper.state_of(job_id)
-                if context.state is not KeptState.OPEN:
-                    break
-            await site.agent.finish()
-            context.held = site.agent.guard.held_ends
-            context.keys = site.store.keys(RECORD_TABLE)
-
-    asyncio.run(run())
-
-
-@when("a job that is {state} is handed in to be kept when none can be served")
-def keep_under_load(context: Context, state: str) -> None:
-    step = Step(1, Resources(1600), 20.0)
-    spec = JobSpec("text", (step,), is_kept=True)
-
-    async def run() -> None:
-        async with Loopback(context.runner) as site, asyncio.timeout(20):
-            queue = make_queue("/quick/")
-            job_id = JobId("0011")
-            if state == "stored already":
-                await site.entry.keep(job_id, queue, spec, 20.0)
-            if state == "unknown":
-                site.store.fault = StoreFault.BUSY
-            refuse = mock.patch.object(
-                Dispatcher, "hopeless_wait_s", return_value=3.0
-            )
-            with refuse:
-                answer = await site.entry.keep(job_id, queue, spec, 20.0)
-            context.told = answer.outcome
-
-    asyncio.run(run())
-
-
-@then("its caller is told {outcome}")
-def check_told(context: Context, outcome: str) -> None:
-    assert context.told is JobOutcome(outcome), context.told
-
-
-@then("it is stored, and then completed after {count:d} starts")
-def check_kept_path(context: Context, count: int) -> None:
-    assert context.answer.outcome is JobOutcome.STORED, context.answer
-    assert context.state is KeptState.COMPLETED, context.state
-    assert len(set(context.runner.started)) == count, context.runner.started
-    assert context.held == 0, context.held
-    assert context.keys == ["0011"], context.keys
-
-
-@when("a caller asks an entry without kept jobs for a queue's count")
-def ask_count(context: Context) -> None:
-    async def run() -> None:
-        async with Loopback(context.runner) as site, asyncio.timeout(20):
-            keeper = site.entry.keeper
-            context.pending = await keeper.pending_of("/quick/")
-            context.was_active = keeper.activated.is_set()
-            context.state = await keeper.state_of(JobId("0044"))
-            context.rows = site.store.keys("entries")
-
-    asyncio.run(run())
-
-
-@then("the count is {count:d} and the entry holds no lease in the store")
-def check_count(context: Context, count: int) -> None:
-    assert context.pending == count, context.pending
-    assert context.state is None, context.state
-    assert not context.was_active
-    assert not context.rows, context.rows
-
-
-ROW = RowKey("jobs", "s1", "a")
-
-
-@when("a transaction is sent to a store that {state}")
-def send_transaction(context: Context, state: str) -> None:
-    async def run() -> None:
-        store = RowStoreStandIn()
-        await store.start()
-        rows = RowStore(store.address, call_timeout_s=0.3)
-        write = RowWrite(ROW, b"text", 0)
-        if state == "has the row already":
-            await rows.commit((write,))
-        elif state != "is sound":
-            store.fault = StoreFault(state.removeprefix("is ").strip())
-        context.commit = await rows.commit((write,))
-        store.fault = StoreFault.NONE
-        row = await rows.read_row(ROW)
-        context.row_value = None if row is None else row.value
-        await rows.close()
-        await store.close()
-
-    asyncio.run(run())
-
-
-@then("it is {status} and the row holds {value}")
-def check_transaction(context: Context, status: str, value: str) -> None:
-    assert context.commit.status.value == status, context.commit
-    expected = None if value == "nothing" else value.encode()
-    assert context.row_value == expected, context.row_value
-
-
-@then("it is completed and the runner was told to start {count:d} tasks")
-def check_path(context: Context, count: int) -> None:
-    assert context.answer.outcome is JobOutcome.COMPLETED, context.answer
-    # A busy machine may see a run end and start anew: tasks count, not runs.
-    started = set(context.runner.started)
-    assert len(started) == count, context.runner.started
-
-
-@then("the agent's answer to a stop is that it holds no runs")
-def check_left_runs(context: Context) -> None:
-    assert context.left == 0, context.left
