Bound the attempts of a cancel; note rows that can't be read

Cause: found on reading. A cancel of another entry's job read and wrote again without an end while its row was in dispute; rows that can't be read were passed over without a line. Change: five attempts, then 503; ROW_UNREADABLE with the table and the count. Before: the new scenario "A cancel of another entry's job ends in any case", in dispute, would not have ended (not run on the old code: it does not end).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -150,6 +150,17 @@
     When a caller asks an entry without kept jobs for a queue's count
     Then the count is 0 and the entry holds no lease in the store
 
+  Scenario Outline: A cancel of another entry's job ends in any case
+    Given an entry, an agent and a scripted runner on loopback
+    When a job is cancelled whose row is <state>
+    Then the cancel ends with <result>
+
+    Examples:
+      | state      | result      |
+      | whole      | success     |
+      | garbled    | no such job |
+      | in dispute | no store    |
+
   Scenario Outline: Nobody is told of a stored job that it will not run
     Given an entry, an agent and a scripted runner on loopback
     When a job that is <state> is handed in to be kept when none can be served
--- a/features/steps/loopback_steps.py
+++ b/features/steps/loopback_steps.py
@@ -15,10 +15,17 @@
 from features.support.loopback import ScriptedRunner
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.dispatcher import Dispatcher
+from fulmarscale.entry.kept.record import cancel_key
+from fulmarscale.entry.kept.record import encode_row
+from fulmarscale.entry.kept.record import JobRecord
 from fulmarscale.entry.kept.record import KeptState
+from fulmarscale.entry.kept.record import record_key
 from fulmarscale.entry.kept.record import RECORD_TABLE
 from fulmarscale.entry.kept.rows import RowKey
 from fulmarscale.entry.kept.rows import RowWrite
+from fulmarscale.errors import FulmarError
+from fulmarscale.errors import ResultCode
+from fulmarscale.ids import EntryId
 from fulmarscale.platform.store import RowStore
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
@@ -31,6 +38,9 @@
     from behave.runner import Context
 
 
+SPEC = JobSpec("text", (Step(1, Resources(1600), 20.0),), is_kept=True)
+
+
 @given("an entry, an agent and a scripted runner on loopback")
 def make_loopback(context: Context) -> None:
     context.runner = ScriptedRunner()
@@ -132,6 +142,38 @@
     assert not context.rows, context.rows
 
 
+@when("a job is cancelled whose row is {state}")
+def cancel_row(context: Context, state: str) -> None:
+    job_id = JobId("0055")
+    record = JobRecord(EntryId("gone", 1), make_queue("/quick/"), SPEC)
+    value = encode_row(record) if state != "garbled" else b"\xff"
+
+    async def run() -> None:
+        async with Loopback(context.runner) as site, asyncio.timeout(20):
+            rows = RowStore(site.store.address)
+            await rows.commit((RowWrite(record_key(job_id), value, 0),))
+            if state == "in dispute":
+                # A mark from before keeps the cancel from being written.
+                await rows.commit((RowWrite(cancel_key(job_id), b"", 0),))
+            try:
+                context.cancelled = await site.entry.keeper.cancel(job_id)
+            except FulmarError as error:
+                context.cancelled = error.code
+            await rows.close()
+
+    asyncio.run(run())
+
+
+@then("the cancel ends with {result}")
+def check_cancel(context: Context, result: str) -> None:
+    expected = {
+        "success": True,
+        "no such job": False,
+        "no store": ResultCode.STORE_UNAVAILABLE,
+    }
+    assert context.cancelled == expected[result], context.cancelled
+
+
 ROW = RowKey("jobs", "s1", "a")
 
 
--- a/src/fulmarscale/entry/kept/process.py
+++ b/src/fulmarscale/entry/kept/process.py
@@ -21,6 +21,7 @@
 from fulmarscale.entry.kept.actions import ScanRecords
 from fulmarscale.entry.kept.actions import SettleEnds
 from fulmarscale.entry.kept.keeper import Keeper
+from fulmarscale.entry.kept.ledger import UNSETTLED
 from fulmarscale.entry.kept.record import cancel_key
 from fulmarscale.entry.kept.record import decode_member
 from fulmarscale.entry.kept.record import decode_record
@@ -58,6 +59,12 @@
 """Pause before the store is asked again whether jobs are kept there."""
 
 
+CANCEL_ATTEMPTS: Final = 5
+"""Conflicts with the owner's writes after which a cancel is given up.
+
+An owner writes a job's row a few times in all.
+"""
+
 MEMBERS_WAIT_S: Final = 1.0
 """How long a count waits for the other entries' first counts."""
 
@@ -224,7 +231,7 @@
     def see_members(self, rows: tuple[Row, ...]) -> None:
         """Take in all entries' rows."""
         self._members_seen.set()
-        self._decide(self._keeper.see_members, read_members(rows))
+        self._decide(self._keeper.see_members, self._read_members(rows))
 
     def see_cancels(self, rows: tuple[Row, ...]) -> None:
         """Take in the rows of jobs that other entries cancelled."""
@@ -275,7 +282,7 @@
         if row is None:
             return None
         self.activate()
-        return decode_record(row.value)
+        return self._decode(row)
 
     def _perform(self, actions: list[KeeperAction]) -> None:
         for action in actions:
@@ -346,41 +353,73 @@
         try:
             for part in await self._rows.list_parts(RECORD_TABLE):
                 rows = await self._rows.read_part(RECORD_TABLE, part)
-                records += read_records(rows)
-            members = await self._rows.read_part(MEMBER_TABLE, "")
+                found = read_records(rows)
+                records += found
+                self._note_unreadable(RECORD_TABLE, len(rows) - len(found))
+            rows = await self._rows.read_part(MEMBER_TABLE, "")
         except FulmarError as error:
             self._log.write(Event.SCAN_FAILED, detail=error.detail)
             self._decide(self._keeper.fail_scan)
             return
-        self._decide(
-            self._keeper.take_scan, tuple(records), read_members(members)
-        )
+        members = self._read_members(rows)
+        self._decide(self._keeper.take_scan, tuple(records), members)
+
+    def _read_members(self, rows: tuple[Row, ...]) -> tuple[SeenMember, ...]:
+        members = read_members(rows)
+        self._note_unreadable(MEMBER_TABLE, len(rows) - len(members))
+        return members
+
+    def _note_unreadable(self, table: str, count: int) -> None:
+        if count:
+            detail = f"{table}: {count} rows"
+            self._log.write(Event.ROW_UNREADABLE, detail=detail)
 
     async def _cancel_elsewhere(self, job_id: JobId) -> bool:
         """Cancel a job that another entry owns, or none.
 
+        The owner may be writing the same row; each attempt reads it anew.
+        """
+        for _ in range(CANCEL_ATTEMPTS):
+            row = await self._rows.read_row(record_key(job_id))
+            record = None if row is None else self._decode(row)
+            if row is None or record is None:
+                return False
+            self.activate()
+            if record.state is not KeptState.OPEN:
+                return True
+            if await self._write_cancel(row, record):
+                self._log.write(
+                    Event.JOB_REVOKED, job=job_id, owner=record.owner.name
+                )
+                return True
+        detail = f"cancelling: {CANCEL_ATTEMPTS} conflicts"
+        raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
+
+    async def _write_cancel(self, row: Row, record: JobRecord) -> bool:
+        """Store that a job is cancelled.
+
         A second row tells the owner, who follows that table.
+
+        :returns: false if the job's row has changed meanwhile.
+        :raises FulmarError: STORE_UNAVAILABLE; it may have been cancelled.
         """
-        row = await self._rows.read_row(record_key(job_id))
-        record = None if row is None else decode_record(row.value)
-        if row is None or record is None:
-            return False
-        self.activate()
-        if record.state is not KeptState.OPEN:
-            return True
         cancelled = record.end_as(KeptState.CANCELLED)
         writes = (
             RowWrite(row.name, encode_row(cancelled), row.version),
-            RowWrite(cancel_key(job_id), b"", 0),
+            RowWrite(cancel_key(JobId(row.name.key)), b"", 0),
         )
         answer = await self._rows.commit(writes)
-        if answer.status is CommitStatus.CONFLICT:
-            return await self._cancel_elsewhere(job_id)
-        if answer.status is not CommitStatus.APPLIED:
+        if answer.status in UNSETTLED:
             detail = f"cancelling: {answer.status.value}"
             raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
-        self._log.write(Event.JOB_REVOKED, job=job_id, owner=record.owner.name)
-        return True
+        return answer.status is CommitStatus.APPLIED
+
+    def _decode(self, row: Row) -> JobRecord | None:
+        """Read a job's row; one that can't be read is noted."""
+        record = decode_record(row.value)
+        if record is None:
+            self._log.write(Event.ROW_UNREADABLE, detail=row.name.key)
+        return record
 
     async def _remove_cancel(self, row: Row) -> None:
         """Remove the row of a cancelled job that its owner has seen.
