Remove what nothing calls; name the ends that count once

Slowness.factor and Keeper.is_active had no readers left, and the guard named the same two ends twice.

--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -58,6 +58,9 @@
     from fulmarscale.runs.messages import StartOrder
     from fulmarscale.runs.model import TargetReport
 
+COUNTED_ENDS: Final = (RunEnd.DONE, RunEnd.FAILED)
+"""Ends that change what is left to do of a job."""
+
 STOP_RETRY_S: Final = 0.3
 """Time after which a stop without an answer is sent again."""
 
@@ -571,7 +574,7 @@
         run = self._runs.get(end.task)
         if run is not None and run.number != end.number:
             run = None
-        counts = end.end in (RunEnd.DONE, RunEnd.FAILED)
+        counts = end.end in COUNTED_ENDS
         if counts and (run is None or run.is_kept):
             self._hold(end, run, now)
         if run is not None:
@@ -714,7 +717,7 @@
     ) -> None:
         del self._runs[run.task]
         self._mark_dirty()
-        if run.is_kept and end in (RunEnd.DONE, RunEnd.FAILED):
+        if run.is_kept and end in COUNTED_ENDS:
             # Its entry is shown the end itself, which is held.
             return
         report = RunReport(run.task, run.order, run.number, end, refusal)
--- a/src/fulmarscale/entry/jobs/estimates.py
+++ b/src/fulmarscale/entry/jobs/estimates.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import exp
 from math import log
 from typing import Final
 from typing import TYPE_CHECKING
@@ -82,10 +81,6 @@
         self._log_factor = known + SPEED_WEIGHT * (new - known)
         self._noted_at = now
 
-    def factor(self, now: float) -> float:
-        """Give the present estimate; 1 is usual."""
-        return exp(self._present(now))
-
     def is_slow(self, now: float) -> bool:
         """Tell whether other targets are to be preferred."""
         # Slowness is only ever forgotten, so most need no exponent.
--- a/src/fulmarscale/entry/kept/keeper.py
+++ b/src/fulmarscale/entry/kept/keeper.py
@@ -91,11 +91,6 @@
         self._is_scanning = False
         self._actions: list[KeeperAction] = []
 
-    @property
-    def is_active(self) -> bool:
-        """Whether there are kept jobs, as far as known here."""
-        return self._is_active
-
     @property
     def is_owner(self) -> bool:
         """Whether this entry may own jobs at present."""
