--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -259,6 +259,8 @@
         self.is_frozen = False
         self.is_up = True
         self.inbox: list[Any] = []
+        self.wakes = 0
+        """How often its timer ran."""
 
     def do(self, action: Any) -> None:
         """Do something as soon as the process is not frozen."""
@@ -312,6 +314,7 @@
 
     def _tick(self) -> None:
         def act() -> None:
+            self.wakes += 1
             self.perform(self.guard.tick(self._clock.now))
             self._clock.call_in(TICK_S, lambda: self.do(act))
 
@@ -511,6 +514,7 @@
 
     def _tick(self) -> None:
         def act() -> None:
+            self.wakes += 1
             self.perform(self.dispatcher.tick(self._clock.now))
             self._clock.call_in(TICK_S, lambda: self.do(act))
 
