Let streams without runs be silent; ask agents when a task needs room

Cause: an idle pair cost 5.5 messages a second to keep the entry's token and its news of the room fresh, every process woke 20 times a second, and agents sent each change of their room to every entry: two thirds of all messages. Change: a stream without runs and backlog carries a message in 1.5 s each way. An entry whose tasks find no room with agents heard within 0.3 s asks sleeping ones (twice the room that it needs, three at least, rounds that double) and places when their answers are there, 8 ms later at most. So it orders only on fresh news, and agents that went dark get no order. New jobs are judged once all room is known. Room that is offered to another entry is told as free but promised: it is no reason to refuse any more. Entries answer an agent's ping when its token is 0.1 s newer than the last echo, so that echoes stay under 0.3 s with half of the messages. Decisions say when they need the next tick: 0.5 s without work. A target on which nothing runs is looked at once a second. Pairs still grow with entries x agents; subsets are next.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -206,6 +206,51 @@
     Then an entry heard at most 861 messages a second
     And at least 240 jobs are completed within their objective
 
+  Scenario: Streams without runs are silent for seconds
+    Given a run site of 2 entries and 11 targets of 16 cores
+    When 3 s pass
+    And 6 s pass while messages are counted
+    Then an entry heard at most 8 messages a second
+    And processes looked at their timers at most 4 times a second
+
+  Scenario: Agents are asked for their room when a job comes
+    Given a run site of 2 entries and 11 targets of 16 cores
+    When 5 s pass
+    And entry 0 takes job "a" of 8 tasks of 200 ms
+    And 2 s pass
+    Then job "a" is completed at entry 0
+    And the answer to job "a" took at most 0.23 s
+
+  Scenario: Agents that went dark on idle streams get no order
+    Given a run site of 1 entries and 6 targets of 16 cores
+    When 5 s pass
+    And targets 0 to 2 are cut off from entry 0
+    And entry 0 takes job "a" of 12 tasks of 200 ms
+    And 2 s pass
+    Then no task ran twice at once
+    And job "a" is completed at entry 0
+    And the answer to job "a" took at most 0.28 s
+
+  Scenario: An entry that stands still while agents answer orders nothing late
+    Given a run site of 2 entries and 2 targets of 16 cores
+    When 5 s pass
+    And entry 0 takes job "a" of 8 tasks of 1000 ms
+    And entry 0 is frozen for 4 s
+    And 1.3 s pass
+    And entry 1 takes job "a" of 8 tasks of 3000 ms
+    And 2.8 s pass
+    And the caller of job "a" leaves entry 0
+    And 6 s pass
+    Then no task ran twice at once
+    And job "a" is completed at entry 1
+
+  Scenario: Room that is offered to another entry first is no refusal
+    Given a run site of 6 entries and 1 targets of 16 cores
+    When 5 s pass
+    And 6 jobs of 1 tasks of 200 ms come at once
+    And 3 s pass
+    Then every job is completed
+
   Scenario: A random run repeats exactly from its seed
     When the random run of seed 1 is played in two processes
     Then both have the same history
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -402,9 +402,14 @@
 
 @when("{span_s:g} s pass while messages are counted")
 def count_idle(context: Context, span_s: float) -> None:
+    site = context.run_site
     counted = count_messages(context)
-    context.run_site.run(span_s)
-    entries = len(context.run_site.entries)
+    nodes = [*site.entries, *site.agents]
+    wakes = sum(node.wakes for node in nodes)
+    site.run(span_s)
+    wakes = sum(node.wakes for node in nodes) - wakes
+    context.wakes_per_s = wakes / span_s / len(nodes)
+    entries = len(site.entries)
     context.messages_per_s = counted[0] / span_s / entries
 
 
@@ -428,6 +433,11 @@
     assert context.messages_per_s <= most, context.messages_per_s
 
 
+@then("processes looked at their timers at most {most:d} times a second")
+def check_wakes(context: Context, most: int) -> None:
+    assert context.wakes_per_s <= most, context.wakes_per_s
+
+
 @when("the random run of seed {seed:d} is played in two processes")
 def play_twice(context: Context, seed: int) -> None:
     # Each process hashes in its own way, so sets are in another order.
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -271,6 +271,43 @@
             return
         action()
 
+    def _start_ticks(self, clock: Clock, tick: Any, pause_s: Any) -> None:
+        """Tell decisions of time as often as they ask for it.
+
+        :param clock: the virtual time.
+        :param tick: tells them.
+        :param pause_s: asks them how soon.
+        """
+        self._tick_clock = clock
+        self._tick_pause_s = pause_s
+        self._tick_number = 0
+
+        def act() -> None:
+            self.wakes += 1
+            self._tick_at = float("-inf")
+            tick(clock.now)
+            self._plan_tick()
+
+        self._tick_act = act
+        self._tick_at = float("inf")
+        self._plan_tick()
+
+    def _plan_tick(self) -> None:
+        """Plan a tick if it has to come sooner than the one planned."""
+        now = self._tick_clock.now
+        at = now + self._tick_pause_s(now)
+        if self._tick_at != float("-inf") and at >= self._tick_at:
+            return
+        self._tick_at = at
+        self._tick_number += 1
+        number = self._tick_number
+
+        def fire() -> None:
+            if number == self._tick_number:
+                self.do(self._tick_act)
+
+        self._tick_clock.call_at(at, fire)
+
     def thaw(self) -> None:
         """Go on after a freeze."""
         self.is_frozen = False
@@ -295,7 +332,11 @@
         self.target = target
         self.token = life
         self.guard = RunGuard(f"agent-{target.name}", "here", life)
-        self._tick()
+        self._start_ticks(
+            self._clock,
+            lambda now: self.perform(self.guard.tick(now)),
+            self.guard.tick_pause_s,
+        )
         self._renew()
         self._beat(0, first_beat_s)
 
@@ -311,14 +352,7 @@
                     self._stop(action)
                 case CloseStream() | LogDecision():
                     pass
-
-    def _tick(self) -> None:
-        def act() -> None:
-            self.wakes += 1
-            self.perform(self.guard.tick(self._clock.now))
-            self._clock.call_in(TICK_S, lambda: self.do(act))
-
-        self._clock.call_in(TICK_S, lambda: self.do(act))
+        self._plan_tick()
 
     def _beat(self, number: int, pause_s: float = BEAT_S) -> None:
         def act() -> None:
@@ -464,7 +498,11 @@
         """Each job's objective, in seconds, by its true work."""
         self.logs: list[LogDecision] = []
         self.sessions: dict[int, AgentNode] = {}
-        self._tick()
+        self._start_ticks(
+            self._clock,
+            lambda now: self.perform(self.dispatcher.tick(now)),
+            self.dispatcher.tick_pause_s,
+        )
 
     def perform(self, actions: list[Any]) -> None:
         """Carry out what the dispatcher decided."""
@@ -477,6 +515,7 @@
                     self.answered_at[action.job_id] = self._clock.now
                 case LogDecision():
                     self.logs.append(action)
+        self._plan_tick()
 
     def submit(
         self,
@@ -512,14 +551,6 @@
             )
         )
 
-    def _tick(self) -> None:
-        def act() -> None:
-            self.wakes += 1
-            self.perform(self.dispatcher.tick(self._clock.now))
-            self._clock.call_in(TICK_S, lambda: self.do(act))
-
-        self._clock.call_in(TICK_S, lambda: self.do(act))
-
 
 class RunSite:
     """Entries, agents and targets, connected by streams."""
--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.runs.limits import NEWS_S
-from fulmarscale.runs.limits import PING_S
 
 if TYPE_CHECKING:
     from fulmarscale.ids import EntryId
@@ -32,6 +31,7 @@
         "entry",
         "expected",
         "has_kept_jobs",
+        "is_asked",
         "is_dirty",
         "news_pause_s",
         "number",
@@ -53,8 +53,11 @@
         self.shown_ends: set[int] = set()
         """Ends that are held, and that this stream has carried."""
         self.asked_sequence = 0
-        self.sent_at = now - PING_S
+        self.sent_at = now
+        self.is_asked = True
+        """Whether the entry is to be sent a message at once."""
         self.is_dirty = True
+        """Whether there is news for an entry that has use for it."""
         self.reports: list[RunReport] = []
         self.site_revision = 0
         self.backlog = 0
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -25,12 +25,14 @@
 from fulmarscale.agent.run_actions import StopRun
 from fulmarscale.errors import require
 from fulmarscale.events import Event
+from fulmarscale.runs.limits import BUSY_TICK_S
 from fulmarscale.runs.limits import CLOCK_SLACK
 from fulmarscale.runs.limits import FRESH_S
+from fulmarscale.runs.limits import IDLE_PING_S
+from fulmarscale.runs.limits import IDLE_TICK_S
 from fulmarscale.runs.limits import LAPSE_MARGIN_S
 from fulmarscale.runs.limits import LEASE_S
 from fulmarscale.runs.limits import PING_S
-from fulmarscale.runs.limits import QUIET_PING_S
 from fulmarscale.runs.limits import SILENCE_S
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import KeptEnd
@@ -135,6 +137,12 @@
             return False
         return self._is_listed or not self._runs
 
+    @property
+    def is_at_rest(self) -> bool:
+        """Whether nothing runs, so that the target need not be asked soon."""
+        is_idle = not (self._runs or self._orphans or self._held.ends)
+        return is_idle and self._is_listed
+
     @property
     def last_seen(self) -> int:
         """The newest place in the target's list of ends to be forgotten."""
@@ -169,6 +177,15 @@
             total += run.demand
         return total
 
+    def tick_pause_s(self, now: float) -> float:
+        """Tell how soon the next tick has to come, in seconds.
+
+        :param now: the agent's time.
+        """
+        is_busy = self._runs or self._next_target or self._held.ends
+        is_asked = any(each.backlog > 0 for each in self._sessions.values())
+        return BUSY_TICK_S if is_busy or is_asked else IDLE_TICK_S
+
     def open_session(
         self, number: int, entry: EntryId, now: float
     ) -> list[RunAction]:
@@ -217,6 +234,7 @@
         session.news_pause_s = message.news_pause_s
         session.backlog = message.backlog
         session.urgent_at = now + message.slack_s
+        session.is_asked = session.is_asked or message.asks
         if message.starts:
             session.offered_at = float("-inf")
         if message.site is not None:
@@ -270,7 +288,7 @@
         """Note that the target gave no usable answer."""
         if self._is_listed:
             self._is_listed = False
-            self._mark_dirty()
+            self._tell_all()
             self._log(Event.TARGET_UNREACHABLE, reason=reason)
         return self._finish(now)
 
@@ -304,7 +322,7 @@
             return self._finish(now)
         if not self._is_listed:
             self._is_listed = True
-            self._mark_dirty()
+            self._tell_all()
             self._log(Event.TARGET_REACHED, target=target.life.target)
         for end in listed.ended:
             if self._held.is_news(end.position):
@@ -353,7 +371,7 @@
     def stop_taking(self, now: float) -> list[RunAction]:
         """Take no new runs, as the agent is about to stop."""
         self._is_stopping = True
-        self._mark_dirty()
+        self._tell_all()
         return self._finish(now)
 
     def tick(self, now: float) -> list[RunAction]:
@@ -363,6 +381,10 @@
         for entry in sorted({run.entry for run in self._runs.values()}):
             if self._echo_age_s(entry, now) > SILENCE_S:
                 self._stop_all_of(entry, now)
+        for session in self._sessions.values():
+            if self._echo_age_s(session.entry, now) > SILENCE_S:
+                # Room is not offered to an entry that may be gone.
+                session.backlog = 0
         for run in self._runs.values():
             self._repeat_stop(run, now)
         self._check_held(now)
@@ -402,7 +424,7 @@
                 state=report.state.value,
             )
         if report != self._target:
-            self._mark_dirty()
+            self._tell_all()
         self._target = report
 
     @property
@@ -417,7 +439,7 @@
         self._target = report
         self._target_sequence = sequence
         self._next_target = None
-        self._mark_dirty()
+        self._tell_all()
         self._log(
             Event.TARGET_FOLLOWED,
             target=report.life.target,
@@ -435,7 +457,7 @@
         self._held.reset()
         for session in self._sessions.values():
             session.shown_ends.clear()
-        self._mark_dirty()
+        self._tell_all()
 
     def _answer_expected(self) -> None:
         """Answer for runs that entries gave out on an earlier stream.
@@ -760,6 +782,11 @@
             if now - kept[1] <= NUMBER_MEMORY_S
         }
 
+    def _tell_all(self) -> None:
+        """Have all entries told at once; for changes of the target itself."""
+        for session in self._sessions.values():
+            session.is_asked = True
+
     def _mark_dirty(self) -> None:
         for session in self._sessions.values():
             session.is_dirty = True
@@ -771,7 +798,7 @@
         for session in self._sessions.values():
             ends = self._ends_for(session, now) if self._held.ends else ()
             is_due = now - session.sent_at >= self._pause(session)
-            if session.reports or ends or is_due:
+            if session.reports or ends or session.is_asked or is_due:
                 self._send(session, ends, now)
         actions = self._actions
         self._actions = []
@@ -791,15 +818,19 @@
         favoured.is_dirty = True
 
     def _pause(self, session: Session) -> float:
-        """Choose the time between messages by what the entry needs."""
+        """Choose the time between messages by what the entry needs.
+
+        News is of use only to entries whose tasks wait; the others hear of
+        it with the next report, or when they ask.
+        """
+        if session.backlog > 0:
+            if not session.is_dirty:
+                return PING_S
+            if self._favoured in (None, session):
+                return 0.0
+            return min(PING_S, session.news_pause_s)
         has_runs = session.entry in self._entries_with_runs
-        is_quiet = not has_runs and session.backlog == 0
-        ping_s = QUIET_PING_S if is_quiet else PING_S
-        if not session.is_dirty:
-            return ping_s
-        if session.backlog and self._favoured in (None, session):
-            return 0.0
-        return min(ping_s, session.news_pause_s)
+        return PING_S if has_runs else IDLE_PING_S
 
     def _send(
         self, session: Session, ends: tuple[KeptEnd, ...], now: float
@@ -811,17 +842,13 @@
             for other in self._sessions.values()
             if other is not session
         )
-        used = self.used
-        if self._favoured not in (None, session) and self._target is not None:
-            # The room is offered to another entry first.
-            used = self._target.capacity
         message = AgentMessage(
             name=self._name,
             token=AgentToken(self._incarnation, now),
             data_centre=self._data_centre,
             heard_sequence=session.asked_sequence,
             target=self._target if self._is_listed else None,
-            used=used,
+            used=self.used,
             reports=tuple(session.reports),
             held_ends=ends,
             progress=self._progress_of(session.entry),
@@ -829,9 +856,11 @@
             site=site if is_behind else None,
             others_backlog=others,
             is_stopping=self._is_stopping,
+            is_promised=self._favoured not in (None, session),
         )
         session.reports = []
         session.is_dirty = False
+        session.is_asked = False
         session.sent_at = now
         if is_behind:
             session.site_revision = site.revision
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from random import SystemRandom
 from typing import Final
 from typing import TYPE_CHECKING
@@ -17,7 +18,7 @@
 from fulmarscale.control.lease import INCARNATION_BITS
 from fulmarscale.events import Event
 from fulmarscale.runs.clock import steady_s
-from fulmarscale.runs.driver import Driver
+from fulmarscale.runs.driver import TickingDriver
 from fulmarscale.runs.metrics import SiteMetrics
 from fulmarscale.runs.metrics import SpanHistogram
 from fulmarscale.runs.streams import EntryStreamHandler
@@ -39,6 +40,12 @@
 RENEW_WAIT_S: Final = 0.25
 """How long the target may wait for an end before it answers a renewal."""
 
+IDLE_LOOK_S: Final = 1.0
+"""Time between looks at a target on which nothing runs.
+
+Entries are to hear that it answers nothing before they order, mostly.
+"""
+
 LOOK_AGAIN_S: Final = 0.05
 """Pause before a target that gave no answer is asked again."""
 
@@ -49,7 +56,7 @@
 """How long a planned stop waits for runs; the platform kills after 6 s."""
 
 
-class RunProcess(Driver, EntryStreamHandler):
+class RunProcess(TickingDriver, EntryStreamHandler):
     """One agent process, without its HTTP side."""
 
     def __init__(
@@ -62,6 +69,7 @@
         self._server = RunStreamServer(self)
         self._sessions: dict[int, MessageQueue[AgentMessage]] = {}
         self._session_number = 0
+        self._has_runs = asyncio.Event()
         self._starting = SpanHistogram(
             "fulmarscale_start_seconds",
             "Time from a start order to the target's answer.",
@@ -81,7 +89,7 @@
     async def start(self, host: str, port: int) -> None:
         """Serve entries and follow the target."""
         await self._server.start(host, port)
-        self._spawn(self._tick_forever())
+        self._spawn(self._tick_forever(self._guard.tick))
         self._spawn(self._renew_forever())
         self._log.write(Event.PROCESS_STARTED)
 
@@ -129,13 +137,20 @@
         self._sessions.pop(session, None)
         self._decide(self._guard.close_session, session)
 
-    async def _tick_forever(self) -> None:
-        while True:
-            self._decide(self._guard.tick)
-            await asyncio.sleep(TICK_S)
+    def _tick_pause_s(self, now: float) -> float:
+        return self._guard.tick_pause_s(now)
+
+    async def _wait_for_runs(self) -> None:
+        """Wait while nothing runs, but not for long."""
+        self._has_runs.clear()
+        if self._guard.is_at_rest:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(IDLE_LOOK_S):
+                    await self._has_runs.wait()
 
     async def _renew_forever(self) -> None:
         while True:
+            await self._wait_for_runs()
             target = self._guard.target
             if target is None:
                 await asyncio.sleep(TICK_S)
@@ -146,6 +161,8 @@
                 self._guard.renew(asked_at)
             # A target that gave no answer is to show itself at once.
             wait_s = RENEW_WAIT_S if self._guard.is_listed else 0.0
+            if self._guard.is_at_rest:
+                wait_s = 0.0
             if self._guard.held_ends:
                 # The target answers at once while it lists any end.
                 wait_s = 0.0
@@ -171,6 +188,7 @@
                     if outgoing is not None:
                         outgoing.put(action.message)
                 case StartRun():
+                    self._has_runs.set()
                     self._spawn(self._start(action))
                 case StopRun():
                     self._spawn(self._stop(action))
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.estimates import Slowness
-from fulmarscale.runs.limits import FRESH_S
+from fulmarscale.runs.limits import ANSWER_S
+from fulmarscale.runs.limits import ECHO_GAP_S
 from fulmarscale.runs.limits import IDLE_PING_S
-from fulmarscale.runs.limits import PING_S
+from fulmarscale.runs.limits import USABLE_S
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import TargetState
 
@@ -60,9 +61,16 @@
         self.held: dict[int, KeptEnd] = {}
         """Ends that the agent holds, by their place on its target's list."""
         self.expected: tuple[ExpectedRun, ...] = ()
-        self._room = Resources()
+        self._free = Resources()
+        self._is_promised = False
         self.told_backlog = False
         """Whether the agent knows that tasks wait here."""
+        self.must_ask = False
+        """Whether the next message is to ask for an answer at once."""
+        self.asked_at: float | None = None
+        """When it was asked; none since it was heard."""
+        self.echoed_s = float("-inf")
+        """The agent's time that was echoed last."""
         self.slowness = Slowness()
         self.failures = 0
         self.probe_at = float("-inf")
@@ -87,9 +95,14 @@
         return self.failures >= QUARANTINE_FAILURES
 
     @property
-    def room(self) -> Resources:
+    def free(self) -> Resources:
         """What is free, less what this entry has ordered meanwhile."""
-        return self._room
+        return self._free
+
+    @property
+    def room(self) -> Resources:
+        """What this entry may order: nothing while others are offered it."""
+        return Resources() if self._is_promised else self._free
 
     def mark_dirty(self) -> None:
         """Have a message sent."""
@@ -104,9 +117,10 @@
 
         :returns: whether more may be started there than before.
         """
-        room = self._room
-        was_usable = now - self.heard_at <= FRESH_S
+        room = self.room
+        was_usable = now - self.heard_at <= USABLE_S
         is_same = was_usable and message.target == self.target
+        self.asked_at = None
         self.token = message.token
         self.heard_at = now
         self.target = message.target
@@ -114,22 +128,27 @@
         self.site_revision = message.site_revision
         self.others_backlog = message.others_backlog
         self._used = message.used
+        self._is_promised = message.is_promised
         self._unheard = [
             (sequence, demand)
             for sequence, demand in self._unheard
             if sequence > message.heard_sequence
         ]
         self._note_room()
-        return not is_same or not self._room.fits(room)
+        return not is_same or not self.room.fits(room)
 
     def _note_room(self) -> None:
         free = self.capacity - self._used
         for _, demand in self._unheard:
             free -= demand
-        self._room = free
+        self._free = free
 
     def reset(self) -> None:
         """Forget what was under way on a stream that ended."""
+        self.asked_at = None
+        self.must_ask = False
+        self.told_backlog = False
+        self.echoed_s = float("-inf")
         self._unheard.clear()
         self._note_room()
         self.starts.clear()
@@ -141,27 +160,50 @@
         self, service: ServiceName, closed: tuple[str, ...], now: float
     ) -> bool:
         """Tell whether the agent may be given runs of a service."""
-        target = self.target
-        if self.session is None or target is None or self.is_stopping:
+        if not self.serves(service, closed):
             return False
-        if now - self.heard_at > FRESH_S or self.token is None:
+        if now - self.heard_at > USABLE_S or self.token is None:
             return False
         if now - self.refused_at < REFUSAL_PAUSE_S:
             return False
-        if target.state is not TargetState.READY:
-            return False
-        if target.service != service or target.data_centre in closed:
-            return False
         if not self.is_quarantined:
             return True
         return not self.ordered and now >= self.probe_at
 
+    def serves(self, service: ServiceName, closed: tuple[str, ...]) -> bool:
+        """Tell whether the agent's target took runs when it was heard last."""
+        target = self.target
+        if self.session is None or target is None or self.is_stopping:
+            return False
+        if target.state is not TargetState.READY:
+            return False
+        return target.service == service and target.data_centre not in closed
+
+    def is_asleep(self, now: float) -> bool:
+        """Tell whether the agent has to be asked before it is used."""
+        if self.session is None or self.asked_at is not None:
+            return False
+        return now - self.heard_at > USABLE_S
+
+    def is_answering(self, now: float) -> bool:
+        """Tell whether the agent was asked and is likely to answer yet."""
+        return self.asked_at is not None and now - self.asked_at <= ANSWER_S
+
+    def is_mute(self, now: float) -> bool:
+        """Tell whether the agent did not answer in time."""
+        return self.asked_at is not None and now - self.asked_at > ANSWER_S
+
+    def ask(self) -> None:
+        """Have the agent asked for its room and a new token."""
+        self.must_ask = True
+        self.mark_dirty()
+
     def add(self, order: StartOrder) -> None:
         """Queue an order for the next message."""
         self.starts.append(order)
         self.ordered[order.task] = order.order
         self._unheard.append((self.sequence + 1, order.demand))
-        self._room -= order.demand
+        self._free -= order.demand
         self.mark_dirty()
 
     def add_receipts(self, receipts: tuple[EndReceipt, ...]) -> None:
@@ -173,8 +215,12 @@
 
     def is_due(self, now: float) -> bool:
         """Tell whether a message has to be sent though nothing is new."""
-        pause_s = PING_S if self.ordered else IDLE_PING_S
-        return now - self.sent_at >= pause_s
+        if now - self.sent_at >= IDLE_PING_S:
+            return True
+        if self.token is None or not (self.ordered or self.told_backlog):
+            return False
+        # The agent ends the runs of an entry that echoes no newer token.
+        return self.token.time_s - self.echoed_s >= ECHO_GAP_S
 
     def note_failure(self, now: float) -> None:
         """Count a failed run."""
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -29,8 +29,12 @@
 from fulmarscale.entry.jobs.stragglers import judge
 from fulmarscale.entry.jobs.stragglers import LEAST_ELAPSED_S
 from fulmarscale.entry.jobs.stragglers import Verdict
+from fulmarscale.entry.jobs.waker import Waker
 from fulmarscale.events import Event
+from fulmarscale.runs.limits import BUSY_TICK_S
+from fulmarscale.runs.limits import IDLE_TICK_S
 from fulmarscale.runs.limits import SURELY_OVER_S
+from fulmarscale.runs.limits import SURVEY_S
 from fulmarscale.runs.messages import ExpectedRun
 from fulmarscale.runs.messages import StartOrder
 from fulmarscale.runs.model import JobId
@@ -69,8 +73,8 @@
 entries have started.
 """
 
-STANDSTILL_S: Final = 0.3
-"""A pause between events that shows that the process stood still."""
+STANDSTILL_S: Final = 0.25
+"""How late a tick is when the process stood still."""
 
 SETTLE_S: Final = 0.1
 """Time after a standstill in which nothing is started.
@@ -108,12 +112,17 @@
         """Jobs with tasks that wait for room."""
         self._fleet = Fleet(data_centre)
         self._outbox = Outbox(entry, self._fleet)
+        self._waker = Waker(self._fleet)
+        self._unjudged: dict[JobId, Job] = {}
+        """New jobs that may have to be refused once all room is known."""
         self._sessions: dict[int, AgentView] = {}
         self._run_times = RunTimes()
         self._order_number = 0
         self._must_place = False
         """Whether more may be ordered than when it was looked at last."""
         self._last_event_at: float | None = None
+        self._next_tick_s = IDLE_TICK_S
+        """How soon after the last event there is a tick."""
         self._settled_at = float("-inf")
         self._started_at = float("-inf")
         self._actions: list[DispatchAction] = []
@@ -140,6 +149,16 @@
             view.session is not None for view in self._fleet.views
         )
 
+    def tick_pause_s(self, now: float) -> float:
+        """Tell how soon the next tick has to come, in seconds.
+
+        :param now: the entry's time.
+        """
+        if self._must_place and self._waker.is_surveying(now):
+            return SURVEY_S
+        is_busy = self._jobs or any(v.ordered for v in self._fleet.views)
+        return BUSY_TICK_S if is_busy else IDLE_TICK_S
+
     def submit(
         self,
         job_id: JobId,
@@ -164,8 +183,7 @@
         self._set_objective(job)
         self._jobs[job_id] = job
         self._note_waiting(job)
-        if self._refuse_hopeless(job, self._forecast(), now, is_new=True):
-            return self._finish(now)
+        self._unjudged[job_id] = job
         self._log(
             Event.JOB_TAKEN,
             job=job_id,
@@ -342,6 +360,8 @@
             return self._finish(now)
         if view.update(message, now) or message.reports or message.held_ends:
             self._must_place = True
+        if view.is_due(now):
+            view.mark_dirty()
         if message.site is not None:
             self._adopt_site(message.site, source=view.name)
         for progress in message.progress:
@@ -368,9 +388,25 @@
         for job in list(self._jobs.values()):
             self._check_time(job, forecast, now)
         self._must_place = True
-        self._outbox.tick(now)
+        self._outbox.tick(has_backlog=bool(self._waiting), now=now)
         return self._finish(now)
 
+    def _judge_new(self, now: float) -> None:
+        """Refuse new jobs that can't be on time, once all room is known.
+
+        Agents that sleep are asked first; what they have may be enough.
+        """
+        if not self._unjudged or now < self._settled_at:
+            return
+        forecast = self._forecast()
+        for job_id, job in list(self._unjudged.items()):
+            is_begun = job.may_have_run or job.is_ordered
+            if is_begun or self._jobs.get(job_id) is not job:
+                del self._unjudged[job_id]
+            elif self._fleet.is_surveyed(job, now):
+                del self._unjudged[job_id]
+                self._refuse_hopeless(job, forecast, now, is_new=True)
+
     def _move(self, job: Job, task: Task, phase: TaskPhase) -> None:
         job.move(task, phase)
         self._note_waiting(job)
@@ -387,7 +423,7 @@
         self._last_event_at = now
         if last is None:
             self._started_at = now
-        if last is None or now - last <= STANDSTILL_S:
+        if last is None or now - last <= STANDSTILL_S + self._next_tick_s:
             return
         self._settled_at = now + SETTLE_S
         self._log(Event.STOOD_STILL, pause_s=round(now - last, 3))
@@ -406,7 +442,8 @@
             return
         is_begun = job.may_have_run or job.is_ordered
         if not is_begun and not job.is_kept:
-            self._refuse_hopeless(job, forecast, now, is_new=False)
+            if job.job_id not in self._unjudged:
+                self._refuse_hopeless(job, forecast, now, is_new=False)
             return
         for task in job.ordered:
             self._check_run(job, task, now)
@@ -831,14 +868,17 @@
         )
 
     def _finish(self, now: float) -> list[DispatchAction]:
-        if self._must_place:
+        self._judge_new(now)
+        if self._must_place and not self._waker.is_surveying(now):
             self._must_place = False
             self._place(now)
+        self._waker.ask(self._waiting.values(), now)
         self._actions += self._outbox.collect(
             self._waiting.values(), self._site, now
         )
         actions = self._actions
         self._actions = []
+        self._next_tick_s = self.tick_pause_s(now)
         return actions
 
     def _log(self, event: Event, **fields: Any) -> None:
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -11,12 +11,14 @@
 
 from fulmarscale.entry.jobs.admission import Load
 from fulmarscale.entry.jobs.agent_view import AgentView
-from fulmarscale.runs.limits import SURELY_OVER_S
+from fulmarscale.runs.limits import STREAM_SILENT_S
+from fulmarscale.runs.limits import USABLE_S
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
+    from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
 
 
@@ -89,8 +91,8 @@
     def load(self, job: Job, now: float) -> Load:
         """Tell what serves a job, and what else waits for it.
 
-        Agents that have not been heard for so long that their runs have
-        surely ended serve nothing.
+        Agents that did not answer, or whose streams should have ended by
+        now, serve nothing.
         """
         capacity = 0
         free = 0
@@ -101,22 +103,44 @@
                 continue
             if target.data_centre in self._closed:
                 continue
-            if now - view.heard_at > SURELY_OVER_S:
+            if view.is_mute(now) or now - view.heard_at > STREAM_SILENT_S:
                 continue
             if target.state is TargetState.READY:
                 capacity += target.capacity.cpu_millicores
-                free += max(0, view.room.cpu_millicores)
-            others = max(others, view.others_backlog)
+                free += max(0, view.free.cpu_millicores)
+            if now - view.heard_at <= USABLE_S:
+                others = max(others, view.others_backlog)
         return Load(capacity, free, others)
 
+    def is_surveyed(self, job: Job, now: float) -> bool:
+        """Tell whether the room of all agents that may serve a job is known.
+
+        Those that did not answer have none.
+        """
+        return not any(
+            view.is_asleep(now) or view.is_answering(now)
+            for view in self.serving(job.queue.service)
+        )
+
     def has_room(self, job: Job, now: float) -> bool:
-        """Tell whether any of a job's tasks could start now."""
+        """Tell whether there is room for any of a job's tasks.
+
+        What is offered to another entry first counts: it is free soon.
+        """
         return any(
-            task.step.demand.fits(view.room)
+            task.step.demand.fits(view.free)
             for view in self.usable(job, now)
             for task in job.waiting
         )
 
+    def serving(self, service: ServiceName) -> list[AgentView]:
+        """List the agents whose targets took runs when last heard."""
+        return [
+            view
+            for view in self._agents.values()
+            if view.serves(service, self._closed)
+        ]
+
     def usable(self, job: Job, now: float) -> list[AgentView]:
         """List the agents that may be given runs of a job."""
         closed = self._closed
@@ -127,13 +151,19 @@
         ]
 
     def has_sound_room(self, job: Job, task: Task, now: float) -> bool:
-        """Tell whether a sound target has room for a task that is moved."""
+        """Tell whether a sound target has room for a task that is moved.
+
+        Agents that sleep count as they were heard last; they are asked
+        before they get the task.
+        """
         return any(
             view.name not in task.failed_on
             and view.name != task.agent
+            and not view.is_mute(now)
+            and not view.is_quarantined
             and not view.slowness.is_slow(now)
             and task.step.demand.fits(view.room)
-            for view in self.usable(job, now)
+            for view in self.serving(job.queue.service)
         )
 
     def is_held(self, key: TaskKey) -> bool:
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -25,7 +25,6 @@
     def __init__(self, entry: EntryId, fleet: Fleet) -> None:
         self._entry = entry
         self._fleet = fleet
-        self._had_backlog = False
         self._has_kept_jobs = True
 
     def note_kept_jobs(self, *, is_any: bool) -> None:
@@ -36,11 +35,16 @@
         for view in self._fleet.views:
             view.mark_dirty()
 
-    def tick(self, now: float) -> None:
-        """Have messages sent that are due though nothing is new."""
-        self._tell_backlog(now)
+    def tick(self, *, has_backlog: bool, now: float) -> None:
+        """Have messages sent that are due though nothing is new.
+
+        :param has_backlog: whether tasks wait for room.
+        :param now: the entry's time.
+        """
         for view in self._fleet.views:
-            if view.is_due(now):
+            # Agents offer no room any more to an entry without backlog.
+            is_over = view.told_backlog and not has_backlog
+            if is_over or view.is_due(now):
                 view.mark_dirty()
 
     def collect(
@@ -52,10 +56,6 @@
         :param site: what operators have set.
         :param now: the entry's time.
         """
-        has_backlog = bool(waiting)
-        if has_backlog != self._had_backlog:
-            self._had_backlog = has_backlog
-            self._tell_backlog(now)
         views = self._fleet.take_dirty()
         if not views:
             return []
@@ -69,15 +69,6 @@
             if view.session is not None
         ]
 
-    def _tell_backlog(self, now: float) -> None:
-        """Tell agents whether tasks wait, but few of them often."""
-        pause_s = self._fleet.news_pause_s
-        for view in self._fleet.views:
-            if view.told_backlog == self._had_backlog:
-                continue
-            if pause_s <= NEWS_S or now - view.sent_at >= pause_s:
-                view.mark_dirty()
-
     def _make(
         self,
         view: AgentView,
@@ -103,8 +94,14 @@
             news_pause_s=max(NEWS_S, self._fleet.news_pause_s),
             receipts=tuple(view.receipts),
             has_kept_jobs=self._has_kept_jobs,
+            asks=view.must_ask,
         )
         view.told_backlog = backlog > 0
+        if view.must_ask:
+            view.must_ask = False
+            view.asked_at = now
+        if view.token is not None:
+            view.echoed_s = view.token.time_s
         if is_behind:
             view.site_revision = site.revision
         view.starts = []
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -27,7 +27,7 @@
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.clock import steady_s
-from fulmarscale.runs.driver import Driver
+from fulmarscale.runs.driver import TickingDriver
 from fulmarscale.runs.metrics import SiteMetrics
 from fulmarscale.runs.metrics import SpanHistogram
 from fulmarscale.runs.streams import AgentStream
@@ -71,7 +71,7 @@
 """How long a planned stop may take; the platform kills after 6 s."""
 
 
-class DispatchProcess(Driver, AgentStreamHandler, JobDesk, JobRunner):
+class DispatchProcess(TickingDriver, AgentStreamHandler, JobDesk, JobRunner):
     """One entry process, without its HTTP side."""
 
     def __init__(
@@ -126,7 +126,7 @@
 
     def start(self) -> None:
         """Begin to decide."""
-        self._spawn(self._tick_forever())
+        self._spawn(self._tick_forever(self._dispatcher.tick))
         self._keeper.start()
         self._log.write(Event.PROCESS_STARTED)
 
@@ -277,10 +277,8 @@
         self._sessions.pop(session, None)
         self._decide(self._dispatcher.close_agent, session)
 
-    async def _tick_forever(self) -> None:
-        while True:
-            self._decide(self._dispatcher.tick)
-            await asyncio.sleep(TICK_S)
+    def _tick_pause_s(self, now: float) -> float:
+        return self._dispatcher.tick_pause_s(now)
 
     def _perform(self, actions: list[DispatchAction]) -> None:
         for action in actions:
--- a/src/fulmarscale/entry/jobs/stragglers.py
+++ b/src/fulmarscale/entry/jobs/stragglers.py
@@ -12,7 +12,8 @@
 STANDSTILL_S: Final = 0.6
 """Time without progress after which a run may stand still.
 
-Progress is reported at least every 0.4 s.
+Progress is reported at least every 0.45 s: a target's list is 0.25 s old at
+most and passed on within PING_S.
 """
 
 STANDSTILL_SHARE: Final = 0.1
--- a/src/fulmarscale/runs/driver.py
+++ b/src/fulmarscale/runs/driver.py
@@ -5,6 +5,7 @@
 from abc import ABC
 from abc import abstractmethod
 import asyncio
+from contextlib import suppress
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -64,3 +65,38 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class TickingDriver(Driver):
+    """A driver that tells its decisions of time only as often as they need."""
+
+    def __init__(self, log: EventLog) -> None:
+        super().__init__(log)
+        self._tick_at = float("-inf")
+        self._tick_sooner = asyncio.Event()
+
+    @abstractmethod
+    def _tick_pause_s(self, now: float) -> float:
+        """Tell how soon the decisions have to be told that time passed."""
+
+    def _decide(self, decide: Callable[..., list[Any]], *inputs: Any) -> None:
+        super()._decide(decide, *inputs)
+        now = steady_s()
+        if now + self._tick_pause_s(now) < self._tick_at:
+            self._tick_sooner.set()
+
+    async def _tick_forever(self, tick: Callable[..., list[Any]]) -> None:
+        """Tell the decisions of time until the process closes.
+
+        :param tick: takes the time.
+        """
+        while True:
+            self._tick_at = float("-inf")
+            self._decide(tick)
+            now = steady_s()
+            pause_s = self._tick_pause_s(now)
+            self._tick_at = now + pause_s
+            self._tick_sooner.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await self._tick_sooner.wait()
--- a/src/fulmarscale/runs/limits.py
+++ b/src/fulmarscale/runs/limits.py
@@ -7,19 +7,41 @@
 
 from typing import Final
 
-PING_S: Final = 0.13
-"""The longest pause between messages of a stream. Three fit in FRESH_S."""
+PING_S: Final = 0.2
+"""The longest pause of an agent towards an entry with runs or backlog.
 
-IDLE_PING_S: Final = 0.4
-"""The longest pause of an entry that has no runs at an agent.
+With ECHO_GAP_S an echo is 0.3 s old at most, while all answer.
+"""
+
+ECHO_GAP_S: Final = 0.1
+"""How much newer than its last echo a token is that an entry answers at once.
+
+Only entries with runs at the agent answer; reports in quick succession cost
+no answer each.
+"""
+
+IDLE_PING_S: Final = 1.5
+"""The longest pause on a stream without runs and backlog, in both directions.
 
 No lease hangs on it, only that the stream is seen to be alive.
 """
 
-QUIET_PING_S: Final = 0.25
-"""The longest pause of an agent towards an entry without runs or backlog.
+SURVEY_S: Final = 0.008
+"""How long tasks wait for the answers of all agents that were asked.
+
+Otherwise the first to answer would get all of a job, whatever its state.
+"""
+
+BUSY_TICK_S: Final = 0.05
+"""Time between looks at what is due while there is work."""
 
-Such an entry still has to hold a token younger than FRESH_S to order.
+IDLE_TICK_S: Final = 0.5
+"""The same without work: pings of idle streams are due every IDLE_PING_S."""
+
+STREAM_SILENT_S: Final = 2.5 * IDLE_PING_S
+"""Silence after which a stream is given up and opened anew.
+
+More than two of the longest pauses between messages of a sound stream.
 """
 
 NEWS_S: Final = 0.05
@@ -31,6 +53,19 @@
 Bounds how late an order of an entry that stood still can be obeyed.
 """
 
+USABLE_S: Final = 0.3
+"""Silence of an agent after which an entry asks it before it orders.
+
+Its token would often be older than FRESH_S when the order arrives.
+"""
+
+ANSWER_S: Final = 0.03
+"""How long an agent that was asked may take to answer.
+
+Many times the 2 ms between data centres. One that takes longer is not
+counted on until it is heard.
+"""
+
 SILENCE_S: Final = 0.55
 """The age of an echo beyond which an agent stops an entry's runs.
 
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -136,6 +136,8 @@
     """What became of ends that the agent holds."""
     has_kept_jobs: bool = False
     """Whether any job is kept, as far as the entry knows."""
+    asks: bool = False
+    """Whether the entry wants a message with a new token at once."""
 
 
 class AgentMessage(Record):
@@ -165,5 +167,7 @@
     """Thousandths of a core that waiting tasks ask for at other entries."""
     is_stopping: bool = False
     """Whether the agent takes no new runs as it is about to stop."""
+    is_promised: bool = False
+    """Whether the room is offered to another entry first."""
     held_ends: tuple[KeptEnd, ...] = ()
     """Ends to be stored: the entry's own, and those of entries gone."""
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -21,6 +21,7 @@
 from grpclib.const import Handler
 from grpclib.server import Server
 
+from fulmarscale.runs.limits import STREAM_SILENT_S
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.wire.codec import MessagePackCodec
@@ -46,12 +47,6 @@
 LONGEST_RETRY_S: Final = 1.0
 """The longest pause before another attempt to connect."""
 
-SILENT_S: Final = 1.0
-"""Silence after which a stream is given up and opened anew.
-
-Several times the longest pause between messages of a sound stream.
-"""
-
 
 class MessageQueue(Generic[Message]):
     """Messages that wait to be sent on one stream."""
@@ -241,7 +236,7 @@
         self, stream: Stream[EntryMessage, AgentMessage], session: int
     ) -> None:
         while True:
-            async with asyncio.timeout(SILENT_S):
+            async with asyncio.timeout(STREAM_SILENT_S):
                 message = await stream.recv_message()
             if message is None:
                 return
@@ -250,7 +245,7 @@
 
 async def _receive(stream: Stream) -> EntryMessage | None:
     try:
-        async with asyncio.timeout(SILENT_S):
+        async with asyncio.timeout(STREAM_SILENT_S):
             return await stream.recv_message()
     except STREAM_ERRORS:
         return None
