Use a subset of a large fleet's agents

Cause: every entry kept a stream to every agent: 5,600 at 35 x 160, each with a connection to set up, memory on both sides, pings, and a place in each loop over agents. Ruled out: rendezvous from the agent's side and consistent subsetting in rounds: both need the list of entries, which best-effort deployments do not keep; a subset a rack: a rack goes as a whole. Change: an entry ranks agents by a hash of both names, data centres in turn, and uses the first 24 of a service that answer and take runs; those before them are tried on. It adds 8 at a time while tasks wait and its own runs take over 0.3 of its subset, as many as a step with few tasks on a target needs, and up to 12 with a label or rack that jobs ask for; it gives back what it has not needed for 10 s once no run is there. With kept jobs it uses all: any agent may hold an end for a job's next owner. Rows of agents are decoded when they change, not all on each change. A stream's socket is closed when the stream is given up. Six scenarios; each fails with its rule taken out (growth, labels, spread, replacement, the bound itself).

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -251,6 +251,58 @@
     And 3 s pass
     Then every job is completed
 
+  Scenario: An entry of a large site uses a subset of the agents
+    Given a run site of 4 entries and 60 targets of 16 cores
+    When 2 s pass
+    Then each entry has streams to at most 24 agents
+
+  Scenario: Agents that can't be reached are replaced by others at once
+    Given a run site of 1 entries and 60 targets of 16 cores
+    When 2 s pass
+    And all agents that entry 0 uses are cut off from it
+    And entry 0 takes job "a" of 8 tasks of 200 ms
+    And 1 s pass
+    And entry 0 takes job "b" of 8 tasks of 200 ms
+    And 2 s pass
+    Then no task ran twice at once
+    And job "b" is completed at entry 0
+    And the answer to job "b" took at most 0.28 s
+
+  Scenario: An entry with most of the traffic uses agents beyond its subset
+    Given a run site of 4 entries and 60 targets of 16 cores
+    When 2 s pass
+    And 600 jobs of 4 tasks of 800 ms come to entry 0, 8 ms apart
+    And 4 s pass
+    Then no target ever held more than its capacity
+    And at least 570 jobs are completed within their objective
+
+  Scenario: An entry that grew gives agents back when it has less to do
+    Given a run site of 2 entries and 36 targets of 16 cores
+    When 2 s pass
+    And 200 jobs of 4 tasks of 800 ms come to entry 0, 4 ms apart
+    And 5 s pass
+    And entry 0 takes job "long" of 300 tasks of 4000 ms
+    And 28 s pass
+    Then job "long" is completed at entry 0
+    And each entry has streams to at most 24 agents
+    And no task ran twice at once
+
+  Scenario: A job that needs a label reaches a target outside the subset
+    Given a run site of 1 entries and 60 targets of 16 cores
+    And only targets that entry 0 does not use have the label "press-2"
+    When entry 0 takes job "a" of 4 tasks of 200 ms that need "press-2"
+    And 2 s pass
+    Then job "a" is completed at entry 0
+    And the answer to job "a" took at most 0.32 s
+
+  Scenario: A job with few tasks on a target reaches enough targets
+    Given a run site of 1 entries and 60 targets of 16 cores
+    When 2 s pass
+    And entry 0 takes job "a" of 40 tasks of 200 ms, 1 on a target
+    And 2 s pass
+    Then job "a" is completed at entry 0
+    And the answer to job "a" took at most 0.4 s
+
   Scenario: A random run repeats exactly from its seed
     When the random run of seed 1 is played in two processes
     Then both have the same history
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -169,6 +169,70 @@
     context.run_site.run(span_s)
 
 
+@when(
+    "{jobs:d} jobs of {tasks:d} tasks of {work_ms:d} ms"
+    " come to entry {number:d}, {gap_ms:d} ms apart"
+)
+def submit_to_one(
+    context: Context,
+    jobs: int,
+    tasks: int,
+    work_ms: int,
+    number: int,
+    gap_ms: int,
+) -> None:
+    entry = context.run_site.entries[number]
+    for count in range(jobs):
+        entry.submit(f"job{count}", tasks, work_ms)
+        context.submitted.append((entry, f"job{count}"))
+        context.run_site.run(gap_ms / 1000)
+
+
+@when("all agents that entry {number:d} uses are cut off from it")
+def cut_chosen(context: Context, number: int) -> None:
+    site = context.run_site
+    entry = site.entries[number]
+    for agent in site.agents:
+        if agent.guard.name in entry.chosen:
+            site.cut.add((entry.name, agent.target.name))
+
+
+@given(
+    'only targets that entry {number:d} does not use have the label "{label}"'
+)
+def label_others(context: Context, number: int, label: str) -> None:
+    site = context.run_site
+    entry = site.entries[number]
+    for agent in site.agents:
+        if agent.guard.name not in entry.chosen:
+            agent.target.labels = (label,)
+    site.introduce(entry)
+    site.run(1.0)
+
+
+@when(
+    'entry {number:d} takes job "{job}" of {tasks:d} tasks of {work_ms:d} ms'
+    ' that need "{label}"'
+)
+def submit_labelled(
+    context: Context,
+    number: int,
+    job: str,
+    tasks: int,
+    work_ms: int,
+    label: str,
+) -> None:
+    entry = context.run_site.entries[number]
+    entry.submit(job, tasks, work_ms, required_label=label)
+    context.submitted.append((entry, job))
+
+
+@then("each entry has streams to at most {most:d} agents")
+def check_streams(context: Context, most: int) -> None:
+    counts = [len(entry.sessions) for entry in context.run_site.entries]
+    assert 0 < min(counts) <= max(counts) <= most, counts
+
+
 @when("entry {number:d} is killed")
 def kill_entry(context: Context, number: int) -> None:
     context.run_site.kill_entry(context.run_site.entries[number])
--- a/features/support/kept_site.py
+++ b/features/support/kept_site.py
@@ -249,9 +249,7 @@
             fresh.perform(
                 fresh.dispatcher.adopt_site(self.site, self.clock.now)
             )
-            for agent in self.agents:
-                if agent.is_up:
-                    self.connect(fresh, agent)
+            self.introduce(fresh)
 
         self.clock.call_in(down_s, rise)
 
--- a/features/support/loopback.py
+++ b/features/support/loopback.py
@@ -9,6 +9,7 @@
 
 from fulmarscale.agent.run_process import RunProcess
 from fulmarscale.entry.jobs.process import DispatchProcess
+from fulmarscale.entry.jobs.subset import KnownAgent
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.runner import Runner
 from fulmarscale.platform.runner import RunnerTimeouts
@@ -100,7 +101,8 @@
         self.entry = DispatchProcess("entry-1", "here", rows, LOG)
         self.entry.start()
         self.entry.adopt_site(site)
-        self.entry.follow_agents({"agent-1": f"127.0.0.1:{port}"})
+        agent = KnownAgent("agent-1", f"127.0.0.1:{port}")
+        self.entry.follow_agents((agent,))
 
     async def __aexit__(self, *_: object) -> None:
         await self.entry.close()
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -25,9 +25,12 @@
 from fulmarscale.agent.run_guard import RunGuard
 from fulmarscale.agent.run_process import HELD_PAUSE_S
 from fulmarscale.entry.jobs.actions import AnswerJob
+from fulmarscale.entry.jobs.actions import JoinAgent
+from fulmarscale.entry.jobs.actions import LeaveAgent
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import SendOrders
 from fulmarscale.entry.jobs.dispatcher import Dispatcher
+from fulmarscale.entry.jobs.subset import KnownAgent
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.limits import LEASE_S
 from fulmarscale.runs.model import JobId
@@ -120,6 +123,7 @@
         self.capacity = Resources(cores * 1000, 65536, 0)
         self.state = TargetState.READY
         self.is_up = True
+        self.labels: tuple[str, ...] = ()
         self.slowness = 1.0
         self.is_failing = False
         self.is_hung = False
@@ -150,7 +154,12 @@
     def report(self) -> TargetReport:
         """Describe itself, as a heartbeat does."""
         return TargetReport(
-            self.life, SERVICE, "here", self.state, self.capacity
+            self.life,
+            SERVICE,
+            "here",
+            self.state,
+            self.capacity,
+            self.labels,
         )
 
     def start(self, action: StartRun, until: float, token: int) -> StartAnswer:
@@ -498,6 +507,8 @@
         """Each job's objective, in seconds, by its true work."""
         self.logs: list[LogDecision] = []
         self.sessions: dict[int, AgentNode] = {}
+        self.chosen: set[str] = set()
+        """Agents that it keeps streams to."""
         self._start_ticks(
             self._clock,
             lambda now: self.perform(self.dispatcher.tick(now)),
@@ -510,6 +521,10 @@
             match action:
                 case SendOrders():
                     self._site.to_agent(self, action)
+                case JoinAgent():
+                    self._site.open_stream(self, action.name)
+                case LeaveAgent():
+                    self._site.close_stream(self, action.name)
                 case AnswerJob():
                     self.answers[action.job_id] = action
                     self.answered_at[action.job_id] = self._clock.now
@@ -526,6 +541,7 @@
         wait_s: float = 10.0,
         declared_ms: int | None = None,
         most_per_target: int = 0,
+        required_label: str = "",
     ) -> None:
         """Hand in a job of one step."""
         self.submitted_at[job_id] = self._clock.now
@@ -533,7 +549,13 @@
             queue.stretch * work_ms / 1000 + queue.allowance_s
         )
         declared_s = (declared_ms or work_ms) / 1000
-        step = Step(tasks, TASK, declared_s, most_per_target=most_per_target)
+        step = Step(
+            tasks,
+            TASK,
+            declared_s,
+            required_label=required_label,
+            most_per_target=most_per_target,
+        )
         spec = JobSpec(str(work_ms), (step,))
         self.do(
             lambda: self.perform(
@@ -589,8 +611,7 @@
             entry.perform(
                 entry.dispatcher.adopt_site(self.site, self.clock.now)
             )
-            for agent in self.agents:
-                self.connect(entry, agent)
+            self.introduce(entry)
         self.run(settle_s)
 
     @property
@@ -607,6 +628,38 @@
         """Let time pass."""
         self.clock.run_until(self.clock.now + span_s)
 
+    def introduce(self, entry: EntryNode) -> None:
+        """Tell an entry of all agents, as the store does."""
+        known = tuple(
+            KnownAgent(
+                agent.guard.name,
+                agent.target.name,
+                SERVICE,
+                "here",
+                agent.target.labels,
+            )
+            for agent in self.agents
+        )
+        entry.perform(entry.dispatcher.know_agents(known, self.clock.now))
+
+    def open_stream(self, entry: EntryNode, name: str) -> None:
+        """Connect an entry to an agent that it has chosen."""
+        entry.chosen.add(name)
+
+        def open_now() -> None:
+            for agent in self.agents:
+                if agent.guard.name == name and agent.is_up:
+                    self.connect(entry, agent)
+
+        self.clock.call_in(2 * HOP_S, lambda: entry.do(open_now))
+
+    def close_stream(self, entry: EntryNode, name: str) -> None:
+        """Disconnect an entry from an agent that it has no use for."""
+        entry.chosen.discard(name)
+        for agent in self.agents:
+            if agent.guard.name == name:
+                self.disconnect(entry, agent)
+
     def connect(self, entry: EntryNode, agent: AgentNode) -> None:
         """Open a stream."""
         self._session += 1
@@ -658,7 +711,8 @@
             fresh = AgentNode(self, agent.target, self._life)
             self.agents[self.agents.index(agent)] = fresh
             for entry in self.entries:
-                self.connect(entry, fresh)
+                if fresh.guard.name in entry.chosen:
+                    self.connect(entry, fresh)
 
         self.clock.call_in(down_s, rise)
 
--- a/src/fulmarscale/entry/jobs/actions.py
+++ b/src/fulmarscale/entry/jobs/actions.py
@@ -87,6 +87,22 @@
     """Whether its task was waiting for just this end."""
 
 
+class JoinAgent(DispatchAction):
+    """Keep a stream to an agent from now on."""
+
+    name: str
+    """The agent's name."""
+    address: str
+    """IP:port on which it serves entries."""
+
+
+class LeaveAgent(DispatchAction):
+    """Keep no stream to an agent any more."""
+
+    name: str
+    """The agent's name."""
+
+
 class SendOrders(DispatchAction):
     """Send a message to an agent."""
 
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -14,6 +14,8 @@
 from fulmarscale.entry.jobs.actions import CloseKeptJob
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import JobState
+from fulmarscale.entry.jobs.actions import JoinAgent
+from fulmarscale.entry.jobs.actions import LeaveAgent
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import RenewTenure
 from fulmarscale.entry.jobs.actions import TakeKeptEnd
@@ -29,6 +31,7 @@
 from fulmarscale.entry.jobs.stragglers import judge
 from fulmarscale.entry.jobs.stragglers import LEAST_ELAPSED_S
 from fulmarscale.entry.jobs.stragglers import Verdict
+from fulmarscale.entry.jobs.subset import Subset
 from fulmarscale.entry.jobs.waker import Waker
 from fulmarscale.events import Event
 from fulmarscale.runs.limits import BUSY_TICK_S
@@ -47,6 +50,7 @@
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.agent_view import AgentView
     from fulmarscale.entry.jobs.job import Task
+    from fulmarscale.entry.jobs.subset import KnownAgent
     from fulmarscale.entry.kept.record import JobRecord
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.messages import AgentMessage
@@ -113,6 +117,9 @@
         self._fleet = Fleet(data_centre)
         self._outbox = Outbox(entry, self._fleet)
         self._waker = Waker(self._fleet)
+        self._subset = Subset(entry.name, self._fleet)
+        self._streams: dict[str, str] = {}
+        """Addresses of the agents that streams are kept to, by name."""
         self._unjudged: dict[JobId, Job] = {}
         """New jobs that may have to be refused once all room is known."""
         self._sessions: dict[int, AgentView] = {}
@@ -184,6 +191,7 @@
         self._jobs[job_id] = job
         self._note_waiting(job)
         self._unjudged[job_id] = job
+        self._subset.note_needs(job, now)
         self._log(
             Event.JOB_TAKEN,
             job=job_id,
@@ -211,6 +219,7 @@
         job.tenure = record.tenure
         self._set_objective(job)
         job.restore(record.done, record.failures)
+        self._subset.note_needs(job, now)
         self._jobs[job_id] = job
         self._note_waiting(job)
         if job.tenure > 1:
@@ -271,6 +280,8 @@
     def note_kept_jobs(self, *, is_any: bool) -> None:
         """Note whether any jobs are kept at all, as agents want to know."""
         self._outbox.note_kept_jobs(is_any=is_any)
+        if is_any:
+            self._subset.use_all()
 
     def pending(self) -> dict[str, int]:
         """Count kept jobs of which no task has begun, by queue."""
@@ -317,6 +328,16 @@
                 self._give_up(job, now, "entry_stops")
         return self._finish(now)
 
+    def know_agents(
+        self, agents: tuple[KnownAgent, ...], now: float
+    ) -> list[DispatchAction]:
+        """Take in all agents that announced themselves."""
+        self._note_time(now)
+        self._subset.learn(agents)
+        if not self._streams:
+            self._keep_streams(now)
+        return self._finish(now)
+
     def open_agent(
         self, session: int, name: str, now: float
     ) -> list[DispatchAction]:
@@ -388,6 +409,8 @@
         for job in list(self._jobs.values()):
             self._check_time(job, forecast, now)
         self._must_place = True
+        self._subset.fit(self._waiting.values(), self._own_demand(), now)
+        self._keep_streams(now)
         self._outbox.tick(has_backlog=bool(self._waiting), now=now)
         return self._finish(now)
 
@@ -407,6 +430,34 @@
                 del self._unjudged[job_id]
                 self._refuse_hopeless(job, forecast, now, is_new=True)
 
+    def _own_demand(self) -> int:
+        """Tell what this entry's runs take, in thousandths of a core."""
+        return sum(
+            task.step.demand.cpu_millicores
+            for job in self._jobs.values()
+            for task in job.ordered
+        )
+
+    def _keep_streams(self, now: float) -> None:
+        """Open and close streams as the choice of agents changes."""
+        chosen = self._subset.choose(now)
+        for name in sorted(self._streams.keys() - chosen.keys()):
+            del self._streams[name]
+            self._actions.append(LeaveAgent(name))
+            self._log(Event.AGENT_LEFT_OUT, agent=name)
+        for name, agent in sorted(chosen.items()):
+            if self._streams.get(name) == agent.address:
+                continue
+            self._streams[name] = agent.address
+            self._actions.append(JoinAgent(name, agent.address))
+            self._log(
+                Event.AGENT_CHOSEN,
+                agent=name,
+                address=agent.address,
+                chosen=len(chosen),
+                size=self._subset.size,
+            )
+
     def _move(self, job: Job, task: Task, phase: TaskPhase) -> None:
         job.move(task, phase)
         self._note_waiting(job)
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -62,6 +62,13 @@
         """Use no targets in these data centres from now on."""
         self._closed = names
 
+    def is_usable(self, name: str, now: float) -> bool:
+        """Tell whether an agent answers and its target takes runs."""
+        view = self._agents.get(name)
+        if view is None or view.target is None or view.is_mute(now):
+            return False
+        return view.serves(view.target.service, self._closed)
+
     def find(self, name: str) -> AgentView | None:
         """Find an agent by its name."""
         return self._agents.get(name)
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -11,6 +11,8 @@
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import CloseKeptJob
 from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.entry.jobs.actions import JoinAgent
+from fulmarscale.entry.jobs.actions import LeaveAgent
 from fulmarscale.entry.jobs.actions import LogDecision
 from fulmarscale.entry.jobs.actions import RenewTenure
 from fulmarscale.entry.jobs.actions import SendOrders
@@ -36,6 +38,7 @@
 if TYPE_CHECKING:
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.actions import JobState
+    from fulmarscale.entry.jobs.subset import KnownAgent
     from fulmarscale.entry.kept.record import JobRecord
     from fulmarscale.entry.kept.rows import RowTable
     from fulmarscale.logs import EventLog
@@ -243,20 +246,9 @@
         """Take in what operators have set."""
         self._decide(self._dispatcher.adopt_site, site)
 
-    def follow_agents(self, addresses: dict[str, str]) -> None:
-        """Keep a stream to each agent.
-
-        :param addresses: IP:port by the agent's name.
-        """
-        for name, address in addresses.items():
-            known = self._streams.get(name)
-            if known is not None and known.address == address:
-                continue
-            if known is not None:
-                self._spawn(known.close())
-            stream = AgentStream(name, address, self)
-            self._streams[name] = stream
-            stream.start()
+    def follow_agents(self, agents: tuple[KnownAgent, ...]) -> None:
+        """Take in all agents that announced themselves."""
+        self._decide(self._dispatcher.know_agents, agents)
 
     def open_agent(
         self, outgoing: MessageQueue[EntryMessage], name: str
@@ -287,6 +279,13 @@
                     outgoing = self._sessions.get(action.session)
                     if outgoing is not None:
                         outgoing.put(action.message)
+                case JoinAgent():
+                    self._close_stream(action.name)
+                    stream = AgentStream(action.name, action.address, self)
+                    self._streams[action.name] = stream
+                    stream.start()
+                case LeaveAgent():
+                    self._close_stream(action.name)
                 case AnswerJob():
                     self._answer(action)
                 case TakeKeptEnd():
@@ -301,6 +300,11 @@
                 case LogDecision():
                     self._log.write(action.event, **action.fields)
 
+    def _close_stream(self, name: str) -> None:
+        stream = self._streams.pop(name, None)
+        if stream is not None:
+            self._spawn(stream.close())
+
     def _levels(self) -> dict[str, float]:
         views = self._dispatcher.agents
         connected = sum(view.session is not None for view in views)
--- a/src/fulmarscale/platform/announce.py
+++ b/src/fulmarscale/platform/announce.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from fulmarscale.entry.jobs.subset import KnownAgent
 from fulmarscale.entry.kept.rows import RowKey
 from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
@@ -41,6 +42,22 @@
     target_address: str = ""
     """IP:port on which the target takes calls."""
 
+    def describe(self, name: str) -> KnownAgent:
+        """Give what entries choose by.
+
+        :param name: the agent's name, the row's key.
+        """
+        target = self.target
+        if target is None:
+            return KnownAgent(name, self.address)
+        return KnownAgent(
+            name,
+            self.address,
+            target.service,
+            target.data_centre,
+            target.labels,
+        )
+
 
 def decode_agent_row(value: bytes) -> AgentRow:
     """Read a row.
--- a/src/fulmarscale/platform/follow.py
+++ b/src/fulmarscale/platform/follow.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fulmarscale.entry.jobs.subset import KnownAgent
     from fulmarscale.entry.kept.process import KeeperProcess
     from fulmarscale.logs import EventLog
     from fulmarscale.platform.store import RowStore
@@ -182,24 +183,39 @@
 
 
 def follow_agents(
-    store: RowStore, take: Callable[[dict[str, str]], None], log: EventLog
+    store: RowStore,
+    take: Callable[[tuple[KnownAgent, ...]], None],
+    log: EventLog,
 ) -> TableFollower:
-    """Follow the agents' addresses.
+    """Follow the agents' rows.
 
     :param store: the platform's store.
-    :param take: called with all addresses by the agent's name.
+    :param take: called with all agents.
     :param log: where unreadable rows are noted.
     """
 
+    known: dict[str, tuple[int, KnownAgent | None]] = {}
+
+    def decode(row: Row) -> KnownAgent | None:
+        key = row.name.key
+        try:
+            return decode_agent_row(row.value).describe(key)
+        except msgspec.MsgspecError as error:
+            log.write(Event.ROW_UNREADABLE, detail=f"{key}: {error}")
+            return None
+
     def take_rows(rows: Rows, revision: int) -> None:
-        found = {}
+        found = []
         for row in sorted(rows.values(), key=lambda row: row.name.key):
             key = row.name.key
-            try:
-                found[key] = decode_agent_row(row.value).address
-            except msgspec.MsgspecError as error:
-                log.write(Event.ROW_UNREADABLE, detail=f"{key}: {error}")
-        take(found)
+            version, agent = known.get(key, (-1, None))
+            if version != row.version:
+                # A fleet has many rows, and few of them change at a time.
+                agent = decode(row)
+                known[key] = (row.version, agent)
+            if agent is not None:
+                found.append(agent)
+        take(tuple(found))
 
     return TableFollower(store, AGENT_TABLE, take_rows, log)
 
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -190,11 +190,6 @@
         self._handler = handler
         self._task: asyncio.Task[None] | None = None
 
-    @property
-    def address(self) -> str:
-        """Where the agent serves."""
-        return self._address
-
     def start(self) -> None:
         """Begin to connect."""
         self._task = asyncio.create_task(self._run())
@@ -209,10 +204,12 @@
         while True:
             host, _, port = self._address.rpartition(":")
             channel = Channel(host, int(port), codec=MessagePackCodec())
-            with suppress(*STREAM_ERRORS):
-                await self._serve(channel)
-                retry_s = RETRY_S
-            channel.close()
+            try:
+                with suppress(*STREAM_ERRORS):
+                    await self._serve(channel)
+                    retry_s = RETRY_S
+            finally:
+                channel.close()
             await asyncio.sleep(retry_s)
             retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
 
