Give one agent up to half of a job's tasks

Ruled out: all tasks on one agent: a job would hang on one target, and slow runs show by their peers elsewhere. Change: an agent gets half of a step's tasks, two at least, while it has room and is not slow; then the next is chosen.

--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -218,6 +218,20 @@
         )
 
 
+MOST_PACKED: Final = 2
+"""Tasks of a step that one agent gets at least before others get some.
+
+One message carries them all.
+"""
+
+PACKED_SHARE: Final = 0.5
+"""Share of a step's tasks that one agent gets at most if others have room.
+
+A target that is slow or lost costs half of a job, and the other half shows
+that it is the target's fault.
+"""
+
+
 class Candidate(NamedTuple):
     """An agent that may get a task, in the order of choice."""
 
@@ -244,12 +258,32 @@
         self._views = views
         self._now = now
         self._heaps: dict[int, list[Candidate]] = {}
+        self._last: AgentView | None = None
+        """The agent that got the task before."""
+        self._packed = 0
+        """How many tasks it got in a row."""
 
     def choose(self, task: Task) -> AgentView | None:
         """Choose the agent for a task; none if none has room."""
         if task.failed_on:
             # Such a task ranks agents in its own way.
             return self._first(self._rank_all(task), task)
+        last = self._last
+        if last is not None and self._may_pack(task, last):
+            self._packed += 1
+            return last
+        self._last = self._choose_anew(task)
+        self._packed = 1
+        return self._last
+
+    def _may_pack(self, task: Task, last: AgentView) -> bool:
+        """Tell whether the agent that got the last task gets this one too."""
+        most = max(MOST_PACKED, int(PACKED_SHARE * task.step.count))
+        if self._packed >= most or last.slowness.is_slow(self._now):
+            return False
+        return self._fleet.may_hold(self._job, task, last)
+
+    def _choose_anew(self, task: Task) -> AgentView | None:
         step = task.key.step
         if step not in self._heaps:
             self._heaps[step] = self._rank_all(task)
