Let HTTP servers wait without looking ten times a second

Cause: uvicorn's main loop wakes ten times a second to see whether to end and to renew the date header; an entry has three servers, an agent two. Ruled out: one server for all addresses: uvicorn binds one. Change: our Server waits for an event instead; log lines are encoded by msgspec. What went wrong on the way: the entry of our own interface ended its server by uvicorn's flag, and "A planned stop of an entry cuts off nothing" failed; it now calls end() like the rest.

--- a/src/fulmarscale/cli/entry.py
+++ b/src/fulmarscale/cli/entry.py
@@ -42,6 +42,8 @@
         lifespan="off",
         access_log=False,
         log_config=None,
+        server_header=False,
+        date_header=False,
         limit_concurrency=settings.input.connections,
         timeout_keep_alive=KEEP_ALIVE_S,
         ssl_certfile=tls.certificate if tls is not None else None,
@@ -64,7 +66,7 @@
     await wait_first(stop, process.failed)
     if not process.failed.is_set():
         await process.leave()
-    server.should_exit = True
+    server.end()
     await serving
     await process.close()
     return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
--- a/src/fulmarscale/http_server.py
+++ b/src/fulmarscale/http_server.py
@@ -18,7 +18,25 @@
 
 
 class Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to the program."""
+    """A uvicorn server that leaves signals to the program.
+
+    It waits for its end without looking ten times a second whether to end,
+    as uvicorn's own loop does; that loop also keeps the date header, which
+    is off.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._is_ending = asyncio.Event()
+
+    def end(self) -> None:
+        """Stop listening and finish what is under way."""
+        self.should_exit = True
+        self._is_ending.set()
+
+    async def main_loop(self) -> None:
+        """Wait until the server is to end."""
+        await self._is_ending.wait()
 
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -57,7 +75,7 @@
 
     def drain(self) -> None:
         """Stop listening, end idle connections, finish what is under way."""
-        self._server.should_exit = True
+        self._server.end()
 
     async def close(self) -> None:
         """Drain and wait until all is finished."""
--- a/src/fulmarscale/logs.py
+++ b/src/fulmarscale/logs.py
@@ -9,6 +9,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+import msgspec
 import structlog
 
 if TYPE_CHECKING:
@@ -67,6 +68,10 @@
         return not self._rest
 
 
+def _encode(line: Any, **_: Any) -> str:
+    return msgspec.json.encode(line, enc_hook=repr).decode()
+
+
 def configure_logs(stream: BoundedStream | None = None) -> None:
     """Send JSON lines to a stream, or to standard error.
 
@@ -77,7 +82,7 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
+            structlog.processors.JSONRenderer(_encode),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
