Hand on the site's state only to those who don't read it themselves

Cause: an entry sent each new state of the site to all its agents, and agents sent theirs to all entries whose word on it was older: with 1,400 queues some 200 KB on each stream at once, where a front's link has 12.5 to 200 Mbit/s. And each request looked through all queues for the longest prefix. Ruled out: never handing on: a machine cut off from the store has to hear of a closed data centre. Change: a state is handed on 2 s after it was adopted, to those who have not told by then that they know it. Queues are found by host and prefix.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -303,6 +303,21 @@
     Then job "a" is completed at entry 0
     And the answer to job "a" took at most 0.4 s
 
+  Scenario: A change of the site is not sent to those who read it themselves
+    Given a run site of 4 entries and 6 targets of 16 cores
+    When 2 s pass
+    And all read a site of 1400 queues from the store
+    And 6 s pass while messages are counted
+    Then no message carried the state of the site
+
+  Scenario: Who can't read the store hears of a change from the others
+    Given a run site of 4 entries and 6 targets of 16 cores
+    When 2 s pass
+    And all but entry 0 and agent 0 read a site of 1400 queues from the store
+    And 6 s pass while messages are counted
+    Then all know the site of 1400 queues
+    And at most 12 messages carried the state of the site
+
   Scenario: A random run repeats exactly from its seed
     When the random run of seed 1 is played in two processes
     Then both have the same history
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -11,19 +11,24 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from features.support.run_chaos import play_seed
+from features.support.run_site import EntryNode
+from features.support.run_site import QUEUE
 from features.support.run_site import RunSite
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import TargetState
+from fulmarscale.runs.site_state import SiteState
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
     from features.support.run_site import AgentNode
     from fulmarscale.agent.run_actions import SendMessage
+    from fulmarscale.entry.jobs.actions import SendOrders
 
 WORKERS = 3
 
@@ -450,17 +455,78 @@
         site.cut.discard((site.entries[number].name, target.name))
 
 
+@when("all read a site of {queues:d} queues from the store")
+def read_site(context: Context, queues: int) -> None:
+    site = context.run_site
+    tell_site(site, [*site.entries, *site.agents], queues)
+
+
+@when(
+    "all but entry {entry:d} and agent {agent:d} read a site of"
+    " {queues:d} queues from the store"
+)
+def read_site_but(
+    context: Context, entry: int, agent: int, queues: int
+) -> None:
+    site = context.run_site
+    nodes = [*site.entries, *site.agents]
+    nodes.remove(site.entries[entry])
+    nodes.remove(site.agents[agent])
+    tell_site(site, nodes, queues)
+
+
+def tell_site(
+    site: RunSite, nodes: list[EntryNode | AgentNode], queues: int
+) -> None:
+    """Tell some processes of another state of the site."""
+    made = tuple(
+        msgspec.structs.replace(QUEUE, path_prefix=f"/q{number}/")
+        for number in range(queues)
+    )
+    state = SiteState(2, 2, made)
+    for node in nodes:
+        core = node.dispatcher if isinstance(node, EntryNode) else node.guard
+        node.perform(core.adopt_site(state, site.clock.now))
+
+
+@then("no message carried the state of the site")
+def check_no_site(context: Context) -> None:
+    assert context.site_messages[0] == 0, context.site_messages
+
+
+@then("at most {most:d} messages carried the state of the site")
+def check_site_messages(context: Context, most: int) -> None:
+    assert context.site_messages[0] <= most, context.site_messages
+
+
+@then("all know the site of {queues:d} queues")
+def check_site_known(context: Context, queues: int) -> None:
+    site = context.run_site
+    states = [entry.dispatcher.site for entry in site.entries]
+    states += [agent.guard.site for agent in site.agents]
+    assert all(len(state.queues) == queues for state in states)
+
+
 def count_messages(context: Context) -> list[int]:
-    """Count messages to entries from now on."""
+    """Count messages to entries, and those with the site, from now on."""
     site = context.run_site
-    carry = site.to_entry
+    to_entry = site.to_entry
+    to_agent = site.to_agent
     counted = [0]
+    with_site = [0]
 
     def count(agent: AgentNode, action: SendMessage) -> None:
         counted[0] += 1
-        carry(agent, action)
+        with_site[0] += action.message.site is not None
+        to_entry(agent, action)
+
+    def count_orders(entry: EntryNode, action: SendOrders) -> None:
+        with_site[0] += action.message.site is not None
+        to_agent(entry, action)
 
     site.to_entry = count
+    site.to_agent = count_orders
+    context.site_messages = with_site
     return counted
 
 
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -28,6 +28,7 @@
 from fulmarscale.runs.limits import BUSY_TICK_S
 from fulmarscale.runs.limits import CLOCK_SLACK
 from fulmarscale.runs.limits import FRESH_S
+from fulmarscale.runs.limits import HAND_ON_S
 from fulmarscale.runs.limits import IDLE_PING_S
 from fulmarscale.runs.limits import IDLE_TICK_S
 from fulmarscale.runs.limits import LAPSE_MARGIN_S
@@ -87,6 +88,7 @@
         self._data_centre = data_centre
         self._incarnation = incarnation
         self._site = SiteState()
+        self._site_since = float("-inf")
         self._target: TargetReport | None = None
         self._target_sequence = 0
         self._is_listed = False
@@ -238,7 +240,7 @@
         if message.starts:
             session.offered_at = float("-inf")
         if message.site is not None:
-            self._adopt_site(message.site, source=session.entry.name)
+            self._adopt_site(message.site, session.entry.name, now)
         echo = message.echo
         if echo is not None and echo.incarnation == self._incarnation:
             known = self._echoes.get(message.entry, float("-inf"))
@@ -254,7 +256,7 @@
 
     def adopt_site(self, site: SiteState, now: float) -> list[RunAction]:
         """Take in what was read from the store."""
-        self._adopt_site(site, source="store")
+        self._adopt_site(site, "store", now)
         return self._finish(now)
 
     def see_target(
@@ -403,7 +405,7 @@
         report, sequence = self._next_target
         self._begin_life(report, sequence, now)
 
-    def _adopt_site(self, site: SiteState, source: str) -> None:
+    def _adopt_site(self, site: SiteState, source: str, now: float) -> None:
         adopted = newer(self._site, site)
         if adopted is self._site:
             return
@@ -415,6 +417,7 @@
             closed=adopted.closed_data_centres,
         )
         self._site = adopted
+        self._site_since = now
 
     def _update_target(self, report: TargetReport) -> None:
         if report.state is not self._target_state:
@@ -837,6 +840,7 @@
     ) -> None:
         site = self._site
         is_behind = session.site_revision < site.revision
+        is_behind = is_behind and now - self._site_since >= HAND_ON_S
         others = sum(
             other.backlog
             for other in self._sessions.values()
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -384,7 +384,7 @@
         if view.is_due(now):
             view.mark_dirty()
         if message.site is not None:
-            self._adopt_site(message.site, source=view.name)
+            self._adopt_site(message.site, view.name, now)
         for progress in message.progress:
             self._note_progress(progress.task, progress.percent, now)
         for report in message.reports:
@@ -396,7 +396,7 @@
     def adopt_site(self, site: SiteState, now: float) -> list[DispatchAction]:
         """Take in what was read from the store."""
         self._note_time(now)
-        self._adopt_site(site, source="store")
+        self._adopt_site(site, "store", now)
         return self._finish(now)
 
     def tick(self, now: float) -> list[DispatchAction]:
@@ -634,7 +634,7 @@
             view.stops.append(task.key)
             view.mark_dirty()
 
-    def _adopt_site(self, site: SiteState, source: str) -> None:
+    def _adopt_site(self, site: SiteState, source: str, now: float) -> None:
         adopted = newer(self._site, site)
         if adopted is self._site:
             return
@@ -648,9 +648,7 @@
             version=adopted.configuration_version,
             closed=adopted.closed_data_centres,
         )
-        for view in self._fleet.views:
-            if view.site_revision < adopted.revision:
-                view.mark_dirty()
+        self._outbox.note_site(adopted, now)
 
     def _note_progress(self, key: TaskKey, percent: int, now: float) -> None:
         job = self._jobs.get(key.job_id)
@@ -924,9 +922,7 @@
             self._must_place = False
             self._place(now)
         self._waker.ask(self._waiting.values(), now)
-        self._actions += self._outbox.collect(
-            self._waiting.values(), self._site, now
-        )
+        self._actions += self._outbox.collect(self._waiting.values(), now)
         actions = self._actions
         self._actions = []
         self._next_tick_s = self.tick_pause_s(now)
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -6,8 +6,10 @@
 
 from fulmarscale.entry.jobs.actions import SendOrders
 from fulmarscale.entry.jobs.admission import waiting_demand
+from fulmarscale.runs.limits import HAND_ON_S
 from fulmarscale.runs.limits import NEWS_S
 from fulmarscale.runs.messages import EntryMessage
+from fulmarscale.runs.site_state import SiteState
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -16,7 +18,6 @@
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.ids import EntryId
-    from fulmarscale.runs.site_state import SiteState
 
 
 class Outbox:
@@ -26,6 +27,8 @@
         self._entry = entry
         self._fleet = fleet
         self._has_kept_jobs = True
+        self._site = SiteState()
+        self._site_since = float("-inf")
 
     def note_kept_jobs(self, *, is_any: bool) -> None:
         """Note whether any jobs are kept at all, as agents want to know."""
@@ -35,6 +38,17 @@
         for view in self._fleet.views:
             view.mark_dirty()
 
+    def note_site(self, site: SiteState, now: float) -> None:
+        """Note that another state of the site is known from now on."""
+        self._site = site
+        self._site_since = now
+
+    def _must_hand_on(self, view: AgentView, now: float) -> bool:
+        """Tell whether an agent is to be handed the state of the site."""
+        if view.site_revision >= self._site.revision:
+            return False
+        return now - self._site_since >= HAND_ON_S
+
     def tick(self, *, has_backlog: bool, now: float) -> None:
         """Have messages sent that are due though nothing is new.
 
@@ -44,16 +58,16 @@
         for view in self._fleet.views:
             # Agents offer no room any more to an entry without backlog.
             is_over = view.told_backlog and not has_backlog
-            if is_over or view.is_due(now):
+            is_due = view.is_due(now) or self._must_hand_on(view, now)
+            if is_over or is_due:
                 view.mark_dirty()
 
     def collect(
-        self, waiting: Collection[Job], site: SiteState, now: float
+        self, waiting: Collection[Job], now: float
     ) -> list[SendOrders]:
         """Make all messages that are to be sent now.
 
         :param waiting: jobs with tasks that wait for room.
-        :param site: what operators have set.
         :param now: the entry's time.
         """
         views = self._fleet.take_dirty()
@@ -64,7 +78,7 @@
             (job.latest_start_at - now for job in waiting), default=0.0
         )
         return [
-            self._make(view, site, backlog, slack_s, now)
+            self._make(view, backlog, slack_s, now)
             for view in views
             if view.session is not None
         ]
@@ -72,14 +86,14 @@
     def _make(
         self,
         view: AgentView,
-        site: SiteState,
         backlog: int,
         slack_s: float,
         now: float,
     ) -> SendOrders:
         assert view.session is not None
         view.sequence += 1
-        is_behind = view.site_revision < site.revision
+        site = self._site
+        is_behind = self._must_hand_on(view, now)
         message = EntryMessage(
             entry=self._entry,
             sequence=view.sequence,
--- a/src/fulmarscale/runs/limits.py
+++ b/src/fulmarscale/runs/limits.py
@@ -44,6 +44,13 @@
 More than two of the longest pauses between messages of a sound stream.
 """
 
+HAND_ON_S: Final = 2.0
+"""How long others may take to read a new state from the store themselves.
+
+Only then is it handed on to those that have not told that they know it, which
+all do within IDLE_PING_S: a state of 1,400 queues has some 200 KB.
+"""
+
 NEWS_S: Final = 0.05
 """The shortest pause between news that an entry has no use for at once."""
 
--- a/src/fulmarscale/runs/site_state.py
+++ b/src/fulmarscale/runs/site_state.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from functools import cached_property
+
 import msgspec
 
 from fulmarscale.runs.model import QueueName
@@ -34,7 +36,7 @@
     """Whether only another service knows which targets may run a step."""
 
 
-class SiteState(msgspec.Struct, frozen=True, array_like=True):
+class SiteState(msgspec.Struct, frozen=True, array_like=True, dict=True):
     """All that operators have set, at one revision of the store."""
 
     revision: int = 0
@@ -59,13 +61,29 @@
         :param host: the host name that the caller used.
         :param path: the path of the request.
         """
-        best: Queue | None = None
+        by_prefix = self._queues_by_prefix.get(host, {})
+        for length in self._prefix_lengths.get(host, ()):
+            queue = by_prefix.get(path[:length])
+            if queue is not None:
+                return queue
+        return None
+
+    @cached_property
+    def _queues_by_prefix(self) -> dict[str, dict[str, Queue]]:
+        """Queues by host and prefix: a site may have well over a thousand."""
+        found: dict[str, dict[str, Queue]] = {}
         for queue in self.queues:
-            if queue.host != host or not path.startswith(queue.path_prefix):
-                continue
-            if best is None or len(queue.path_prefix) > len(best.path_prefix):
-                best = queue
-        return best
+            by_prefix = found.setdefault(queue.host, {})
+            by_prefix.setdefault(queue.path_prefix, queue)
+        return found
+
+    @cached_property
+    def _prefix_lengths(self) -> dict[str, tuple[int, ...]]:
+        """The lengths of each host's prefixes, the longest first."""
+        return {
+            host: tuple(sorted(set(map(len, by_prefix)), reverse=True))
+            for host, by_prefix in self._queues_by_prefix.items()
+        }
 
 
 def newer(known: SiteState, read: SiteState) -> SiteState:
