Decide with less work while tasks wait

With a backlog each message looked at all agents for each waiting job. Agents tell an entry with backlog of their room only when it is its turn, and not when a run starts.

--- a/benches/fleet.py
+++ b/benches/fleet.py
@@ -49,6 +49,8 @@
     def _count_agent(self, agent: AgentNode, action: SendMessage) -> None:
         message = action.message
         kind = "agent, reports" if message.reports else "agent, other"
+        if message.is_promised and not message.reports:
+            kind = "agent, room that is offered to another"
         self.sent[kind] += 1
         self._to_entry(agent, action)
 
@@ -58,6 +60,10 @@
             kind = "entry, orders"
         elif message.stops:
             kind = "entry, stops"
+        elif message.asks:
+            kind = "entry, questions"
+        elif message.backlog == 0 and not message.echo:
+            kind = "entry, no echo"
         else:
             kind = "entry, other"
         self.sent[kind] += 1
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -548,7 +548,6 @@
         require(
             self.used.fits(target.capacity), "runs fit the target's capacity"
         )
-        self._mark_dirty()
         # A start extends the lease of all runs, as a renewal does.
         self.renew(now)
         self._actions.append(
@@ -813,12 +812,10 @@
         if favoured is former:
             return
         self._favoured = favoured
-        if favoured is None or former is None:
+        if favoured is None:
             self._mark_dirty()
-            return
-        # What the others were told stays true: the room is not theirs.
-        former.is_dirty = True
-        favoured.is_dirty = True
+        else:
+            favoured.is_dirty = True
 
     def _pause(self, session: Session) -> float:
         """Choose the time between messages by what the entry needs.
@@ -829,9 +826,8 @@
         if session.backlog > 0:
             if not session.is_dirty:
                 return PING_S
-            if self._favoured in (None, session):
-                return 0.0
-            return min(PING_S, session.news_pause_s)
+            # Others hear of the room when it is theirs to take.
+            return 0.0 if self._favoured in (None, session) else PING_S
         has_runs = session.entry in self._entries_with_runs
         return PING_S if has_runs else IDLE_PING_S
 
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -58,6 +58,7 @@
     from fulmarscale.runs.messages import KeptEnd
     from fulmarscale.runs.messages import RunReport
     from fulmarscale.runs.model import JobSpec
+    from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
     from fulmarscale.runs.site_state import Queue
 
@@ -347,7 +348,7 @@
         if view.session is not None:
             self._sessions.pop(view.session, None)
         view.reset()
-        view.session = session
+        self._fleet.connect(view, session)
         view.token = None
         view.sequence = 0
         view.expected = tuple(
@@ -364,7 +365,7 @@
         self._note_time(now)
         view = self._sessions.pop(session, None)
         if view is not None:
-            view.session = None
+            self._fleet.disconnect(view)
             view.reset()
             self._log(
                 Event.AGENT_LOST, agent=view.name, runs=len(view.ordered)
@@ -421,13 +422,15 @@
         """
         if not self._unjudged or now < self._settled_at:
             return
-        forecast = self._forecast()
+        forecast: Forecast | None = None
         for job_id, job in list(self._unjudged.items()):
             is_begun = job.may_have_run or job.is_ordered
             if is_begun or self._jobs.get(job_id) is not job:
                 del self._unjudged[job_id]
             elif self._fleet.is_surveyed(job, now):
                 del self._unjudged[job_id]
+                if forecast is None:
+                    forecast = self._forecast()
                 self._refuse_hopeless(job, forecast, now, is_new=True)
 
     def _own_demand(self) -> int:
@@ -546,6 +549,8 @@
         view = self._fleet.find(task.agent)
         if view is None or task.stop_sent:
             return
+        if now - task.ordered_at < LEAST_ELAPSED_S:
+            return
         expected_s = self._expect_run_s(job, task)
         verdict = judge(task, expected_s, now)
         if verdict is Verdict.SOUND:
@@ -857,10 +862,14 @@
             ),
         )
         passed_over = 0
+        usable: dict[ServiceName, list[AgentView]] = {}
         for job in waiting:
             if now < job.held_until:
                 continue
-            views = self._fleet.usable(job, now)
+            service = job.queue.service
+            if service not in usable:
+                usable[service] = self._fleet.usable(job, now)
+            views = usable[service]
             if not views:
                 continue
             if not self._place_job(job, views, now):
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -16,6 +16,8 @@
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.runs.model import ServiceName
@@ -51,6 +53,8 @@
         self._data_centre = data_centre
         self._closed: tuple[str, ...] = ()
         self._agents: dict[str, AgentView] = {}
+        self._connected: dict[str, AgentView] = {}
+        """Those with an open stream."""
         self._dirty: set[str] = set()
 
     @property
@@ -81,6 +85,21 @@
             self._agents[name] = known
         return known
 
+    @property
+    def connected(self) -> Collection[AgentView]:
+        """The agents with an open stream."""
+        return self._connected.values()
+
+    def connect(self, view: AgentView, session: int) -> None:
+        """Note that an agent has an open stream."""
+        view.session = session
+        self._connected[view.name] = view
+
+    def disconnect(self, view: AgentView) -> None:
+        """Note that an agent's stream has ended."""
+        view.session = None
+        self._connected.pop(view.name, None)
+
     def take_dirty(self) -> list[AgentView]:
         """List the agents that have to be sent something new."""
         names = sorted(self._dirty)
@@ -104,7 +123,7 @@
         capacity = 0
         free = 0
         others = 0
-        for view in self._agents.values():
+        for view in self._connected.values():
             target = view.target
             if target is None or target.service != job.queue.service:
                 continue
@@ -144,7 +163,7 @@
         """List the agents whose targets took runs when last heard."""
         return [
             view
-            for view in self._agents.values()
+            for view in self._connected.values()
             if view.serves(service, self._closed)
         ]
 
@@ -153,7 +172,7 @@
         closed = self._closed
         return [
             view
-            for view in self._agents.values()
+            for view in self._connected.values()
             if view.is_usable(job.queue.service, closed, now)
         ]
 
@@ -255,7 +274,14 @@
     ) -> None:
         self._fleet = fleet
         self._job = job
-        self._views = views
+        # Most agents of a busy fleet are full: they need no rank.
+        least = min(
+            (task.step.demand.cpu_millicores for task in job.waiting),
+            default=0,
+        )
+        self._views = [
+            view for view in views if view.room.cpu_millicores >= least
+        ]
         self._now = now
         self._heaps: dict[int, list[Candidate]] = {}
         self._last: AgentView | None = None
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -55,7 +55,7 @@
         :param has_backlog: whether tasks wait for room.
         :param now: the entry's time.
         """
-        for view in self._fleet.views:
+        for view in self._fleet.connected:
             # Agents offer no room any more to an entry without backlog.
             is_over = view.told_backlog and not has_backlog
             is_due = view.is_due(now) or self._must_hand_on(view, now)
--- a/src/fulmarscale/entry/jobs/subset.py
+++ b/src/fulmarscale/entry/jobs/subset.py
@@ -130,9 +130,7 @@
         """
         waits = any(waiting)
         capacity = sum(
-            view.capacity.cpu_millicores
-            for view in self._fleet.views
-            if view.session is not None
+            view.capacity.cpu_millicores for view in self._fleet.connected
         )
         is_full = used > OWN_SHARE * capacity
         if waits and is_full and self._size < len(self._agents):
--- a/src/fulmarscale/entry/jobs/waker.py
+++ b/src/fulmarscale/entry/jobs/waker.py
@@ -41,7 +41,7 @@
         """Tell whether answers are likely to come within milliseconds."""
         if now - self._asked_at > SURVEY_S:
             return False
-        return any(view.is_answering(now) for view in self._fleet.views)
+        return any(view.is_answering(now) for view in self._fleet.connected)
 
     def ask(self, waiting: Collection[Job], now: float) -> None:
         """Ask agents if tasks wait and no answer is under way.
@@ -52,7 +52,7 @@
         if not waiting:
             self._least = LEAST_ASKED
             return
-        if any(view.is_answering(now) for view in self._fleet.views):
+        if any(view.is_answering(now) for view in self._fleet.connected):
             return
         needed = ROOM_FACTOR * sum(map(waiting_demand, waiting))
         for asked, view in enumerate(self._candidates(waiting, now)):
