Tell how old a run's progress is, so that sound runs are not moved

Change: progress carries its age; an entry counts it from then. Fakes renew as the process does (0.25 s, 0.15 before, which hid it).

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -318,6 +318,13 @@
     Then all know the site of 1400 queues
     And at most 12 messages carried the state of the site
 
+  Scenario: On a calm site no run is taken for a slow one
+    Given a run site of 2 entries and 8 targets of 16 cores
+    When 150 jobs of 4 tasks of 700 ms come 40 ms apart
+    And 3 s pass
+    Then every job is completed
+    And 600 runs were made
+
   Scenario: A random run repeats exactly from its seed
     When the random run of seed 1 is played in two processes
     Then both have the same history
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -24,6 +24,7 @@
 from fulmarscale.agent.run_actions import StopRun
 from fulmarscale.agent.run_guard import RunGuard
 from fulmarscale.agent.run_process import HELD_PAUSE_S
+from fulmarscale.agent.run_process import RENEW_WAIT_S
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import JoinAgent
 from fulmarscale.entry.jobs.actions import LeaveAgent
@@ -51,7 +52,6 @@
 """One way between any two processes."""
 
 TICK_S: Final = 0.05
-RENEW_WAIT_S: Final = 0.15
 ORDER_TIMEOUT_S: Final = 0.4
 RENEW_TIMEOUT_S: Final = 0.4
 BEAT_S: Final = 0.5
--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -77,6 +77,7 @@
         "number",
         "order",
         "percent",
+        "percent_at",
         "phase",
         "settled_at",
         "stop_acknowledged_at",
@@ -96,6 +97,8 @@
         self.confirmed = False
         """Whether the target is known to have started it."""
         self.percent = 0
+        self.percent_at = float("-inf")
+        """When the target told that share of the work."""
         self.settled_at = float("inf")
         """When the target's word on the start came."""
         self.stop_sent_at = float("-inf")
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -685,6 +685,7 @@
                 continue
             present.add(item.task)
             run.percent = item.percent
+            run.percent_at = now
         for run in list(self._runs.values()):
             if run.task not in present:
                 self._note_missing(run, asked_at, now)
@@ -851,7 +852,7 @@
             used=self.used,
             reports=tuple(session.reports),
             held_ends=ends,
-            progress=self._progress_of(session.entry),
+            progress=self._progress_of(session.entry, now),
             site_revision=site.revision,
             site=site if is_behind else None,
             others_backlog=others,
@@ -866,11 +867,13 @@
             session.site_revision = site.revision
         self._actions.append(SendMessage(session.number, message))
 
-    def _progress_of(self, entry: EntryId) -> tuple[RunProgress, ...]:
+    def _progress_of(
+        self, entry: EntryId, now: float
+    ) -> tuple[RunProgress, ...]:
         return tuple(
-            RunProgress(run.task, run.percent)
+            RunProgress(run.task, run.percent, now - run.percent_at)
             for run in self._runs.values()
-            if run.entry == entry and run.confirmed
+            if run.entry == entry and run.percent_at > float("-inf")
         )
 
     def _log(self, event: Event, **fields: Any) -> None:
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -387,7 +387,8 @@
         if message.site is not None:
             self._adopt_site(message.site, view.name, now)
         for progress in message.progress:
-            self._note_progress(progress.task, progress.percent, now)
+            told_at = now - progress.age_s
+            self._note_progress(progress.task, progress.percent, told_at, now)
         for report in message.reports:
             self._take_report(view, report, now)
         for end in message.held_ends:
@@ -655,13 +656,22 @@
         )
         self._outbox.note_site(adopted, now)
 
-    def _note_progress(self, key: TaskKey, percent: int, now: float) -> None:
+    def _note_progress(
+        self, key: TaskKey, percent: int, told_at: float, now: float
+    ) -> None:
+        """Take in how far a run is.
+
+        :param key: its task.
+        :param percent: the share of its work that is done.
+        :param told_at: when the target said so, by the entry's time.
+        :param now: the entry's time.
+        """
         job = self._jobs.get(key.job_id)
         task = None if job is None else job.find(key)
         if job is None or task is None or percent <= task.percent:
             return
         task.percent = percent
-        task.progress_at = now
+        task.progress_at = max(told_at, task.ordered_at)
         self._note_slow_run(job, task, now)
 
     def _note_slow_run(self, job: Job, task: Task, now: float) -> None:
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -63,6 +63,8 @@
     """The task."""
     percent: int
     """Share of its work that is done, 0 to 100."""
+    age_s: float = 0.0
+    """How long ago the target said so."""
 
 
 class ExpectedRun(Record):
