Place once for all that came in together

Cause: an entry placed, asked and made messages anew for each message of an agent; a busy entry gets a thousand a second, many of them at once when it is behind, and was the slower the more it was behind. Ruled out: a pause before placing: it would cost idle entries milliseconds. Change: taking in a job or a message only marks that there is something to settle; the process settles in the next turn of its loop.

--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -507,6 +507,7 @@
         """Each job's objective, in seconds, by its true work."""
         self.logs: list[LogDecision] = []
         self.sessions: dict[int, AgentNode] = {}
+        self._will_settle = False
         self.chosen: set[str] = set()
         """Agents that it keeps streams to."""
         self._start_ticks(
@@ -530,8 +531,16 @@
                     self.answered_at[action.job_id] = self._clock.now
                 case LogDecision():
                     self.logs.append(action)
+        if self.dispatcher.is_unsettled and not self._will_settle:
+            self._will_settle = True
+            self._clock.call_in(0.0, lambda: self.do(self._settle))
         self._plan_tick()
 
+    def _settle(self) -> None:
+        self._will_settle = False
+        if self.dispatcher.is_unsettled:
+            self.perform(self.dispatcher.settle(self._clock.now))
+
     def submit(
         self,
         job_id: str,
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -126,6 +126,7 @@
         self._sessions: dict[int, AgentView] = {}
         self._run_times = RunTimes()
         self._order_number = 0
+        self._is_unsettled = False
         self._must_place = False
         """Whether more may be ordered than when it was looked at last."""
         self._last_event_at: float | None = None
@@ -140,6 +141,11 @@
         """What operators have set, as far as known here."""
         return self._site
 
+    @property
+    def is_unsettled(self) -> bool:
+        """Whether `settle` has to be called before the process waits."""
+        return self._is_unsettled
+
     @property
     def jobs(self) -> int:
         """Jobs that have no answer yet."""
@@ -186,7 +192,7 @@
         self._note_time(now)
         if job_id in self._jobs:
             self._log(Event.JOB_JOINED, job=job_id)
-            return self._finish(now)
+            return self._defer()
         job = Job(job_id, queue, spec, now, now + wait_s)
         self._set_objective(job)
         self._jobs[job_id] = job
@@ -201,7 +207,7 @@
             version=self._site.configuration_version,
             wait_s=wait_s,
         )
-        return self._finish(now)
+        return self._defer()
 
     def begin_kept(
         self,
@@ -379,7 +385,7 @@
         self._note_time(now)
         view = self._sessions.get(session)
         if view is None:
-            return self._finish(now)
+            return self._defer()
         if view.update(message, now) or message.reports or message.held_ends:
             self._must_place = True
         if view.is_due(now):
@@ -393,7 +399,7 @@
             self._take_report(view, report, now)
         for end in message.held_ends:
             self._take_held_end(view, end, now)
-        return self._finish(now)
+        return self._defer()
 
     def adopt_site(self, site: SiteState, now: float) -> list[DispatchAction]:
         """Take in what was read from the store."""
@@ -935,7 +941,22 @@
             )
         )
 
+    def settle(self, now: float) -> list[DispatchAction]:
+        """Place, ask and send, after jobs and messages were taken in.
+
+        Several that come together share this: it is most of the work.
+        """
+        return self._finish(now)
+
+    def _defer(self) -> list[DispatchAction]:
+        """Leave to `settle` what can be done for several inputs at once."""
+        self._is_unsettled = True
+        actions = self._actions
+        self._actions = []
+        return actions
+
     def _finish(self, now: float) -> list[DispatchAction]:
+        self._is_unsettled = False
         self._judge_new(now)
         if self._must_place and not self._waker.is_surveying(now):
             self._must_place = False
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from random import SystemRandom
+from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -36,6 +37,8 @@
 from fulmarscale.runs.streams import AgentStreamHandler
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.actions import JobState
     from fulmarscale.entry.jobs.subset import KnownAgent
@@ -94,6 +97,7 @@
             "Time from a job's arrival to its answer.",
         )
         self._metrics = SiteMetrics(log, self._levels, (self._response,))
+        self._will_settle = False
         self._is_stopping = False
         self._stopping_since = 0.0
 
@@ -269,6 +273,17 @@
         self._sessions.pop(session, None)
         self._decide(self._dispatcher.close_agent, session)
 
+    def _decide(self, decide: Callable[..., list[Any]], *inputs: Any) -> None:
+        super()._decide(decide, *inputs)
+        if self._dispatcher.is_unsettled and not self._will_settle:
+            self._will_settle = True
+            asyncio.get_running_loop().call_soon(self._settle)
+
+    def _settle(self) -> None:
+        self._will_settle = False
+        if self._dispatcher.is_unsettled:
+            self._decide(self._dispatcher.settle)
+
     def _tick_pause_s(self, now: float) -> float:
         return self._dispatcher.tick_pause_s(now)
 
