--- a/features/runs.feature
+++ b/features/runs.feature
@@ -325,6 +325,20 @@
     Then every job is completed
     And 600 runs were made
 
+  Scenario: An entry that can't keep up refuses new jobs at once
+    Given a run site of 1 entries and 2 targets of 16 cores
+    When entry 0 takes job "a" of 4 tasks of 2000 ms
+    And entry 0 is too slow for its work for 1.5 s
+    And entry 0 takes job "b" of 4 tasks of 200 ms
+    And entry 0 keeps up again
+    And 0.5 s pass
+    And entry 0 takes job "c" of 4 tasks of 200 ms
+    And 4 s pass
+    Then job "a" is completed at entry 0
+    And job "b" is not run at entry 0
+    And no task of job "b" was ever started
+    And job "c" is completed at entry 0
+
   Scenario: A random run repeats exactly from its seed
     When the random run of seed 1 is played in two processes
     Then both have the same history
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -238,6 +238,18 @@
     assert 0 < min(counts) <= max(counts) <= most, counts
 
 
+@when("entry {number:d} is too slow for its work for {span_s:g} s")
+def slow_entry(context: Context, number: int, span_s: float) -> None:
+    site = context.run_site
+    site.entries[number].lateness_s = 0.15
+    site.run(span_s)
+
+
+@when("entry {number:d} keeps up again")
+def speed_up_entry(context: Context, number: int) -> None:
+    context.run_site.entries[number].lateness_s = 0.0
+
+
 @when("entry {number:d} is killed")
 def kill_entry(context: Context, number: int) -> None:
     context.run_site.kill_entry(context.run_site.entries[number])
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -268,6 +268,8 @@
         self.is_frozen = False
         self.is_up = True
         self.inbox: list[Any] = []
+        self.lateness_s = 0.0
+        """How late its timer fires."""
         self.wakes = 0
         """How often its timer ran."""
 
@@ -315,7 +317,7 @@
             if number == self._tick_number:
                 self.do(self._tick_act)
 
-        self._tick_clock.call_at(at, fire)
+        self._tick_clock.call_at(at + self.lateness_s, fire)
 
     def thaw(self) -> None:
         """Go on after a freeze."""
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -113,6 +113,8 @@
     def see_target(self, report: TargetReport, sequence: int) -> None:
         """Take in a heartbeat."""
         self._decide(self._guard.see_target, report, sequence)
+        # It may be of another life: the target is looked at at once.
+        self._has_runs.set()
 
     def adopt_site(self, site: SiteState) -> None:
         """Take in what operators have set."""
--- a/src/fulmarscale/entry/jobs/subset.py
+++ b/src/fulmarscale/entry/jobs/subset.py
@@ -159,8 +159,11 @@
 
     def _rank_all(self) -> None:
         self._is_ranked = True
-        services = sorted({agent.service for agent in self._agents.values()})
-        self._rankings = {name: self._rank(name) for name in services}
+        services = {agent.service for agent in self._agents.values()}
+        if len(services) > 1:
+            # Agents without a target are of no use while others have one.
+            services.discard(ServiceName(""))
+        self._rankings = {name: self._rank(name) for name in sorted(services)}
 
     def _rank(self, service: ServiceName) -> list[str]:
         """Rank the agents of a service, data centres in turn."""
