Play random faults on a fleet, where entries use a subset

Cause: the random runs had 4 targets, so entries used all agents. Change: 30 targets, with two more faults: an entry cut off from most agents that it uses, and more work at one entry than its subset can do.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -343,6 +343,11 @@
     When the random run of seed 1 is played in two processes
     Then both have the same history
 
+  Scenario: Mixed faults on a fleet never make a task run twice at once
+    When random fleets are played with seeds 1 to 6
+    Then no random run site broke a rule
+    And every random run site served again in the end
+
   Scenario Outline: Mixed faults never make a task run twice at once
     When random run sites are played with seeds <first> to <last>
     Then no random run site broke a rule
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -13,6 +13,7 @@
 from behave import when
 import msgspec
 
+from features.support.run_chaos import play_fleet_seed
 from features.support.run_chaos import play_seed
 from features.support.run_site import EntryNode
 from features.support.run_site import QUEUE
@@ -334,6 +335,13 @@
     print(f"{runs} runs, {done} jobs completed")
 
 
+@when("random fleets are played with seeds {first:d} to {last:d}")
+def play_fleets(context: Context, first: int, last: int) -> None:
+    with ProcessPoolExecutor(WORKERS) as pool:
+        seeds = range(first, last + 1)
+        context.played = list(pool.map(play_fleet_seed, seeds))
+
+
 @then("no random run site broke a rule")
 def check_played(context: Context) -> None:
     broken = [(p.seed, p.breaches[:2]) for p in context.played if p.breaches]
--- a/features/support/run_chaos.py
+++ b/features/support/run_chaos.py
@@ -5,6 +5,7 @@
 from random import Random
 import sys
 from typing import Final
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -12,6 +13,9 @@
 from features.support.run_site import RunSite
 from fulmarscale.entry.jobs.actions import JobOutcome
 
+if TYPE_CHECKING:
+    from features.support.run_site import AgentNode
+
 LENGTH_S: Final = 30.0
 """How long faults go on."""
 
@@ -20,6 +24,12 @@
 
 PROBES: Final = 6
 
+FLEET: Final = 30
+"""Targets of a site on which entries use a subset."""
+
+SMALL: Final = 4
+"""Targets of a site on which entries use all agents."""
+
 
 class Played(msgspec.Struct):
     """What became of one seed."""
@@ -34,9 +44,10 @@
 class Chaos:
     """Plays one seed."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, targets: int = SMALL) -> None:
         self._random = Random(seed)
-        self._site = RunSite(3, 4)
+        self._site = RunSite(3, targets)
+        self._is_fleet = targets > SMALL
         self._number = 0
 
     def play(self) -> RunSite:
@@ -89,15 +100,41 @@
             broken_in + RESEND_S, lambda: other.submit(job, tasks, work_ms)
         )
 
+    def _cut_many(self, entry: EntryNode, span_s: float) -> None:
+        """Cut an entry off from most of the agents that it uses."""
+        names = {agent.guard.name: agent.target.name for agent in self._agents}
+        for name in sorted(entry.chosen):
+            if self._random.random() < 0.8:
+                pair = (entry.name, names[name])
+                self._site.cut.add(pair)
+                self._site.clock.call_in(
+                    span_s, lambda pair=pair: self._site.cut.discard(pair)
+                )
+
+    def _rush(self, entry: EntryNode) -> None:
+        """Hand in more at one entry than its subset can do at once."""
+        for _ in range(12):
+            self._number += 1
+            entry.submit(f"job{self._number}", 24, 900, wait_s=6.0)
+
+    @property
+    def _agents(self) -> list[AgentNode]:
+        return self._site.agents
+
     def _hurt(self) -> None:
         site = self._site
         clock = site.clock
         entry = self._random.choice(site.entries)
         agent = self._random.choice(site.agents)
         span_s = self._random.uniform(0.1, 3.0)
-        match self._random.choice(
-            ("freeze", "thaw", "streams", "cut", "crash", "late", "agent")
-        ):
+        faults = ["freeze", "thaw", "streams", "cut", "crash", "late", "agent"]
+        if self._is_fleet:
+            faults += ["dark", "rush"]
+        match self._random.choice(faults):
+            case "dark":
+                self._cut_many(entry, span_s)
+            case "rush":
+                self._rush(entry)
             case "freeze" if not entry.is_frozen:
                 entry.is_frozen = True
                 clock.call_in(span_s, entry.thaw)
@@ -121,9 +158,14 @@
                 pass
 
 
-def play_seed(seed: int) -> Played:
+def play_fleet_seed(seed: int) -> Played:
+    """Play one seed on a site with more agents than an entry uses."""
+    return play_seed(seed, FLEET)
+
+
+def play_seed(seed: int, targets: int = SMALL) -> Played:
     """Play one seed and check it."""
-    chaos = Chaos(seed)
+    chaos = Chaos(seed, targets)
     site = chaos.play()
     served = chaos.probe()
     breaches = [f"twice at once: {pair}" for pair in site.overlaps()]
