--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -28,6 +28,7 @@
 from fulmarscale.entry.jobs.job import Job
 from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.entry.jobs.outbox import Outbox
+from fulmarscale.entry.jobs.overload import OverloadMeter
 from fulmarscale.entry.jobs.stragglers import judge
 from fulmarscale.entry.jobs.stragglers import LEAST_ELAPSED_S
 from fulmarscale.entry.jobs.stragglers import Verdict
@@ -87,16 +88,6 @@
 What came in meanwhile is taken in first, so that no order rests on it.
 """
 
-LATE_TICK_S: Final = 0.1
-"""How late a tick is when the process has more to do than it can.
-
-A sound one is late by some milliseconds; a tenth of a second is a whole
-period of a processor quota.
-"""
-
-LATE_TICKS: Final = 3
-"""Late ticks in a row after which new jobs are refused at once."""
-
 RETRY_AFTER_S: Final = 1.0
 """The earliest that a refused job is worth another attempt.
 
@@ -143,8 +134,7 @@
         self._next_tick_s = IDLE_TICK_S
         """How soon after the last event there is a tick."""
         self._settled_at = float("-inf")
-        self._tick_due_at = float("inf")
-        self._late_ticks = 0
+        self._overload = OverloadMeter()
         self._started_at = float("-inf")
         self._actions: list[DispatchAction] = []
 
@@ -209,7 +199,7 @@
         self._set_objective(job)
         self._jobs[job_id] = job
         self._note_waiting(job)
-        if self._is_overloaded:
+        if self._overload.is_overloaded:
             self._give_up(job, now, "overloaded")
             return self._defer()
         self._unjudged[job_id] = job
@@ -425,7 +415,7 @@
     def tick(self, now: float) -> list[DispatchAction]:
         """Note that time has passed."""
         self._note_time(now)
-        self._note_lateness(now)
+        self._note_tick(now)
         for view in self._fleet.views:
             if view.ordered and now - view.heard_at > SURELY_OVER_S:
                 self._give_up_agent(view, now)
@@ -433,7 +423,7 @@
         for job in list(self._jobs.values()):
             self._check_time(job, forecast, now)
         self._must_place = True
-        self._tick_due_at = now + self.tick_pause_s(now)
+        self._overload.expect_tick(now + self.tick_pause_s(now))
         self._subset.fit(self._waiting.values(), self._own_demand(), now)
         self._keep_streams(now)
         self._outbox.tick(has_backlog=bool(self._waiting), now=now)
@@ -506,27 +496,15 @@
         self._settled_at = now + SETTLE_S
         self._log(Event.STOOD_STILL, pause_s=round(now - last, 3))
 
-    def _note_lateness(self, now: float) -> None:
-        """Note whether the process keeps up with its work.
-
-        One late tick may be a pause of the machine; several in a row mean
-        that requests wait longer unread than they would take to be refused.
-        """
-        was_overloaded = self._is_overloaded
-        is_late = now - self._tick_due_at > LATE_TICK_S
-        self._late_ticks = self._late_ticks + 1 if is_late else 0
-        if self._is_overloaded != was_overloaded:
+    def _note_tick(self, now: float) -> None:
+        if self._overload.note_tick(now):
             self._log(
                 Event.OVERLOAD_CHANGED,
-                overloaded=self._is_overloaded,
-                late_s=round(now - self._tick_due_at, 3),
+                overloaded=self._overload.is_overloaded,
+                late_s=round(self._overload.late_s, 3),
                 jobs=len(self._jobs),
             )
 
-    @property
-    def _is_overloaded(self) -> bool:
-        return self._late_ticks >= LATE_TICKS
-
     def _set_objective(self, job: Job) -> None:
         queue = job.queue
         chain_s = self._run_times.expect_s(queue.name, job.longest_chain_s())
