Look only for labels that targets have

Cause: an entry remembered each label that a job asked for, for 10 s, and looked through all agents for each, 20 times a second: a caller with a thousand labels of its own would have stopped it. So with steps of many different widths. Change: agents are listed by label when they become known; other labels are not remembered, and of widths only the largest. Test: "Labels that no target has make an entry look for nothing" fails with the old rule (300 remembered).

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -295,6 +295,14 @@
     Then job "a" is completed at entry 0
     And the answer to job "a" took at most 0.32 s
 
+  Scenario: Labels that no target has make an entry look for nothing
+    Given a run site of 1 entries and 60 targets of 16 cores
+    When 2 s pass
+    And 300 jobs come to entry 0 that need a label each that no target has
+    And 1 s pass
+    Then each entry has streams to at most 24 agents
+    And entry 0 remembers no label
+
   Scenario: A job with few tasks on a target reaches enough targets
     Given a run site of 1 entries and 60 targets of 16 cores
     When 2 s pass
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -233,6 +233,22 @@
     context.submitted.append((entry, job))
 
 
+@when(
+    "{jobs:d} jobs come to entry {number:d}"
+    " that need a label each that no target has"
+)
+def submit_unknown_labels(context: Context, jobs: int, number: int) -> None:
+    entry = context.run_site.entries[number]
+    for count in range(jobs):
+        entry.submit(f"job{count}", 1, 200, required_label=f"none-{count}")
+
+
+@then("entry {number:d} remembers no label")
+def check_labels(context: Context, number: int) -> None:
+    subset = context.run_site.entries[number].dispatcher.subset
+    assert subset.labels_asked_for == 0, subset.labels_asked_for
+
+
 @then("each entry has streams to at most {most:d} agents")
 def check_streams(context: Context, most: int) -> None:
     counts = [len(entry.sessions) for entry in context.run_site.entries]
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -158,6 +158,11 @@
         """All agents known."""
         return self._fleet.views
 
+    @property
+    def subset(self) -> Subset:
+        """The agents that this entry uses."""
+        return self._subset
+
     @property
     def is_ready(self) -> bool:
         """Whether jobs can be taken in."""
--- a/src/fulmarscale/entry/jobs/subset.py
+++ b/src/fulmarscale/entry/jobs/subset.py
@@ -81,10 +81,13 @@
         """When each agent in use was needed last."""
         self._usable_at: dict[str, float] = {}
         """When each agent in use was usable last, or was taken in."""
-        self._labels: dict[str, float] = {}
-        """Labels that jobs asked for, and when last."""
-        self._spreads: dict[int, float] = {}
-        """Targets that the steps of jobs needed, and when last."""
+        self._labelled: dict[str, list[str]] = {}
+        """The first agents with each label that targets have."""
+        self._asked_at: dict[str, float] = {}
+        """When jobs asked last for each such label."""
+        self._spread = 0
+        """Targets that a step of a job needed."""
+        self._spread_at = float("-inf")
         self._size = SUBSET_SIZE
         self._grown_at = float("-inf")
         self._uses_all = False
@@ -94,6 +97,11 @@
         """How many usable agents of a service the entry wants."""
         return self._size
 
+    @property
+    def labels_asked_for(self) -> int:
+        """How many labels the subset has agents of, as jobs asked for them."""
+        return len(self._asked_at)
+
     def use_all(self) -> None:
         """Use every agent from now on.
 
@@ -116,10 +124,12 @@
         for step in job.spec.steps:
             if step.most_per_target > 0:
                 targets = ceil(step.count / step.most_per_target)
-                self._spreads[targets] = now
+                if targets >= self._spread:
+                    self._spread = targets
+                    self._spread_at = now
             for label in (step.required_label, step.data_rack):
-                if label:
-                    self._labels[label] = now
+                if label in self._labelled:
+                    self._asked_at[label] = now
 
     def fit(self, waiting: Iterable[Job], used: int, now: float) -> None:
         """Grow while the entry's own runs fill the subset, shrink later.
@@ -128,12 +138,12 @@
         :param used: what the entry's runs take, in thousandths of a core.
         :param now: the entry's time.
         """
-        waits = any(waiting)
+        has_backlog = any(True for _ in waiting)
         capacity = sum(
             view.capacity.cpu_millicores for view in self._fleet.connected
         )
         is_full = used > OWN_SHARE * capacity
-        if waits and is_full and self._size < len(self._agents):
+        if has_backlog and is_full and self._size < len(self._agents):
             self._size += GROWTH
             self._grown_at = now
         elif self._size > SUBSET_SIZE and now - self._grown_at > LINGER_S:
@@ -145,12 +155,13 @@
         if not self._is_ranked:
             self._rank_all()
         self._forget(now)
-        size = max((self._size, *self._spreads))
+        size = max(self._size, self._spread)
         for service in self._rankings:
             for name in self._first_usable(service, size, now):
                 self._needed_at[name] = now
-        for name in self._labelled():
-            self._needed_at[name] = now
+        for label in self._asked_at:
+            for name in self._labelled.get(label, ()):
+                self._needed_at[name] = now
         for name, needed_at in list(self._needed_at.items()):
             if self._is_over(name, needed_at, now):
                 del self._needed_at[name]
@@ -164,6 +175,13 @@
             # Agents without a target are of no use while others have one.
             services.discard(ServiceName(""))
         self._rankings = {name: self._rank(name) for name in sorted(services)}
+        self._labelled = {}
+        for ranking in self._rankings.values():
+            for name in ranking:
+                for label in self._agents[name].labels:
+                    names = self._labelled.setdefault(label, [])
+                    if len(names) < LABEL_AGENTS:
+                        names.append(name)
 
     def _rank(self, service: ServiceName) -> list[str]:
         """Rank the agents of a service, data centres in turn."""
@@ -188,10 +206,11 @@
 
     def _forget(self, now: float) -> None:
         """Drop what no job has asked for of late."""
-        for needs in (self._labels, self._spreads):
-            for need, asked_at in list(needs.items()):
-                if now - asked_at > LINGER_S:
-                    del needs[need]
+        if now - self._spread_at > LINGER_S:
+            self._spread = 0
+        for label, asked_at in list(self._asked_at.items()):
+            if now - asked_at > LINGER_S:
+                del self._asked_at[label]
 
     def _first_usable(
         self, service: ServiceName, size: int, now: float
@@ -214,19 +233,6 @@
             return True
         return now - self._usable_at.setdefault(name, now) <= GRACE_S
 
-    def _labelled(self) -> list[str]:
-        """List agents with the labels that jobs asked for of late."""
-        found = []
-        for label in self._labels:
-            names = [
-                name
-                for ranking in self._rankings.values()
-                for name in ranking
-                if label in self._agents[name].labels
-            ]
-            found += names[:LABEL_AGENTS]
-        return found
-
     def _is_over(self, name: str, needed_at: float, now: float) -> bool:
         if name not in self._agents:
             return True
