Remove the pause of news, which nothing heeds any more

Cause: agents tell news of their room only to the entry whose turn it is, so the pause that entries asked for had no reader. Change: the field, its limits and properties are gone. The scenario that bounded news with 60 agents (861 messages a second) is replaced by a stricter one from the goal of one message a start beyond order, start and end: 400 a second for 200 starts a second and entry.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -200,10 +200,10 @@
     When 2 s pass while messages are counted
     Then an entry heard at most 240 messages a second
 
-  Scenario: With many agents news come 400 times a second, beside pings
+  Scenario: An entry hears at most two messages a start of many agents
     Given a run site of 2 entries and 60 targets of 16 cores
     When 240 jobs of 4 tasks of 200 ms come 10 ms apart, with messages counted
-    Then an entry heard at most 861 messages a second
+    Then an entry heard at most 400 messages a second
     And at least 240 jobs are completed within their objective
 
   Scenario: Streams without runs are silent for seconds
--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -5,8 +5,6 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
-from fulmarscale.runs.limits import NEWS_S
-
 if TYPE_CHECKING:
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.messages import ExpectedRun
@@ -33,7 +31,6 @@
         "has_kept_jobs",
         "is_asked",
         "is_dirty",
-        "news_pause_s",
         "number",
         "offered_at",
         "reports",
@@ -61,7 +58,6 @@
         self.reports: list[RunReport] = []
         self.site_revision = 0
         self.backlog = 0
-        self.news_pause_s = NEWS_S
         self.urgent_at = float("inf")
         """When the entry's most urgent job has to start, by this clock."""
         self.offered_at = float("-inf")
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -233,7 +233,6 @@
         session.asked_sequence = message.sequence
         session.site_revision = message.site_revision
         session.has_kept_jobs = message.has_kept_jobs
-        session.news_pause_s = message.news_pause_s
         session.backlog = message.backlog
         session.urgent_at = now + message.slack_s
         session.is_asked = session.is_asked or message.asks
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -36,6 +36,7 @@
     from fulmarscale.runs.streams import MessageQueue
 
 TICK_S: Final = 0.05
+"""Time between looks at what a loop waits for."""
 
 RENEW_WAIT_S: Final = 0.25
 """How long the target may wait for an end before it answers a renewal."""
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -24,13 +24,6 @@
     from fulmarscale.runs.model import TaskKey
 
 
-NEWS_PER_S: Final = 400
-"""Messages that an entry reads a second for news alone.
-
-One takes about 0.1 ms, so they are 4% of a core.
-"""
-
-
 class Rank(NamedTuple):
     """How well an agent suits a task; what counts most comes first."""
 
@@ -106,14 +99,6 @@
         self._dirty.clear()
         return [self._agents[name] for name in names]
 
-    @property
-    def news_pause_s(self) -> float:
-        """How often agents should tell their news, in seconds.
-
-        With many agents less often, so that reading stays cheap.
-        """
-        return len(self._agents) / NEWS_PER_S
-
     def load(self, job: Job, now: float) -> Load:
         """Tell what serves a job, and what else waits for it.
 
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -7,7 +7,6 @@
 from fulmarscale.entry.jobs.actions import SendOrders
 from fulmarscale.entry.jobs.admission import waiting_demand
 from fulmarscale.runs.limits import HAND_ON_S
-from fulmarscale.runs.limits import NEWS_S
 from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.runs.site_state import SiteState
 
@@ -105,7 +104,6 @@
             site=site if is_behind else None,
             backlog=backlog,
             slack_s=slack_s,
-            news_pause_s=max(NEWS_S, self._fleet.news_pause_s),
             receipts=tuple(view.receipts),
             has_kept_jobs=self._has_kept_jobs,
             asks=view.must_ask,
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -55,6 +55,7 @@
     from fulmarscale.runs.streams import MessageQueue
 
 TICK_S: Final = 0.05
+"""Time between looks at whether all callers were answered, at a stop."""
 
 KEEP_OUTCOMES: Final = {
     KeepOutcome.STORED: JobOutcome.STORED,
--- a/src/fulmarscale/runs/limits.py
+++ b/src/fulmarscale/runs/limits.py
@@ -51,9 +51,6 @@
 all do within IDLE_PING_S: a state of 1,400 queues has some 200 KB.
 """
 
-NEWS_S: Final = 0.05
-"""The shortest pause between news that an entry has no use for at once."""
-
 FRESH_S: Final = 0.4
 """The age of an echo beyond which an agent starts nothing for an entry.
 
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from fulmarscale.ids import EntryId
-from fulmarscale.runs.limits import NEWS_S
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import RunEnd
@@ -132,8 +131,6 @@
     """Thousandths of a core that waiting tasks ask for at the entry."""
     slack_s: float = 0.0
     """Time that the most urgent waiting job has left to start on time."""
-    news_pause_s: float = NEWS_S
-    """How often the entry wants news that are of no use at once."""
     receipts: tuple[EndReceipt, ...] = ()
     """What became of ends that the agent holds."""
     has_kept_jobs: bool = False
