Bound the rounds of questions

Cause: found by reading. The least number of agents asked doubled with each look for room, also when there was nobody to ask: in a backlog of a minute to a number of thousands of digits. Change: a round grows only after one in which agents were asked, and to no more than there were. Test: "Rounds of questions do not grow while there is nobody to ask" fails first (2 to the 1000th), passes after.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -295,6 +295,10 @@
     Then job "a" is completed at entry 0
     And the answer to job "a" took at most 0.32 s
 
+  Scenario: Rounds of questions do not grow while there is nobody to ask
+    Given an entry without agents that looks for room 1000 times
+    Then its next round asks at most 3 agents
+
   Scenario: Labels that no target has make an entry look for nothing
     Given a run site of 1 entries and 60 targets of 16 cores
     When 2 s pass
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -18,9 +18,15 @@
 from features.support.run_site import EntryNode
 from features.support.run_site import QUEUE
 from features.support.run_site import RunSite
+from features.support.run_site import TASK
 from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.entry.jobs.fleet import Fleet
+from fulmarscale.entry.jobs.job import Job
+from fulmarscale.entry.jobs.waker import Waker
 from fulmarscale.runs.model import JobId
+from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import Resources
+from fulmarscale.runs.model import Step
 from fulmarscale.runs.model import TargetState
 from fulmarscale.runs.site_state import SiteState
 
@@ -243,6 +249,20 @@
         entry.submit(f"job{count}", 1, 200, required_label=f"none-{count}")
 
 
+@given("an entry without agents that looks for room {times:d} times")
+def look_for_room(context: Context, times: int) -> None:
+    context.waker = Waker(Fleet("here"))
+    spec = JobSpec("200", (Step(1, TASK, 0.2),))
+    job = Job(JobId("a"), QUEUE, spec, 0.0, 10.0)
+    for number in range(times):
+        context.waker.ask([job], number * 0.01)
+
+
+@then("its next round asks at most {most:d} agents")
+def check_round(context: Context, most: int) -> None:
+    assert context.waker.round_size <= most
+
+
 @then("entry {number:d} remembers no label")
 def check_labels(context: Context, number: int) -> None:
     subset = context.run_site.entries[number].dispatcher.subset
--- a/src/fulmarscale/entry/jobs/waker.py
+++ b/src/fulmarscale/entry/jobs/waker.py
@@ -37,6 +37,11 @@
         self._least = LEAST_ASKED
         self._asked_at = float("-inf")
 
+    @property
+    def round_size(self) -> int:
+        """How many agents the next round asks at least."""
+        return self._least
+
     def is_surveying(self, now: float) -> bool:
         """Tell whether answers are likely to come within milliseconds."""
         if now - self._asked_at > SURVEY_S:
@@ -54,14 +59,17 @@
             return
         if any(view.is_answering(now) for view in self._fleet.connected):
             return
+        candidates = self._candidates(waiting, now)
+        if not candidates:
+            return
         needed = ROOM_FACTOR * sum(map(waiting_demand, waiting))
-        for asked, view in enumerate(self._candidates(waiting, now)):
+        for asked, view in enumerate(candidates):
             if needed <= 0 and asked >= self._least:
                 break
             view.ask()
             self._asked_at = now
             needed -= max(0, view.free.cpu_millicores)
-        self._least *= 2
+        self._least = min(2 * self._least, LEAST_ASKED + len(candidates))
 
     def _candidates(
         self, waiting: Collection[Job], now: float
