--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -28,7 +28,6 @@
 from fulmarscale.runs.limits import BUSY_TICK_S
 from fulmarscale.runs.limits import CLOCK_SLACK
 from fulmarscale.runs.limits import FRESH_S
-from fulmarscale.runs.limits import HAND_ON_S
 from fulmarscale.runs.limits import IDLE_PING_S
 from fulmarscale.runs.limits import IDLE_TICK_S
 from fulmarscale.runs.limits import LAPSE_MARGIN_S
@@ -45,6 +44,7 @@
 from fulmarscale.runs.model import TargetLife
 from fulmarscale.runs.model import TargetState
 from fulmarscale.runs.model import TaskKey
+from fulmarscale.runs.site_state import must_hand_on
 from fulmarscale.runs.site_state import newer
 from fulmarscale.runs.site_state import SiteState
 from fulmarscale.wire.messages import AgentToken
@@ -399,9 +399,8 @@
 
     def _must_hand_on(self, session: Session, now: float) -> bool:
         """Tell whether an entry is to be handed the state of the site."""
-        if session.site_revision >= self._site.revision:
-            return False
-        return now - self._site_since >= HAND_ON_S
+        told = session.site_revision
+        return must_hand_on(self._site, self._site_since, told, now)
 
     def _follow_next_target(self, now: float) -> None:
         """Follow another life once the runs of the former have ended."""
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -304,7 +304,7 @@
         """Count kept jobs of which no task has begun, by queue."""
         found: dict[str, int] = {}
         for job in self._jobs.values():
-            if job.is_kept and not job.may_have_run and not job.is_ordered:
+            if job.is_kept and not job.has_begun:
                 found[job.queue.name] = found.get(job.queue.name, 0) + 1
         return found
 
@@ -327,8 +327,7 @@
         job = self._jobs.get(job_id)
         if job is None:
             return None
-        is_begun = job.may_have_run or job.is_ordered
-        return JobState.RUNNING if is_begun else JobState.QUEUED
+        return JobState.RUNNING if job.has_begun else JobState.QUEUED
 
     def revoke(self, job_id: JobId, now: float) -> list[DispatchAction]:
         """Cancel a best-effort job and answer all who wait for it."""
@@ -429,7 +428,8 @@
             self._check_time(job, forecast, now)
         self._must_place = True
         self._overload.expect_tick(now + self.tick_pause_s(now))
-        self._subset.fit(self._waiting.values(), self._own_demand(), now)
+        used = self._own_demand() if self._waiting else 0
+        self._subset.fit(used, now)
         self._keep_streams(now)
         self._outbox.tick(has_backlog=bool(self._waiting), now=now)
         return self._finish(now)
@@ -443,8 +443,7 @@
             return
         forecast: Forecast | None = None
         for job_id, job in list(self._unjudged.items()):
-            is_begun = job.may_have_run or job.is_ordered
-            if is_begun or self._jobs.get(job_id) is not job:
+            if job.has_begun or self._jobs.get(job_id) is not job:
                 del self._unjudged[job_id]
             elif self._fleet.is_surveyed(job, now):
                 del self._unjudged[job_id]
@@ -522,8 +521,7 @@
         if now >= job.deadline_at:
             self._give_up(job, now, "deadline")
             return
-        is_begun = job.may_have_run or job.is_ordered
-        if not is_begun and not job.is_kept:
+        if not job.has_begun and not job.is_kept:
             if job.job_id not in self._unjudged:
                 self._refuse_hopeless(job, forecast, now, is_new=False)
             return
@@ -627,8 +625,9 @@
     def _give_up(
         self, job: Job, now: float, reason: str, wait_s: float = 0.0
     ) -> None:
-        is_unrun = not job.may_have_run and not job.is_ordered
-        outcome = JobOutcome.NOT_RUN if is_unrun else JobOutcome.UNFINISHED
+        outcome = JobOutcome.NOT_RUN
+        if job.has_begun:
+            outcome = JobOutcome.UNFINISHED
         self._answer(job, outcome, now, reason, wait_s)
 
     def _answer(
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -186,6 +186,11 @@
         """Whether an agent has any task."""
         return bool(self._in_phase[TaskPhase.ORDERED])
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a run may have begun, or an agent was told to start one."""
+        return self.may_have_run or self.is_ordered
+
     def move(self, task: Task, phase: TaskPhase) -> None:
         """Put a task into another phase."""
         del self._in_phase[task.phase][task.key]
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -6,8 +6,8 @@
 
 from fulmarscale.entry.jobs.actions import SendOrders
 from fulmarscale.entry.jobs.admission import waiting_demand
-from fulmarscale.runs.limits import HAND_ON_S
 from fulmarscale.runs.messages import EntryMessage
+from fulmarscale.runs.site_state import must_hand_on
 from fulmarscale.runs.site_state import SiteState
 
 if TYPE_CHECKING:
@@ -49,9 +49,8 @@
 
     def _must_hand_on(self, view: AgentView, now: float) -> bool:
         """Tell whether an agent is to be handed the state of the site."""
-        if view.site_revision >= self._site.revision:
-            return False
-        return now - self._site_since >= HAND_ON_S
+        told = view.site_revision
+        return must_hand_on(self._site, self._site_since, told, now)
 
     def tick(self, *, has_backlog: bool, now: float) -> None:
         """Have messages sent that are due though nothing is new.
--- a/src/fulmarscale/entry/jobs/subset.py
+++ b/src/fulmarscale/entry/jobs/subset.py
@@ -131,19 +131,18 @@
                 if label in self._labelled:
                     self._asked_at[label] = now
 
-    def fit(self, waiting: Iterable[Job], used: int, now: float) -> None:
+    def fit(self, used: int, now: float) -> None:
         """Grow while the entry's own runs fill the subset, shrink later.
 
-        :param waiting: jobs with tasks that found no room.
-        :param used: what the entry's runs take, in thousandths of a core.
+        :param used: what the entry's runs take while tasks find no room, in
+            thousandths of a core; 0 while none wait.
         :param now: the entry's time.
         """
-        has_backlog = any(True for _ in waiting)
         capacity = sum(
             view.capacity.cpu_millicores for view in self._fleet.connected
         )
         is_full = used > OWN_SHARE * capacity
-        if has_backlog and is_full and self._size < len(self._agents):
+        if is_full and self._size < len(self._agents):
             self._size += GROWTH
             self._grown_at = now
         elif self._size > SUBSET_SIZE and now - self._grown_at > LINGER_S:
--- a/src/fulmarscale/runs/site_state.py
+++ b/src/fulmarscale/runs/site_state.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fulmarscale.runs.limits import HAND_ON_S
 from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import ServiceName
 
@@ -86,6 +87,21 @@
         }
 
 
+def must_hand_on(
+    site: SiteState, known_since: float, told_revision: int, now: float
+) -> bool:
+    """Tell whether a state is to be handed to another process.
+
+    :param site: the state that is known here.
+    :param known_since: when it was adopted here.
+    :param told_revision: the newest revision that the other said it knows.
+    :param now: the time here.
+    """
+    if told_revision >= site.revision:
+        return False
+    return now - known_since >= HAND_ON_S
+
+
 def newer(known: SiteState, read: SiteState) -> SiteState:
     """Choose the newer of two states.
 
