Keep the turn of a late job whose tasks run already

Cause: of the jobs past their latest start, only those with an ended run kept their place. One whose first tasks still ran went behind all others, so the capacity that it held was of no use until its last task came. Hypothesis: wide jobs are finished sooner, and the worst windows gain. Change: the order of waiting jobs asks whether a job is started. Test: features/load.feature, "begun and late" (failed before).

--- a/features/load.feature
+++ b/features/load.feature
@@ -19,3 +19,12 @@
     Examples:
       | faults                              | first | last |
       | with lost agents, entries, targets  | 1     | 4    |
+
+  Scenario: Pattern "begun and late": a job that runs in part goes before later ones
+    Given a simulated site of 1 entries and 1 targets of 48 cores
+    When job "first" of 4 tasks of 800 ms is submitted to entry 0
+    And job "begun" of 28 tasks of 1000 ms is submitted to entry 0
+    And 0.7 s pass
+    And job "later" of 4 tasks of 700 ms is submitted to entry 0
+    And 4 s pass
+    Then the last task of job "begun" starts before the first of job "later"
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -97,3 +97,13 @@
     site = context.sites[0]
     figures = score_jobs(site.workload, site.jobs, site.completed_at)
     assert figures["worth"] >= share, figures
+
+
+@then(
+    'the last task of job "{earlier}" starts before the first of job "{later}"'
+)
+def check_order(context: Context, earlier: str, later: str) -> None:
+    starts: dict[str, list[float]] = {}
+    for run in context.run_site.history:
+        starts.setdefault(run.task.job_id, []).append(run.started_at)
+    assert max(starts[earlier]) <= min(starts[later]), starts
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -971,7 +971,7 @@
         waiting = sorted(
             self._waiting.values(),
             key=lambda job: (
-                now > job.latest_start_at and not job.may_have_run,
+                now > job.latest_start_at and not job.is_started,
                 job.latest_start_at,
                 job.job_id,
             ),
