--- a/features/load.feature
+++ b/features/load.feature
@@ -28,3 +28,11 @@
     And job "later" of 4 tasks of 700 ms is submitted to entry 0
     And 4 s pass
     Then the last task of job "begun" starts before the first of job "later"
+
+  Scenario: Pattern "wrong estimates": declared run times that say nothing are not trusted
+    Given 400 runs of about 0.5 s whose callers declared 0.1 to 2.5 s at random
+    Then a declared run time of 2.0 s is taken for 0.4 to 0.65 s
+
+  Scenario: Pattern "wrong estimates": declared run times that are exact are trusted
+    Given 400 runs of half the declared run time
+    Then a declared run time of 2.0 s is taken for 0.9 to 1.1 s
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from random import Random
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,8 @@
 from features.support.dispatch_site import DispatchSite
 from features.support.dispatch_workload import draw_jobs
 from features.support.dispatch_workload import load_workload
+from fulmarscale.entry.jobs.estimates import RunTimes
+from fulmarscale.runs.model import QueueName
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -26,6 +29,8 @@
 COOL_DOWN_S: Final = 8.0
 """Time after the last job in which all jobs end."""
 
+QUEUE: Final = QueueName("quick")
+
 SEED: Final = 1
 """Seed of scenarios that play one."""
 
@@ -107,3 +112,58 @@
     for run in context.run_site.history:
         starts.setdefault(run.task.job_id, []).append(run.started_at)
     assert max(starts[earlier]) <= min(starts[later]), starts
+
+
+@given(
+    "{runs:d} runs of about {ran_s:f} s whose callers declared {low_s:f} to"
+    " {high_s:f} s at random"
+)
+def record_random_runs(
+    context: Context, runs: int, ran_s: float, low_s: float, high_s: float
+) -> None:
+    random = Random(SEED)
+    context.run_times = RunTimes()
+    for _ in range(runs):
+        context.run_times.record(
+            QUEUE,
+            random.uniform(low_s, high_s),
+            ran_s * random.uniform(0.9, 1.1),
+        )
+
+
+@given("{runs:d} runs of half the declared run time")
+def record_proportional_runs(context: Context, runs: int) -> None:
+    random = Random(SEED)
+    context.run_times = RunTimes()
+    for _ in range(runs):
+        declared_s = random.uniform(0.1, 2.5)
+        context.run_times.record(QUEUE, declared_s, declared_s / 2)
+
+
+@then(
+    "a declared run time of {declared_s:f} s is taken for {low_s:f} to"
+    " {high_s:f} s"
+)
+def check_estimate(
+    context: Context, declared_s: float, low_s: float, high_s: float
+) -> None:
+    estimate_s = context.run_times.estimate_s(QUEUE, declared_s)
+    assert low_s <= estimate_s <= high_s, estimate_s
+
+
+@then(
+    "slow targets start at most {most:d} tasks a second and entry from"
+    " {since_s:d} to {until_s:d} s"
+)
+def check_slow_starts(
+    context: Context, most: int, since_s: int, until_s: int
+) -> None:
+    site: DispatchSite = context.sites[0]
+    starts = [
+        run
+        for run in site.history
+        if run.target in site.slowed_targets
+        and since_s <= run.started_at - site.began_at < until_s
+    ]
+    limit = most * (until_s - since_s) * site.workload.entries
+    assert len(starts) <= limit * len(site.slowed_targets), len(starts)
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -332,12 +332,15 @@
         """When each job was answered as completed."""
         self.rejected_at: dict[str, float] = {}
         """When each job was first rejected."""
+        self.slowed_targets: set[str] = set()
+        """Names of the targets that a fault has slowed down."""
         self.refused_starts = 0
         """Start requests that agents refused for lack of capacity."""
         self.messages = 0
         """Messages between entries and agents."""
         super().__init__(workload.entries, len(workload.cores), warm_up_s=2.0)
-        self._began_at = self.clock.now
+        self.began_at = self.clock.now
+        """When the first job could arrive, in virtual time."""
         for job in jobs:
             self.clock.call_in(
                 job.arrives_s, lambda job=job: self._send(job, job.entry)
@@ -360,7 +363,7 @@
     @property
     def elapsed_s(self) -> float:
         """Time since the first job could arrive, in seconds."""
-        return self.clock.now - self._began_at
+        return self.clock.now - self.began_at
 
     def make_queues(self) -> tuple[Queue, ...]:
         """Return the queues, one for each kind of jobs."""
@@ -488,6 +491,7 @@
                 target.crash(fault.for_s)
             case "slow":
                 target.work_factor = fault.x
+                self.slowed_targets.add(target.name)
             case "failing":
                 target.is_failing = True
             case "hanging":
