Give slow targets only trial runs, and judge them by peers elsewhere

Cause: a target that works 6.5 times as long still got tasks whenever it had room, and each made its job late. Its runs were compared with tasks of the job on the same target, which are as slow, so that some ran on it for 13 s. Change: targets whose runs take 1.8 times the expected time get one trial run a second, as quarantined ones do, and don't count as capacity. If over 40% seem slow, the expected times are wrong and none is left out. Peers are tasks on other targets only.

--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -5,6 +5,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from fulmarscale.entry.jobs.estimates import SLOW_FACTOR
 from fulmarscale.entry.jobs.estimates import Slowness
 from fulmarscale.runs.limits import ECHO_GAP_S
 from fulmarscale.runs.limits import IDLE_PING_S
@@ -204,8 +205,10 @@
             return False
         if now - self.refused_at < REFUSAL_BACKOFF_S:
             return False
-        if not self.is_quarantined:
-            return True
+        return not self.is_quarantined or self.is_trial_due(now)
+
+    def is_trial_due(self, now: float) -> bool:
+        """Return whether a quarantined or slow target may get a trial run."""
         return not self.assigned and now >= self.next_trial_at
 
     def serves(self, service: ServiceName, closed: tuple[str, ...]) -> bool:
@@ -280,6 +283,16 @@
         self.failures += 1
         self.next_trial_at = now + TRIAL_INTERVAL_S
 
+    def record_slowness(self, factor: float, now: float) -> None:
+        """Record a run's time, and delay the next trial if it is slow.
+
+        :param factor: the ratio of its time to the expected time.
+        :param now: the entry's time.
+        """
+        self.slowness.record(factor, now)
+        if factor >= SLOW_FACTOR:
+            self.next_trial_at = now + TRIAL_INTERVAL_S
+
     def record_success(self) -> None:
         """Record a successful run, which ends a quarantine."""
         self.failures = 0
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -770,7 +770,7 @@
         factor = whole_run_s / max(self._estimate_run_s(job, task), 0.001)
         if factor >= SLOW_FACTOR:
             task.is_slowness_recorded = True
-            view.slowness.record(factor, now)
+            view.record_slowness(factor, now)
 
     def _apply_report(
         self, view: AgentView, report: RunReport, now: float
@@ -877,7 +877,7 @@
         ran_s = now - task.assigned_at
         expected_s = self._estimate_run_s(job, task)
         if not task.is_slowness_recorded:
-            view.slowness.record(ran_s / max(expected_s, 0.001), now)
+            view.record_slowness(ran_s / max(expected_s, 0.001), now)
         task.ran_s = ran_s
         self._set_phase(job, task, TaskPhase.DONE)
         self._run_times.record(job.queue.name, task.step.declared_s, ran_s)
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -24,6 +24,10 @@
     from fulmarscale.runs.model import TaskKey
 
 
+MAX_SLOW_SHARE: Final = 0.4
+"""Share of the targets up to which slow ones are left out."""
+
+
 class Rank(NamedTuple):
     """The sort key of an agent for a task; the lowest is the best."""
 
@@ -50,6 +54,8 @@
         """All agents, by name."""
         self._connected: dict[str, AgentView] = {}
         """The agents with an open stream, by name."""
+        self._on_trial: set[str] = set()
+        """Names of the agents of slow targets that only get trial runs."""
         self._dirty: set[str] = set()
         """Names of the agents with a message due."""
 
@@ -126,7 +132,9 @@
                 or now - view.last_message_at > STREAM_TIMEOUT_S
             ):
                 continue
-            if target.state is TargetState.READY:
+            if target.state is TargetState.READY and not (
+                view.slowness.is_slow(now)
+            ):
                 capacity += target.capacity.cpu_millicores
                 free += max(0, view.free.cpu_millicores)
             if now - view.last_message_at <= MAX_STATE_AGE_S:
@@ -167,13 +175,26 @@
         ]
 
     def usable(self, job: Job, now: float) -> list[AgentView]:
-        """Return the agents on which tasks of a job may be placed now."""
+        """Return the agents on which tasks of a job may be placed now.
+
+        Slow targets only get trial runs. If too many seem slow, the expected
+        run times are wrong and the targets are not at fault.
+        """
         closed = self._closed_data_centres
-        return [
+        views = [
             view
             for view in self._connected.values()
             if view.is_usable(job.queue.service, closed, now)
         ]
+        slow = {view.name for view in views if view.slowness.is_slow(now)}
+        if len(slow) > MAX_SLOW_SHARE * len(views):
+            slow.clear()
+        self._on_trial = slow
+        return [
+            view
+            for view in views
+            if view.name not in slow or view.is_trial_due(now)
+        ]
 
     def has_healthy_capacity(self, job: Job, task: Task, now: float) -> bool:
         """Return whether another healthy target can take over a running task.
@@ -209,12 +230,13 @@
     def can_run(self, job: Job, task: Task, view: AgentView) -> bool:
         """Return whether a target satisfies a task's demand and constraints.
 
-        A quarantined target gets one run at a time.
+        A quarantined or slow target gets one run at a time.
         """
         step = task.step
         if view.target is None or not step.demand.fits(view.available):
             return False
-        if view.is_quarantined and view.assigned:
+        is_on_trial = view.is_quarantined or view.name in self._on_trial
+        if is_on_trial and view.assigned:
             return False
         if step.required_label and not view.has_label(step.required_label):
             return False
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -257,15 +257,16 @@
     def peer_median_s(self, task: Task) -> float | None:
         """Return the median whole-run duration of a task's peers.
 
-        Peers are the other tasks of its step. They are alike, so this is a
-        better estimate than the declared run time.
+        Peers are the other tasks of its step on other targets. They are alike,
+        so this is a better estimate than the declared run time. Those on the
+        same target would hide that the target is slow.
 
         :returns: seconds; none if no peer has an estimate.
         """
         durations_s = [
             other.whole_run_s
             for other in self._tasks
-            if other is not task
+            if other.agent != task.agent
             and other.step is task.step
             and other.whole_run_s is not None
         ]
