--- a/features/load.feature
+++ b/features/load.feature
@@ -38,7 +38,7 @@
     Then a declared run time of 2.0 s is taken for 0.9 to 1.1 s
 
   Scenario: Pattern "slow targets": they only get trial runs
-    Given the workload "slow" at load 1.0 for 10 s
+    Given the workload "slow" at load 1.3 for 10 s
     When the workload is played
-    Then slow targets start at most 3 tasks a second and entry from 4 to 8 s
+    Then slow targets start at most 2 tasks a second and entry from 4 to 8 s
     And at least 0.9 of the worth is served
