Never lower the fencing token, and reopen streams sooner after a power loss

A start sent to the previous incarnation and carried out up to 12 s later had the higher token, so the new one ran it, beside the task's run elsewhere. Change: the token only rises; retries of a stream start at 50 ms and grow by half. Tests: features/platform.feature, "A runner that starts again is sent a higher fencing token than before" (failed before).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -88,6 +88,11 @@
     When a call is made
     Then it fails with its request not sent
 
+  Scenario: A runner that starts again is sent a higher fencing token than before
+    Given a runner that accepts every renewal
+    When its lease is renewed before and after it starts again with a lower clock
+    Then the second renewal carries a higher fencing token than the first
+
   Scenario: A higher fencing token at the runner is adopted for the next renewal
     Given a runner that has received the fencing token 5000
     When a lease is renewed twice, first with a fencing token of 100
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -50,6 +50,7 @@
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import ServiceName
 from fulmarscale.runs.model import Step
+from fulmarscale.runs.model import TargetIncarnation
 from fulmarscale.runs.model import TargetReport
 from fulmarscale.runs.model import TargetState
 from fulmarscale.runs.model import TaskKey
@@ -547,6 +548,30 @@
     context.respond = respond
 
 
+@given("a runner that accepts every renewal")
+def make_accepting_runner(context: Context) -> None:
+    def respond(_: StubRequest) -> StubResponse:
+        body = {"clockMs": 10, "born": 77, "running": [], "ended": []}
+        return StubResponse(200, msgspec.json.encode(body))
+
+    context.respond = respond
+
+
+@when(
+    "its lease is renewed before and after it starts again with a lower clock"
+)
+def renew_around_restart(context: Context) -> None:
+    async def work(runner: RunnerClient) -> None:
+        address = context.stub.address
+        target = TARGET_INCARNATION.target
+        for born_ms, clock_ms in ((78, 5000), (79, 20)):
+            incarnation = TargetIncarnation(target, born_ms)
+            runner.update_from_heartbeat(incarnation, address, clock_ms)
+            await runner.renew(incarnation, 0, 0.0, extend=True)
+
+    run_with_runner(context, context.respond, work)
+
+
 @when("a lease is renewed twice, first with a fencing token of 100")
 def renew_twice(context: Context) -> None:
     async def work(runner: RunnerClient) -> None:
@@ -567,6 +592,13 @@
     assert tokens[1] >= token, tokens
 
 
+@then("the second renewal carries a higher fencing token than the first")
+def check_token_rises(context: Context) -> None:
+    bodies = [msgspec.json.decode(r.body) for r in context.stub.requests]
+    first, second = (body["fencingToken"] for body in bodies)
+    assert second > first >= 5000, (first, second)
+
+
 @given(
     "a runner that leaves one start request without a response, then rejects"
     ' one as "late" and one as "old"'
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -92,14 +92,17 @@
 
         The fencing token is the runner's clock at the first heartbeat of its
         incarnation that this process receives. It thus increases across
-        restarts of the agent without a store or the wall clock.
+        restarts of the agent without a store or the wall clock. A runner's
+        clock starts anew with its incarnation, but the token never falls:
+        requests to the previous incarnation may still arrive at this one, and
+        have to be rejected.
         """
         self._client.set_address(address)
         if incarnation == self._incarnation:
             return
         self._incarnation = incarnation
         self._clock_offset_ms = float("-inf")
-        self._fencing_token = clock_ms
+        self._fencing_token = max(self._fencing_token + 1, clock_ms)
         self._update_clock_offset(clock_ms)
 
     @property
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -44,9 +44,15 @@
 A stream with more of them counts as stuck and is closed.
 """
 
-MIN_RETRY_S: Final = 0.1
+MIN_RETRY_S: Final = 0.05
 """The first delay before a stream is opened again."""
 
+RETRY_GROWTH: Final = 1.5
+"""Factor from one delay to the next.
+
+After a power loss agents start within 0.5 s of the entries.
+"""
+
 MAX_RETRY_S: Final = 1.0
 """The longest delay before a stream is opened again."""
 
@@ -219,7 +225,7 @@
             finally:
                 channel.close()
             await asyncio.sleep(retry_s)
-            retry_s = min(MAX_RETRY_S, 2 * retry_s)
+            retry_s = min(MAX_RETRY_S, RETRY_GROWTH * retry_s)
 
     async def _run_session(self, channel: Channel) -> None:
         method = StreamStreamMethod(
