Split admission, placement, order and run monitoring from the dispatcher

Cause: dispatcher.py had 1,077 lines, and a policy could be changed or switched off only by a patch in its middle. No behaviour changes.

--- /dev/null
+++ b/src/fulmarscale/entry/jobs/admission_control.py
@@ -0,0 +1,177 @@
+"""Decides which jobs are rejected because they would end too late."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import TYPE_CHECKING
+
+from fulmarscale.entry.jobs.admission import ends_too_late
+from fulmarscale.entry.jobs.admission import Forecast
+from fulmarscale.entry.jobs.admission import is_satisfiable
+from fulmarscale.events import Event
+
+if TYPE_CHECKING:
+    from fulmarscale.entry.jobs.estimates import RunTimes
+    from fulmarscale.entry.jobs.fleet import Fleet
+    from fulmarscale.entry.jobs.job import Job
+    from fulmarscale.entry.jobs.run_monitor import DecisionLog
+    from fulmarscale.runs.model import JobId
+
+LATEST_USEFUL_FACTOR: Final = 3.0
+"""Multiple of the objective after which an answer is useless to a caller."""
+
+STARTUP_S: Final = 1.0
+"""Time after a start in which not all agents and targets may be known.
+
+After a power loss of all machines, targets answer 0.3 to 0.9 s after the
+entries have started.
+"""
+
+
+class AdmissionControl:
+    """Predicts whether jobs that haven't started can still be on time.
+
+    :param fleet: the entry's agents.
+    :param run_times: the measured run times of tasks.
+    :param waiting: the open jobs with waiting tasks, kept up to date.
+    :param log: writes a line for each rejection.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        run_times: RunTimes,
+        waiting: dict[JobId, Job],
+        log: DecisionLog,
+    ) -> None:
+        self._fleet = fleet
+        self._run_times = run_times
+        self._waiting = waiting
+        self._log = log
+        self._undecided: dict[JobId, Job] = {}
+        """New jobs that may be rejected once all free capacity is known."""
+        self._started_at = float("-inf")
+        """When the entry started."""
+
+    def start(self, now: float) -> None:
+        """Record the entry's start."""
+        self._started_at = now
+
+    def set_objective(self, job: Job) -> None:
+        """Set the times of a job that follow from its queue's objective."""
+        queue = job.queue
+        critical_path_s = self._run_times.estimate_s(
+            queue.name, job.critical_path_s()
+        )
+        objective_s = queue.stretch * critical_path_s + queue.allowance_s
+        job.objective_at = job.arrived_at + objective_s
+        job.latest_start_at = job.objective_at - critical_path_s
+        job.useful_until = job.arrived_at + LATEST_USEFUL_FACTOR * objective_s
+
+    def add(self, job: Job) -> None:
+        """Add a new job, to be decided once free capacity is known."""
+        self._undecided[job.job_id] = job
+
+    def discard(self, job_id: JobId) -> None:
+        """Forget a job that is closed or removed."""
+        self._undecided.pop(job_id, None)
+
+    def forecast(self) -> Forecast:
+        """Return a forecast from the jobs that wait now."""
+        return Forecast(self._waiting.values(), self._run_times)
+
+    def take_decidable(self, now: float) -> list[Job]:
+        """Return and remove the new jobs whose free capacity is known.
+
+        Agents without recent messages are probed first, as their capacity may
+        suffice. Jobs that have been started need no decision.
+        """
+        decidable = []
+        for job_id, job in list(self._undecided.items()):
+            if job.is_started:
+                del self._undecided[job_id]
+            elif self._fleet.is_capacity_known(job, now):
+                del self._undecided[job_id]
+                decidable.append(job)
+        return decidable
+
+    def check_new(
+        self, job: Job, forecast: Forecast, now: float
+    ) -> float | None:
+        """Return the wait of a new job that is unlikely to be on time.
+
+        :param job: a job that has just arrived.
+        :param forecast: the forecast that predicts its wait.
+        :param now: the entry's time.
+        :returns: seconds; none if the job is admitted.
+        """
+        if self._fleet.has_capacity(job, now):
+            return None
+        wait_s = self._predict_wait_s(job, forecast, now)
+        if is_satisfiable(job, wait_s):
+            return None
+        self._log_hopeless(job, wait_s, now)
+        return wait_s
+
+    def check_waiting(
+        self, job: Job, forecast: Forecast, now: float
+    ) -> float | None:
+        """Return the wait of a waiting job that would end too late.
+
+        It can't start in time for its objective and is predicted to end after
+        LATE_SHARE of its useful time.
+
+        :param job: a job without any started task.
+        :param forecast: the forecast that predicts its wait.
+        :param now: the entry's time.
+        :returns: seconds; none if the job may stay.
+        """
+        if job.job_id in self._undecided:
+            return None
+        if self._fleet.has_capacity(job, now):
+            return None
+        wait_s = self._predict_wait_s(job, forecast, now)
+        if not ends_too_late(job, wait_s, self._run_times, now):
+            return None
+        self._log_hopeless(job, wait_s, now)
+        return wait_s
+
+    def too_late_wait_s(self, job: Job, now: float) -> float | None:
+        """Return the wait of a job that would end too late to be useful.
+
+        :param job: a job that isn't accepted yet.
+        :param now: the entry's time.
+        :returns: seconds; none if the job would end in time.
+        """
+        if self._fleet.has_capacity(job, now) or self._is_starting_up(now):
+            return None
+        forecast = Forecast([*self._waiting.values(), job], self._run_times)
+        wait_s = forecast.wait_s(job, self._fleet.load(job, now))
+        critical_path_s = job.objective_at - job.latest_start_at
+        ends_at = now + wait_s + critical_path_s
+        return None if ends_at <= job.useful_until else wait_s
+
+    def _is_starting_up(self, now: float) -> bool:
+        """Return whether agents may still be missing after the start."""
+        return now - self._started_at < STARTUP_S
+
+    def _predict_wait_s(
+        self, job: Job, forecast: Forecast, now: float
+    ) -> float:
+        """Return a job's predicted wait, in seconds."""
+        if self._is_starting_up(now):
+            # Not all targets are known yet; they are assumed to be available.
+            return 0.0
+        return forecast.wait_s(job, self._fleet.load(job, now))
+
+    def _log_hopeless(self, job: Job, wait_s: float, now: float) -> None:
+        load = self._fleet.load(job, now)
+        self._log(
+            Event.JOB_HOPELESS,
+            job=job.job_id,
+            wait_s=round(wait_s, 3),
+            capacity=load.capacity,
+            free=load.free,
+            others=load.others,
+            waiting=len(self._waiting),
+        )
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -19,28 +19,24 @@
 from fulmarscale.entry.jobs.actions import LogDispatchDecision
 from fulmarscale.entry.jobs.actions import OpenAgentStream
 from fulmarscale.entry.jobs.actions import StoreCompletion
-from fulmarscale.entry.jobs.admission import ends_too_late
-from fulmarscale.entry.jobs.admission import Forecast
-from fulmarscale.entry.jobs.admission import is_satisfiable
+from fulmarscale.entry.jobs.admission_control import AdmissionControl
 from fulmarscale.entry.jobs.capacity_prober import CapacityProber
 from fulmarscale.entry.jobs.estimates import RunTimes
-from fulmarscale.entry.jobs.estimates import SLOW_FACTOR
 from fulmarscale.entry.jobs.fleet import Fleet
 from fulmarscale.entry.jobs.job import Job
 from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.entry.jobs.outbox import Outbox
 from fulmarscale.entry.jobs.overload import OverloadDetector
-from fulmarscale.entry.jobs.stragglers import evaluate_run
-from fulmarscale.entry.jobs.stragglers import MIN_ELAPSED_S
-from fulmarscale.entry.jobs.stragglers import RunCondition
+from fulmarscale.entry.jobs.placer import Placer
+from fulmarscale.entry.jobs.run_monitor import RunMonitor
 from fulmarscale.entry.jobs.subset import Subset
+from fulmarscale.entry.jobs.waiting_order import LatestStartOrder
 from fulmarscale.events import Event
 from fulmarscale.runs.limits import BUSY_TICK_S
 from fulmarscale.runs.limits import IDLE_TICK_S
 from fulmarscale.runs.limits import PROBE_COLLECT_S
 from fulmarscale.runs.limits import RUN_EXPIRY_S
 from fulmarscale.runs.messages import ExpectedRun
-from fulmarscale.runs.messages import StartRequest
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import RunOutcome
@@ -50,6 +46,7 @@
 if TYPE_CHECKING:
     from fulmarscale.entry.durable.record import DurableJobRecord
     from fulmarscale.entry.jobs.actions import DispatchAction
+    from fulmarscale.entry.jobs.admission import Forecast
     from fulmarscale.entry.jobs.agent_view import AgentView
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.entry.jobs.subset import AnnouncedAgent
@@ -59,27 +56,9 @@
     from fulmarscale.runs.messages import DurableCompletion
     from fulmarscale.runs.messages import RunReport
     from fulmarscale.runs.model import JobSpec
-    from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
     from fulmarscale.runs.site_config import Queue
 
-LATEST_USEFUL_FACTOR: Final = 3.0
-"""Multiple of the objective after which an answer is useless to a caller."""
-
-MAX_UNPLACED_JOBS: Final = 3
-"""Number of jobs not placed in full after which a placement pass ends.
-
-Capacity that doesn't suffice for the most urgent jobs may still suffice for
-a smaller one.
-"""
-
-STARTUP_S: Final = 1.0
-"""Time after a start in which not all agents and targets may be known.
-
-After a power loss of all machines, targets answer 0.3 to 0.9 s after the
-entries have started.
-"""
-
 STALL_S: Final = 0.25
 """Lateness of a due tick from which the process is taken to have stalled."""
 
@@ -126,13 +105,14 @@
         self._subset = Subset(entry.name, self._fleet)
         self._streams: dict[str, str] = {}
         """Addresses of the agents that the entry keeps streams to, by name."""
-        self._awaiting_admission: dict[JobId, Job] = {}
-        """New jobs that may be rejected once all free capacity is known."""
         self._sessions: dict[int, AgentView] = {}
         """Agents by the session number of their open stream."""
         self._run_times = RunTimes()
-        self._last_start_number = 0
-        """The number of the last start request."""
+        self._monitor = RunMonitor(self._fleet, self._run_times, self._log)
+        self._placer = Placer(self._fleet, LatestStartOrder(), self._set_phase)
+        self._admission = AdmissionControl(
+            self._fleet, self._run_times, self._waiting, self._log
+        )
         self._needs_flush = False
         """Whether placement and sending were deferred."""
         self._needs_placement = False
@@ -144,8 +124,6 @@
         self._hold_until = float("-inf")
         """The end of the hold after a stall: no placement before it."""
         self._overload = OverloadDetector()
-        self._started_at = float("-inf")
-        """The time of the first call."""
         self._actions: list[DispatchAction] = []
         """Actions of the current call."""
 
@@ -213,13 +191,13 @@
             self._log(Event.JOB_JOINED, job=job_id)
             return self._defer_flush()
         job = Job(job_id, queue, spec, now, now + wait_s)
-        self._set_objective(job)
+        self._admission.set_objective(job)
         self._jobs[job_id] = job
         self._update_waiting(job)
         if self._overload.is_overloaded:
             self._abandon(job, now, "overloaded")
             return self._defer_flush()
-        self._awaiting_admission[job_id] = job
+        self._admission.add(job)
         self._subset.record_needs(job, now)
         self._log(
             Event.JOB_TAKEN,
@@ -247,7 +225,7 @@
         self._detect_stall(now)
         job = Job(job_id, record.queue, record.spec, now, float("inf"))
         job.owner_epoch = record.owner_epoch
-        self._set_objective(job)
+        self._admission.set_objective(job)
         job.restore(record.done, record.failures)
         self._subset.record_needs(job, now)
         self._jobs[job_id] = job
@@ -289,18 +267,8 @@
         :returns: seconds; none if the job would end in time.
         """
         job = Job(JobId(""), queue, spec, now, float("inf"))
-        self._set_objective(job)
-        if self._fleet.has_capacity(job, now) or self._is_starting_up(now):
-            return None
-        waiting = [*self._waiting.values(), job]
-        forecast = Forecast(waiting, self._run_times)
-        wait_s = forecast.wait_s(job, self._fleet.load(job, now))
-        critical_path_s = job.objective_at - job.latest_start_at
-        return (
-            None
-            if now + wait_s + critical_path_s <= job.useful_until
-            else wait_s
-        )
+        self._admission.set_objective(job)
+        return self._admission.too_late_wait_s(job, now)
 
     def acknowledge_completions(
         self, agent: str, acks: tuple[CompletionAck, ...], now: float
@@ -338,6 +306,7 @@
         self._detect_stall(now)
         job = self._jobs.pop(job_id, None)
         self._waiting.pop(job_id, None)
+        self._admission.discard(job_id)
         if job is not None:
             self._log(
                 Event.JOB_CANCELLED,
@@ -437,9 +406,13 @@
         if message.site is not None:
             self._adopt_site(message.site, view.name, now)
         for progress in message.progress:
+            job = self._jobs.get(progress.task.job_id)
+            task = None if job is None else job.find(progress.task)
+            if job is None or task is None:
+                continue
             reported_at = now - progress.age_s
-            self._record_progress(
-                progress.task, progress.percent, reported_at, now
+            self._monitor.record_progress(
+                job, task, progress.percent, reported_at, now
             )
         for report in message.reports:
             self._apply_report(view, report, now)
@@ -462,7 +435,7 @@
         for view in self._fleet.views:
             if view.assigned and now - view.last_message_at > RUN_EXPIRY_S:
                 self._expire_runs(view, now)
-        forecast = self._forecast()
+        forecast = self._admission.forecast()
         for job in list(self._jobs.values()):
             self._check_job(job, forecast, now)
         self._needs_placement = True
@@ -473,23 +446,24 @@
         self._outbox.tick(has_backlog=bool(self._waiting), now=now)
         return self._flush(now)
 
-    def _evaluate_admission(self, now: float) -> None:
-        """Reject new jobs that can't be on time once free capacity is known.
+    def _check_new_jobs(self, now: float) -> None:
+        """Reject new jobs that can't be on time once capacity is known."""
+        forecast: Forecast | None = None
+        for job in self._admission.take_decidable(now):
+            if forecast is None:
+                forecast = self._admission.forecast()
+            wait_s = self._admission.check_new(job, forecast, now)
+            self._reject(job, wait_s, now)
 
-        Agents without recent messages are probed first, as their capacity may
-        suffice.
+    def _reject(self, job: Job, wait_s: float | None, now: float) -> None:
+        """Reject a job that is predicted to end too late.
+
+        :param job: the job.
+        :param wait_s: its predicted wait, in seconds; none to keep it.
+        :param now: the entry's time.
         """
-        if not self._awaiting_admission or now < self._hold_until:
-            return
-        forecast: Forecast | None = None
-        for job_id, job in list(self._awaiting_admission.items()):
-            if job.is_started or self._jobs.get(job_id) is not job:
-                del self._awaiting_admission[job_id]
-            elif self._fleet.is_capacity_known(job, now):
-                del self._awaiting_admission[job_id]
-                if forecast is None:
-                    forecast = self._forecast()
-                self._reject_if_late(job, forecast, now, is_new=True)
+        if wait_s is not None:
+            self._abandon(job, now, "too_late", wait_s)
 
     def _assigned_millicores(self) -> int:
         """Return the demand of assigned tasks, in thousandths of a core."""
@@ -536,7 +510,7 @@
         last = self._last_event_at
         self._last_event_at = now
         if last is None:
-            self._started_at = now
+            self._admission.start(now)
         if last is None or now - last <= STALL_S + self._next_tick_s:
             return
         self._hold_until = now + POST_STALL_HOLD_S
@@ -551,126 +525,18 @@
                 jobs=len(self._jobs),
             )
 
-    def _set_objective(self, job: Job) -> None:
-        """Set the times of a job that follow from its queue's objective."""
-        queue = job.queue
-        critical_path_s = self._run_times.estimate_s(
-            queue.name, job.critical_path_s()
-        )
-        objective_s = queue.stretch * critical_path_s + queue.allowance_s
-        job.objective_at = job.arrived_at + objective_s
-        job.latest_start_at = job.objective_at - critical_path_s
-        job.useful_until = job.arrived_at + LATEST_USEFUL_FACTOR * objective_s
-
     def _check_job(self, job: Job, forecast: Forecast, now: float) -> None:
         """Check a job's deadline, predicted wait and the speed of its runs."""
         if now >= job.deadline_at:
             self._abandon(job, now, "deadline")
             return
         if not job.is_started and not job.is_durable:
-            if job.job_id not in self._awaiting_admission:
-                self._reject_if_late(job, forecast, now, is_new=False)
+            if now >= self._hold_until:
+                wait_s = self._admission.check_waiting(job, forecast, now)
+                self._reject(job, wait_s, now)
             return
         for task in job.assigned:
-            self._check_straggler(job, task, now)
-
-    def _reject_if_late(
-        self, job: Job, forecast: Forecast, now: float, *, is_new: bool
-    ) -> bool:
-        """Reject a job that is predicted to end too late.
-
-        A new job must be likely to meet its objective. A job that has waited
-        is rejected only if it can't start in time for its objective and is
-        predicted to end after LATE_SHARE of its useful time.
-
-        :param job: a job without any started task.
-        :param forecast: the forecast that predicts its wait.
-        :param now: the entry's time.
-        :param is_new: whether the job has just arrived.
-        :returns: whether it was rejected.
-        """
-        if now < self._hold_until or self._fleet.has_capacity(job, now):
-            return False
-        load = self._fleet.load(job, now)
-        wait_s = forecast.wait_s(job, load)
-        if self._is_starting_up(now):
-            # Not all targets are known yet; they are assumed to be available.
-            wait_s = 0.0
-        if is_new and is_satisfiable(job, wait_s):
-            return False
-        if not is_new and not ends_too_late(job, wait_s, self._run_times, now):
-            return False
-        self._log(
-            Event.JOB_HOPELESS,
-            job=job.job_id,
-            wait_s=round(wait_s, 3),
-            capacity=load.capacity,
-            free=load.free,
-            others=load.others,
-            waiting=len(self._waiting),
-        )
-        self._abandon(job, now, "too_late", wait_s)
-        return True
-
-    def _forecast(self) -> Forecast:
-        return Forecast(self._waiting.values(), self._run_times)
-
-    def _is_starting_up(self, now: float) -> bool:
-        """Return whether agents may still be missing after the start."""
-        return now - self._started_at < STARTUP_S
-
-    def _check_straggler(self, job: Job, task: Task, now: float) -> None:
-        """Stop a run that has stalled or is far too slow, to move its task."""
-        view = self._fleet.find(task.agent)
-        if view is None or task.stop_sent:
-            return
-        if now - task.assigned_at < MIN_ELAPSED_S:
-            return
-        expected_s = self._estimate_run_s(job, task)
-        condition = evaluate_run(task, expected_s, now)
-        if condition is RunCondition.HEALTHY:
-            return
-        if condition is RunCondition.SLOW and not self._is_worth_moving(
-            job, task, view, now
-        ):
-            return
-        if condition is RunCondition.STALLED:
-            view.record_failure(now)
-        task.stop_sent = True
-        task.failed_on.add(view.name)
-        view.stops.append(task.key)
-        view.mark_dirty()
-        self._log(
-            Event.RUN_MOVED,
-            job=job.job_id,
-            step=task.key.step,
-            task=task.key.index,
-            agent=view.name,
-            verdict=condition.value,
-            percent=task.percent,
-            age_s=round(now - task.assigned_at, 3),
-            expected_s=round(expected_s, 3),
-        )
-
-    def _estimate_run_s(self, job: Job, task: Task) -> float:
-        """Return the expected duration of a task's run, in seconds."""
-        peer_median_s = job.peer_median_s(task)
-        if peer_median_s is not None:
-            return peer_median_s
-        return self._run_times.estimate_s(job.queue.name, task.step.declared_s)
-
-    def _is_worth_moving(
-        self, job: Job, task: Task, view: AgentView, now: float
-    ) -> bool:
-        """Return whether a run is slow because of its target and can move.
-
-        If all tasks of a job are slow, its declared run time is wrong, and
-        moving them would only discard their work.
-        """
-        has_peers = job.peer_median_s(task) is not None
-        if not has_peers and not view.slowness.is_slow(now):
-            return False
-        return self._fleet.has_healthy_capacity(job, task, now)
+            self._monitor.check_run(job, task, now)
 
     def _abandon(
         self, job: Job, now: float, reason: str, wait_s: float = 0.0
@@ -699,6 +565,7 @@
         """
         del self._jobs[job.job_id]
         self._waiting.pop(job.job_id, None)
+        self._admission.discard(job.job_id)
         self._stop_runs(job)
         self._log(
             Event.JOB_ENDED,
@@ -741,37 +608,6 @@
         )
         self._outbox.update_site(adopted, now)
 
-    def _record_progress(
-        self, key: TaskKey, percent: int, reported_at: float, now: float
-    ) -> None:
-        """Record the progress of a run.
-
-        :param key: the task that it runs.
-        :param percent: the share of its work that is done.
-        :param reported_at: when the target reported it, by the entry's time.
-        :param now: the entry's time.
-        """
-        job = self._jobs.get(key.job_id)
-        task = None if job is None else job.find(key)
-        if job is None or task is None or percent <= task.percent:
-            return
-        task.percent = percent
-        task.progress_at = max(reported_at, task.assigned_at)
-        self._record_slow_run(job, task, now)
-
-    def _record_slow_run(self, job: Job, task: Task, now: float) -> None:
-        """Record a far slower run than expected as slowness of its target."""
-        view = self._fleet.find(task.agent)
-        whole_run_s = task.whole_run_s
-        if view is None or whole_run_s is None or task.is_slowness_recorded:
-            return
-        if now - task.assigned_at < MIN_ELAPSED_S:
-            return
-        factor = whole_run_s / max(self._estimate_run_s(job, task), 0.001)
-        if factor >= SLOW_FACTOR:
-            task.is_slowness_recorded = True
-            view.record_slowness(factor, now)
-
     def _apply_report(
         self, view: AgentView, report: RunReport, now: float
     ) -> None:
@@ -874,13 +710,11 @@
     ) -> None:
         job.may_have_run = True
         view.record_success()
-        ran_s = now - task.assigned_at
-        expected_s = self._estimate_run_s(job, task)
-        if not task.is_slowness_recorded:
-            view.record_slowness(ran_s / max(expected_s, 0.001), now)
-        task.ran_s = ran_s
+        self._monitor.record_success(view, job, task, now)
         self._set_phase(job, task, TaskPhase.DONE)
-        self._run_times.record(job.queue.name, task.step.declared_s, ran_s)
+        self._run_times.record(
+            job.queue.name, task.step.declared_s, task.ran_s
+        )
         if job.is_done:
             self._close_job(job, JobOutcome.COMPLETED, now, "done")
             return
@@ -959,91 +793,12 @@
             job.earliest_start_at = float("inf")
             self._actions.append(AdvanceOwnerEpoch(job.job_id))
 
-    def _place_waiting(self, now: float) -> None:
-        """Place waiting tasks on agents, the most urgent jobs first."""
-        if now < self._hold_until:
-            return
-        if not self._waiting:
-            return
-        # Jobs that can still meet their objective or have run already go
-        # first, the most urgent ones ahead; late ones get the remaining
-        # capacity.
-        waiting = sorted(
-            self._waiting.values(),
-            key=lambda job: (
-                now > job.latest_start_at and not job.is_started,
-                job.latest_start_at,
-                job.job_id,
-            ),
-        )
-        unplaced = 0
-        usable: dict[ServiceName, list[AgentView]] = {}
-        for job in waiting:
-            if now < job.earliest_start_at:
-                continue
-            service = job.queue.service
-            if service not in usable:
-                usable[service] = self._fleet.usable(job, now)
-            views = usable[service]
-            if not views:
-                continue
-            if not self._place_job(job, views, now):
-                unplaced += 1
-            if unplaced >= MAX_UNPLACED_JOBS:
-                return
-
-    def _place_job(self, job: Job, views: list[AgentView], now: float) -> bool:
-        """Request starts of as many of a job's waiting tasks as possible.
-
-        :param job: the job.
-        :param views: the agents on which its tasks may be placed.
-        :param now: the entry's time.
-        :returns: whether all waiting tasks were placed.
-        """
-        is_complete = True
-        placement = self._fleet.placement(job, views, now)
-        for task in job.waiting:
-            if self._fleet.has_unexpired_run(task.key):
-                # An earlier run of the task may not have ended yet.
-                is_complete = False
-                continue
-            view = placement.choose(task)
-            if view is None:
-                is_complete = False
-                continue
-            self._request_start(job, task, view, now)
-        return is_complete
-
     def _is_wanted(self, key: TaskKey) -> bool:
         """Return whether a run of a task can still count."""
         job = self._jobs.get(key.job_id)
         task = None if job is None else job.find(key)
         return task is not None and task.phase is TaskPhase.ASSIGNED
 
-    def _request_start(
-        self, job: Job, task: Task, view: AgentView, now: float
-    ) -> None:
-        """Assign a task to an agent and queue its start request."""
-        self._set_phase(job, task, TaskPhase.ASSIGNED)
-        task.agent = view.name
-        task.assigned_at = now
-        task.percent = 0
-        task.progress_at = now
-        task.stop_sent = False
-        task.is_slowness_recorded = False
-        self._last_start_number += 1
-        view.add_start(
-            StartRequest(
-                task=task.key,
-                service=job.queue.service,
-                demand=task.step.demand,
-                payload=job.spec.payload,
-                request_number=self._last_start_number,
-                required_label=task.step.required_label,
-                owner_epoch=job.owner_epoch,
-            )
-        )
-
     def flush(self, now: float) -> list[DispatchAction]:
         """Place tasks, probe agents and send messages.
 
@@ -1062,10 +817,12 @@
     def _flush(self, now: float) -> list[DispatchAction]:
         """Place tasks, probe agents, build messages and return all actions."""
         self._needs_flush = False
-        self._evaluate_admission(now)
+        if now >= self._hold_until:
+            self._check_new_jobs(now)
         if self._needs_placement and not self._prober.is_collecting(now):
             self._needs_placement = False
-            self._place_waiting(now)
+            if now >= self._hold_until:
+                self._placer.place(self._waiting.values(), now)
         self._prober.probe(self._waiting.values(), now)
         self._actions += self._outbox.collect(self._waiting.values(), now)
         actions = self._actions
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/run_monitor.py
@@ -0,0 +1,150 @@
+"""Watches runs: records slow targets and moves stragglers away from them."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from fulmarscale.entry.jobs.estimates import SLOW_FACTOR
+from fulmarscale.entry.jobs.stragglers import evaluate_run
+from fulmarscale.entry.jobs.stragglers import MIN_ELAPSED_S
+from fulmarscale.entry.jobs.stragglers import RunCondition
+from fulmarscale.events import Event
+
+if TYPE_CHECKING:
+    from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.estimates import RunTimes
+    from fulmarscale.entry.jobs.fleet import Fleet
+    from fulmarscale.entry.jobs.job import Job
+    from fulmarscale.entry.jobs.job import Task
+
+MIN_EXPECTED_S: Final = 0.001
+"""Lower bound of expected run times, as ratios divide by them."""
+
+
+class DecisionLog(Protocol):
+    """Writes a log line about a decision."""
+
+    def __call__(self, event: Event, **fields: object) -> None:
+        """Write a line.
+
+        :param event: the event of the line.
+        :param fields: the inputs of the decision, by field name.
+        """
+
+
+class RunMonitor:
+    """Compares the runs of one entry's tasks with their expected times."""
+
+    def __init__(
+        self, fleet: Fleet, run_times: RunTimes, log: DecisionLog
+    ) -> None:
+        self._fleet = fleet
+        self._run_times = run_times
+        self._log = log
+
+    def record_progress(
+        self,
+        job: Job,
+        task: Task,
+        percent: int,
+        reported_at: float,
+        now: float,
+    ) -> None:
+        """Record the progress of a run.
+
+        :param job: the job.
+        :param task: the task that it runs.
+        :param percent: the share of its work that is done.
+        :param reported_at: when the target reported it, by the entry's time.
+        :param now: the entry's time.
+        """
+        if percent <= task.percent:
+            return
+        task.percent = percent
+        task.progress_at = max(reported_at, task.assigned_at)
+        self._record_slow_run(job, task, now)
+
+    def record_success(
+        self, view: AgentView, job: Job, task: Task, now: float
+    ) -> None:
+        """Record the duration of a run that succeeded.
+
+        :param view: the agent of its target.
+        :param job: the job.
+        :param task: the task, still assigned.
+        :param now: the entry's time.
+        """
+        ran_s = now - task.assigned_at
+        expected_s = self._expected_s(job, task)
+        if not task.is_slowness_recorded:
+            view.record_slowness(ran_s / max(expected_s, MIN_EXPECTED_S), now)
+        task.ran_s = ran_s
+
+    def check_run(self, job: Job, task: Task, now: float) -> None:
+        """Stop a run that has stalled or is far too slow, to move its task."""
+        view = self._fleet.find(task.agent)
+        if view is None or task.stop_sent:
+            return
+        if now - task.assigned_at < MIN_ELAPSED_S:
+            return
+        expected_s = self._expected_s(job, task)
+        condition = evaluate_run(task, expected_s, now)
+        if condition is RunCondition.HEALTHY:
+            return
+        if condition is RunCondition.SLOW and not self._is_worth_moving(
+            job, task, view, now
+        ):
+            return
+        if condition is RunCondition.STALLED:
+            view.record_failure(now)
+        task.stop_sent = True
+        task.failed_on.add(view.name)
+        view.stops.append(task.key)
+        view.mark_dirty()
+        self._log(
+            Event.RUN_MOVED,
+            job=job.job_id,
+            step=task.key.step,
+            task=task.key.index,
+            agent=view.name,
+            verdict=condition.value,
+            percent=task.percent,
+            age_s=round(now - task.assigned_at, 3),
+            expected_s=round(expected_s, 3),
+        )
+
+    def _expected_s(self, job: Job, task: Task) -> float:
+        """Return the expected duration of a task's run, in seconds."""
+        peer_median_s = job.peer_median_s(task)
+        if peer_median_s is not None:
+            return peer_median_s
+        return self._run_times.estimate_s(job.queue.name, task.step.declared_s)
+
+    def _is_worth_moving(
+        self, job: Job, task: Task, view: AgentView, now: float
+    ) -> bool:
+        """Return whether a run is slow because of its target and can move.
+
+        If all tasks of a job are slow, its declared run time is wrong, and
+        moving them would only discard their work.
+        """
+        has_peers = job.peer_median_s(task) is not None
+        if not has_peers and not view.slowness.is_slow(now):
+            return False
+        return self._fleet.has_healthy_capacity(job, task, now)
+
+    def _record_slow_run(self, job: Job, task: Task, now: float) -> None:
+        """Record a far slower run than expected as slowness of its target."""
+        view = self._fleet.find(task.agent)
+        whole_run_s = task.whole_run_s
+        if view is None or whole_run_s is None or task.is_slowness_recorded:
+            return
+        if now - task.assigned_at < MIN_ELAPSED_S:
+            return
+        expected_s = max(self._expected_s(job, task), MIN_EXPECTED_S)
+        factor = whole_run_s / expected_s
+        if factor >= SLOW_FACTOR:
+            task.is_slowness_recorded = True
+            view.record_slowness(factor, now)
