--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -10,7 +10,6 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
-from fulmarscale.entry.jobs.actions import AdvanceOwnerEpoch
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import CloseAgentStream
 from fulmarscale.entry.jobs.actions import CloseDurableJob
@@ -18,17 +17,18 @@
 from fulmarscale.entry.jobs.actions import JobState
 from fulmarscale.entry.jobs.actions import LogDispatchDecision
 from fulmarscale.entry.jobs.actions import OpenAgentStream
-from fulmarscale.entry.jobs.actions import StoreCompletion
 from fulmarscale.entry.jobs.admission_control import AdmissionControl
 from fulmarscale.entry.jobs.capacity_prober import CapacityProber
 from fulmarscale.entry.jobs.estimates import RunTimes
 from fulmarscale.entry.jobs.fleet import Fleet
 from fulmarscale.entry.jobs.job import Job
 from fulmarscale.entry.jobs.job import TaskPhase
+from fulmarscale.entry.jobs.open_jobs import OpenJobs
 from fulmarscale.entry.jobs.outbox import Outbox
 from fulmarscale.entry.jobs.overload import OverloadDetector
 from fulmarscale.entry.jobs.placer import Placer
 from fulmarscale.entry.jobs.run_monitor import RunMonitor
+from fulmarscale.entry.jobs.run_results import RunResults
 from fulmarscale.entry.jobs.subset import Subset
 from fulmarscale.entry.jobs.waiting_order import LatestStartOrder
 from fulmarscale.events import Event
@@ -38,8 +38,6 @@
 from fulmarscale.runs.limits import RUN_EXPIRY_S
 from fulmarscale.runs.messages import ExpectedRun
 from fulmarscale.runs.model import JobId
-from fulmarscale.runs.model import RefusalReason
-from fulmarscale.runs.model import RunOutcome
 from fulmarscale.runs.site_config import newer_config
 from fulmarscale.runs.site_config import SiteConfig
 
@@ -48,13 +46,10 @@
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.admission import Forecast
     from fulmarscale.entry.jobs.agent_view import AgentView
-    from fulmarscale.entry.jobs.job import Task
     from fulmarscale.entry.jobs.subset import AnnouncedAgent
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.messages import AgentMessage
     from fulmarscale.runs.messages import CompletionAck
-    from fulmarscale.runs.messages import DurableCompletion
-    from fulmarscale.runs.messages import RunReport
     from fulmarscale.runs.model import JobSpec
     from fulmarscale.runs.model import TaskKey
     from fulmarscale.runs.site_config import Queue
@@ -95,10 +90,7 @@
         self._entry = entry
         self._site = SiteConfig()
         """The newest known configuration of the site."""
-        self._jobs: dict[JobId, Job] = {}
-        """All open jobs."""
-        self._waiting: dict[JobId, Job] = {}
-        """Open jobs with tasks that wait for free capacity."""
+        self._open = OpenJobs()
         self._fleet = Fleet(data_centre)
         self._outbox = Outbox(entry, self._fleet)
         self._prober = CapacityProber(self._fleet)
@@ -109,14 +101,21 @@
         """Agents by the session number of their open stream."""
         self._run_times = RunTimes()
         self._monitor = RunMonitor(self._fleet, self._run_times, self._log)
-        self._placer = Placer(self._fleet, LatestStartOrder(), self._set_phase)
+        self._results = RunResults(
+            entry,
+            self._open,
+            self._fleet,
+            self._monitor,
+            close_job=self._close_job,
+            act=self._act,
+            log=self._log,
+        )
+        self._placer = Placer(self._fleet, LatestStartOrder(), self._open)
         self._admission = AdmissionControl(
-            self._fleet, self._run_times, self._waiting, self._log
+            self._fleet, self._run_times, self._open.waiting, self._log
         )
         self._needs_flush = False
         """Whether placement and sending were deferred."""
-        self._needs_placement = False
-        """Whether more tasks may be placed than after the last pass."""
         self._last_event_at: float | None = None
         """The time of the last call; none before the first."""
         self._next_tick_s = IDLE_TICK_S
@@ -140,7 +139,7 @@
     @property
     def open_job_count(self) -> int:
         """The number of open jobs."""
-        return len(self._jobs)
+        return len(self._open.jobs)
 
     @property
     def agents(self) -> list[AgentView]:
@@ -165,9 +164,9 @@
         :param now: the entry's time.
         :returns: seconds.
         """
-        if self._needs_placement and self._prober.is_collecting(now):
+        if self._open.needs_placement and self._prober.is_collecting(now):
             return PROBE_COLLECT_S
-        is_busy = self._jobs or any(v.assigned for v in self._fleet.views)
+        is_busy = self._open.jobs or any(v.assigned for v in self._fleet.views)
         return BUSY_TICK_S if is_busy else IDLE_TICK_S
 
     def submit(
@@ -187,13 +186,12 @@
         :param now: the entry's time.
         """
         self._detect_stall(now)
-        if job_id in self._jobs:
+        if job_id in self._open.jobs:
             self._log(Event.JOB_JOINED, job=job_id)
             return self._defer_flush()
         job = Job(job_id, queue, spec, now, now + wait_s)
         self._admission.set_objective(job)
-        self._jobs[job_id] = job
-        self._update_waiting(job)
+        self._open.add(job)
         if self._overload.is_overloaded:
             self._abandon(job, now, "overloaded")
             return self._defer_flush()
@@ -228,12 +226,11 @@
         self._admission.set_objective(job)
         job.restore(record.done, record.failures)
         self._subset.record_needs(job, now)
-        self._jobs[job_id] = job
-        self._update_waiting(job)
+        self._open.add(job)
         if job.owner_epoch > 1:
             job.earliest_start_at = now + RUN_EXPIRY_S
             job.may_have_run = bool(record.completions)
-            self._apply_inherited_completions(job, now)
+            self._results.apply_inherited_completions(job, now)
         self._log(
             Event.JOB_TAKEN,
             job=job_id,
@@ -242,18 +239,18 @@
             version=self._site.configuration_version,
             done=len(record.done),
         )
-        self._close_if_finished(job, now)
+        self._results.close_if_finished(job, now)
         return self._flush(now)
 
     def change_owner_epoch(
         self, job_id: JobId, owner_epoch: int, now: float
     ) -> list[DispatchAction]:
         """Continue a durable job under a new owner epoch, now stored."""
-        job = self._jobs.get(job_id)
+        job = self._open.jobs.get(job_id)
         if job is not None:
             job.owner_epoch = owner_epoch
             job.earliest_start_at = now
-            self._needs_placement = True
+            self._open.needs_placement = True
         return self._flush(now)
 
     def too_late_wait_s(
@@ -296,7 +293,7 @@
         of it is stored, even if its former owner started runs.
         """
         counts: dict[str, int] = {}
-        for job in self._jobs.values():
+        for job in self._open.jobs.values():
             if job.is_durable and not job.is_started:
                 counts[job.queue.name] = counts.get(job.queue.name, 0) + 1
         return counts
@@ -304,8 +301,7 @@
     def remove_job(self, job_id: JobId, now: float) -> list[DispatchAction]:
         """Stop a job whose callers disconnected or whose owner has changed."""
         self._detect_stall(now)
-        job = self._jobs.pop(job_id, None)
-        self._waiting.pop(job_id, None)
+        job = self._open.remove(job_id)
         self._admission.discard(job_id)
         if job is not None:
             self._log(
@@ -318,7 +314,7 @@
 
     def state_of(self, job_id: JobId) -> JobState | None:
         """Return the state of an open job; none if it isn't open here."""
-        job = self._jobs.get(job_id)
+        job = self._open.jobs.get(job_id)
         if job is None:
             return None
         return JobState.RUNNING if job.is_started else JobState.QUEUED
@@ -326,14 +322,14 @@
     def cancel_job(self, job_id: JobId, now: float) -> list[DispatchAction]:
         """Cancel a job that isn't durable and answer its callers."""
         self._detect_stall(now)
-        job = self._jobs.get(job_id)
+        job = self._open.jobs.get(job_id)
         if job is not None and not job.is_durable:
             self._close_job(job, JobOutcome.CANCELLED, now, "cancelled")
         return self._flush(now)
 
     def abandon_all(self, now: float) -> list[DispatchAction]:
         """Abandon all jobs that aren't durable, as the entry shuts down."""
-        for job in list(self._jobs.values()):
+        for job in list(self._open.jobs.values()):
             if not job.is_durable:
                 self._abandon(job, now, "entry_stops")
         return self._flush(now)
@@ -400,13 +396,13 @@
         if view is None:
             return self._defer_flush()
         if view.update(message, now) or message.reports or message.completions:
-            self._needs_placement = True
+            self._open.needs_placement = True
         if view.is_due(now):
             view.mark_dirty()
         if message.site is not None:
             self._adopt_site(message.site, view.name, now)
         for progress in message.progress:
-            job = self._jobs.get(progress.task.job_id)
+            job = self._open.jobs.get(progress.task.job_id)
             task = None if job is None else job.find(progress.task)
             if job is None or task is None:
                 continue
@@ -415,9 +411,9 @@
                 job, task, progress.percent, reported_at, now
             )
         for report in message.reports:
-            self._apply_report(view, report, now)
+            self._results.apply_report(view, report, now)
         for completion in message.completions:
-            self._apply_completion(view, completion, now)
+            self._results.apply_completion(view, completion, now)
         return self._defer_flush()
 
     def adopt_site_config(
@@ -434,16 +430,18 @@
         self._update_overload(now)
         for view in self._fleet.views:
             if view.assigned and now - view.last_message_at > RUN_EXPIRY_S:
-                self._expire_runs(view, now)
+                self._results.expire_runs(view, now)
         forecast = self._admission.forecast()
-        for job in list(self._jobs.values()):
+        for job in list(self._open.jobs.values()):
             self._check_job(job, forecast, now)
-        self._needs_placement = True
+        self._open.needs_placement = True
         self._overload.expect_tick(now + self.tick_pause_s(now))
-        used_millicores = self._assigned_millicores() if self._waiting else 0
+        used_millicores = (
+            self._assigned_millicores() if self._open.waiting else 0
+        )
         self._subset.resize(used_millicores, now)
         self._sync_streams(now)
-        self._outbox.tick(has_backlog=bool(self._waiting), now=now)
+        self._outbox.tick(has_backlog=bool(self._open.waiting), now=now)
         return self._flush(now)
 
     def _check_new_jobs(self, now: float) -> None:
@@ -469,7 +467,7 @@
         """Return the demand of assigned tasks, in thousandths of a core."""
         return sum(
             task.step.demand.cpu_millicores
-            for job in self._jobs.values()
+            for job in self._open.jobs.values()
             for task in job.assigned
         )
 
@@ -493,18 +491,6 @@
                 size=self._subset.size,
             )
 
-    def _set_phase(self, job: Job, task: Task, phase: TaskPhase) -> None:
-        job.set_phase(task, phase)
-        self._update_waiting(job)
-
-    def _update_waiting(self, job: Job) -> None:
-        """Update whether a job waits for capacity, and request placement."""
-        self._needs_placement = True
-        if job.is_waiting:
-            self._waiting[job.job_id] = job
-        else:
-            self._waiting.pop(job.job_id, None)
-
     def _detect_stall(self, now: float) -> None:
         """Hold placement if the process stalled since the last call."""
         last = self._last_event_at
@@ -522,7 +508,7 @@
                 Event.OVERLOAD_CHANGED,
                 overloaded=self._overload.is_overloaded,
                 late_s=round(self._overload.late_s, 3),
-                jobs=len(self._jobs),
+                jobs=len(self._open.jobs),
             )
 
     def _check_job(self, job: Job, forecast: Forecast, now: float) -> None:
@@ -563,8 +549,7 @@
         :param reason: why it is closed, for the log.
         :param wait_s: its predicted wait, in seconds, if it is rejected.
         """
-        del self._jobs[job.job_id]
-        self._waiting.pop(job.job_id, None)
+        self._open.remove(job.job_id)
         self._admission.discard(job.job_id)
         self._stop_runs(job)
         self._log(
@@ -598,7 +583,7 @@
             return
         self._site = adopted
         self._fleet.set_closed_data_centres(adopted.closed_data_centres)
-        self._needs_placement = True
+        self._open.needs_placement = True
         self._log(
             Event.SITE_STATE_ADOPTED,
             source=source,
@@ -608,194 +593,9 @@
         )
         self._outbox.update_site(adopted, now)
 
-    def _apply_report(
-        self, view: AgentView, report: RunReport, now: float
-    ) -> None:
-        """Apply an agent's report of a run's outcome."""
-        if view.assigned.get(report.task) != report.request_number:
-            # A run of an earlier start request, abandoned in the meantime.
-            return
-        del view.assigned[report.task]
-        job = self._jobs.get(report.task.job_id)
-        task = None if job is None else job.find(report.task)
-        if job is None or task is None:
-            return
-        if task.phase is not TaskPhase.ASSIGNED or task.agent != view.name:
-            return
-        match report.outcome:
-            case RunOutcome.DONE:
-                self._record_success(view, job, task, now)
-            case RunOutcome.FAILED:
-                self._record_failure(view, job, task, now)
-            case RunOutcome.NOT_STARTED:
-                self._record_refusal(view, job, task, report, now)
-            case _:
-                job.may_have_run = True
-                self._log(
-                    Event.RUN_CUT_SHORT,
-                    job=job.job_id,
-                    step=task.key.step,
-                    task=task.key.index,
-                    agent=view.name,
-                    end=report.outcome.value,
-                )
-                self._set_phase(job, task, TaskPhase.WAITING)
-
-    def _apply_completion(
-        self, view: AgentView, completion: DurableCompletion, now: float
-    ) -> None:
-        """Apply a completion that is stored before the target may forget it.
-
-        :param view: the agent that keeps it until it is acknowledged.
-        :param completion: the completion.
-        :param now: the entry's time.
-        """
-        key = completion.task
-        job = self._jobs.get(key.job_id)
-        task = None if job is None else job.find(key)
-        view.unacknowledged[completion.position] = completion
-        is_own = completion.entry == self._entry
-        is_assigned = (
-            is_own and view.assigned.get(key) == completion.request_number
-        )
-        if is_assigned:
-            del view.assigned[key]
-        if job is None or task is None:
-            self._actions.append(StoreCompletion(view.name, completion, False))
-            return
-        is_awaited = task.phase is TaskPhase.ASSIGNED and is_assigned
-        is_awaited = is_awaited and task.agent == view.name
-        is_counted = is_awaited or job.is_inherited_run(
-            task, completion.owner_epoch
-        )
-        self._actions.append(
-            StoreCompletion(view.name, completion, is_counted)
-        )
-        if not is_counted:
-            return
-        if completion.is_done:
-            self._record_success(view, job, task, now)
-        else:
-            self._record_failure(view, job, task, now)
-
-    def _apply_inherited_completions(self, job: Job, now: float) -> None:
-        """Apply the unacknowledged completions of a job that was taken over.
-
-        Those of a task's newest start request are applied first. If that run
-        succeeded, older ones don't count; if it failed, they count too.
-        """
-        inherited = [
-            (completion.task, -completion.request_number, completion, view)
-            for view in self._fleet.views
-            for completion in view.unacknowledged.values()
-            if completion.task.job_id == job.job_id
-        ]
-        for _, _, completion, view in sorted(
-            inherited, key=lambda item: item[:2]
-        ):
-            self._apply_completion(view, completion, now)
-
-    def _close_if_finished(self, job: Job, now: float) -> None:
-        """Close a job that was taken over after its last run."""
-        if job.job_id not in self._jobs:
-            return
-        max_failures = max((task.failures for task in job.tasks), default=0)
-        if job.is_done:
-            self._close_job(job, JobOutcome.COMPLETED, now, "done")
-        elif max_failures >= job.queue.max_attempts:
-            self._close_job(job, JobOutcome.FAILED, now, "attempts_used_up")
-
-    def _record_success(
-        self, view: AgentView, job: Job, task: Task, now: float
-    ) -> None:
-        job.may_have_run = True
-        view.record_success()
-        self._monitor.record_success(view, job, task, now)
-        self._set_phase(job, task, TaskPhase.DONE)
-        self._run_times.record(
-            job.queue.name, task.step.declared_s, task.ran_s
-        )
-        if job.is_done:
-            self._close_job(job, JobOutcome.COMPLETED, now, "done")
-            return
-        job.unblock()
-        self._update_waiting(job)
-
-    def _record_failure(
-        self, view: AgentView, job: Job, task: Task, now: float
-    ) -> None:
-        job.may_have_run = True
-        task.failures += 1
-        task.failed_on.add(view.name)
-        self._set_phase(job, task, TaskPhase.WAITING)
-        view.record_failure(now)
-        self._log(
-            Event.RUN_FAILED,
-            job=job.job_id,
-            step=task.key.step,
-            task=task.key.index,
-            agent=view.name,
-            failures=task.failures,
-            agent_failures=view.failures,
-        )
-        if task.failures >= job.queue.max_attempts:
-            self._close_job(job, JobOutcome.FAILED, now, "attempts_used_up")
-
-    def _record_refusal(
-        self,
-        view: AgentView,
-        job: Job,
-        task: Task,
-        report: RunReport,
-        now: float,
-    ) -> None:
-        self._set_phase(job, task, TaskPhase.WAITING)
-        view.refused_at = now
-        if report.refusal is not RefusalReason.NO_ROOM:
-            self._log(
-                Event.RUN_NOT_STARTED,
-                job=job.job_id,
-                step=task.key.step,
-                task=task.key.index,
-                agent=view.name,
-                reason=report.refusal.value if report.refusal else None,
-            )
-
-    def _expire_runs(self, view: AgentView, now: float) -> None:
-        """Treat all runs of an agent as ended after RUN_EXPIRY_S of silence.
-
-        The agent has stopped them, or their leases have run out.
-        """
-        self._log(
-            Event.AGENT_SILENT,
-            agent=view.name,
-            silent_s=round(now - view.last_message_at, 3),
-            runs=len(view.assigned),
-        )
-        for key in sorted(view.assigned):
-            job = self._jobs.get(key.job_id)
-            task = None if job is None else job.find(key)
-            if job is None or task is None or task.agent != view.name:
-                continue
-            if task.phase is TaskPhase.ASSIGNED:
-                job.may_have_run = True
-                self._set_phase(job, task, TaskPhase.WAITING)
-                self._advance_owner_epoch(job)
-        view.assigned.clear()
-
-    def _advance_owner_epoch(self, job: Job) -> None:
-        """Start nothing of a durable job until a new owner epoch is stored.
-
-        A run was abandoned that may have succeeded. The agent may keep its
-        completion, which must not count once the task is started again.
-        """
-        if job.is_durable and job.earliest_start_at < float("inf"):
-            job.earliest_start_at = float("inf")
-            self._actions.append(AdvanceOwnerEpoch(job.job_id))
-
     def _is_wanted(self, key: TaskKey) -> bool:
         """Return whether a run of a task can still count."""
-        job = self._jobs.get(key.job_id)
+        job = self._open.jobs.get(key.job_id)
         task = None if job is None else job.find(key)
         return task is not None and task.phase is TaskPhase.ASSIGNED
 
@@ -819,16 +619,20 @@
         self._needs_flush = False
         if now >= self._hold_until:
             self._check_new_jobs(now)
-        if self._needs_placement and not self._prober.is_collecting(now):
-            self._needs_placement = False
+        if self._open.needs_placement and not self._prober.is_collecting(now):
+            self._open.needs_placement = False
             if now >= self._hold_until:
-                self._placer.place(self._waiting.values(), now)
-        self._prober.probe(self._waiting.values(), now)
-        self._actions += self._outbox.collect(self._waiting.values(), now)
+                self._placer.place(self._open.waiting.values(), now)
+        self._prober.probe(self._open.waiting.values(), now)
+        self._actions += self._outbox.collect(self._open.waiting.values(), now)
         actions = self._actions
         self._actions = []
         self._next_tick_s = self.tick_pause_s(now)
         return actions
 
+    def _act(self, action: DispatchAction) -> None:
+        """Add an action to those of the current call."""
+        self._actions.append(action)
+
     def _log(self, event: Event, **fields: Any) -> None:
         self._actions.append(LogDispatchDecision(event, fields))
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/open_jobs.py
@@ -0,0 +1,46 @@
+"""The open jobs of an entry, and which of them wait for capacity."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fulmarscale.entry.jobs.job import Job
+    from fulmarscale.entry.jobs.job import Task
+    from fulmarscale.entry.jobs.job import TaskPhase
+    from fulmarscale.runs.model import JobId
+
+
+class OpenJobs:
+    """The jobs that an entry has accepted and not answered yet."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[JobId, Job] = {}
+        """All open jobs."""
+        self.waiting: dict[JobId, Job] = {}
+        """Open jobs with tasks that wait for free capacity."""
+        self.needs_placement = False
+        """Whether more tasks may be placed than after the last pass."""
+
+    def add(self, job: Job) -> None:
+        """Add an accepted job."""
+        self.jobs[job.job_id] = job
+        self.update_waiting(job)
+
+    def remove(self, job_id: JobId) -> Job | None:
+        """Remove and return a job; none if it isn't open."""
+        self.waiting.pop(job_id, None)
+        return self.jobs.pop(job_id, None)
+
+    def set_phase(self, job: Job, task: Task, phase: TaskPhase) -> None:
+        """Move a task of a job to another phase."""
+        job.set_phase(task, phase)
+        self.update_waiting(job)
+
+    def update_waiting(self, job: Job) -> None:
+        """Update whether a job waits for capacity, and request placement."""
+        self.needs_placement = True
+        if job.is_waiting:
+            self.waiting[job.job_id] = job
+        else:
+            self.waiting.pop(job.job_id, None)
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import Final
-from typing import Protocol
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.job import TaskPhase
@@ -16,6 +15,7 @@
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
+    from fulmarscale.entry.jobs.open_jobs import OpenJobs
     from fulmarscale.entry.jobs.waiting_order import WaitingOrder
     from fulmarscale.runs.model import ServiceName
 
@@ -27,27 +27,20 @@
 """
 
 
-class PhaseSetter(Protocol):
-    """Moves a task of a job to another phase."""
-
-    def __call__(self, job: Job, task: Task, phase: TaskPhase) -> None:
-        """Move a task."""
-
-
 class Placer:
     """Places the tasks of one entry.
 
     :param fleet: the entry's agents.
     :param order: the order in which jobs get free capacity.
-    :param set_phase: called for each task that is assigned.
+    :param open_jobs: the entry's open jobs.
     """
 
     def __init__(
-        self, fleet: Fleet, order: WaitingOrder, set_phase: PhaseSetter
+        self, fleet: Fleet, order: WaitingOrder, open_jobs: OpenJobs
     ) -> None:
         self._fleet = fleet
         self._order = order
-        self._set_phase = set_phase
+        self._open = open_jobs
         self._last_start_number = 0
         """The number of the last start request."""
 
@@ -99,7 +92,7 @@
         self, job: Job, task: Task, view: AgentView, now: float
     ) -> None:
         """Assign a task to an agent and queue its start request."""
-        self._set_phase(job, task, TaskPhase.ASSIGNED)
+        self._open.set_phase(job, task, TaskPhase.ASSIGNED)
         task.agent = view.name
         task.assigned_at = now
         task.percent = 0
--- a/src/fulmarscale/entry/jobs/run_monitor.py
+++ b/src/fulmarscale/entry/jobs/run_monitor.py
@@ -81,6 +81,7 @@
         if not task.is_slowness_recorded:
             view.record_slowness(ran_s / max(expected_s, MIN_EXPECTED_S), now)
         task.ran_s = ran_s
+        self._run_times.record(job.queue.name, task.step.declared_s, ran_s)
 
     def check_run(self, job: Job, task: Task, now: float) -> None:
         """Stop a run that has stalled or is far too slow, to move its task."""
