Account of the policy under load and faults, and a sharper late-order test

(2) "late orders" did not fail when an unanswered run was given up without being forbidden: the simulated late start had an old lease and was rejected. The late start's lease counts from its arrival, the worst case of the platform. Conclusion: the scenario guards the rule now.

--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -241,9 +241,12 @@
         token = self.fencing_token
         if target.is_unresponsive or self._is_unanswered():
             self.lost_starts.append((action.task, self._clock.now))
-            self._clock.call_in(
-                self._late_s(), lambda: target.start(action, until, token)
-            )
+
+            def deliver_late() -> None:
+                # The worst case: the lease counts from the arrival.
+                target.start(action, self._clock.now + LEASE_S, token)
+
+            self._clock.call_in(self._late_s(), deliver_late)
             self._lose(0.0, lambda: resolve(StartResponse.UNKNOWN))
             return
 
