--- a/src/fulmarscale/entry/jobs/estimates.py
+++ b/src/fulmarscale/entry/jobs/estimates.py
@@ -19,7 +19,6 @@
 MIN_DECLARED_S: Final = 0.001
 """Lower bound of declared run times, as ratios divide by them."""
 
-
 TREND_WEIGHT: Final = 0.005
 """Weight of a new run in the moving regression of run times."""
 
