Log which runs were on a target when it crashed

Cause: a run that ended with its target's process was logged and reported as LAPSED, 0.85 s later, like one whose lease ran out on a silent target. No line named the runs on a crashed target or their queue, so the hypotheses of the incident couldn't be told apart.

Change: the agent records a crash when its target refuses connections while it has runs and isn't draining (TARGET_CRASHED with each run, its queue and age), withdraws it if the same incarnation responds again (CRASH_DISPROVED), and reports the runs as crashed. RUN_LAPSED has the queue and the end. Start requests carry the queue. No decision depends on it yet.

--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -85,7 +85,9 @@
         "percent",
         "percent_reported_at",
         "phase",
+        "queue",
         "request_number",
+        "requested_at",
         "start_resolved_at",
         "stop_acknowledged_at",
         "stop_sent_at",
@@ -93,9 +95,13 @@
     )
 
     def __init__(
-        self, request: StartRequest, number: int, entry: EntryId
+        self, request: StartRequest, number: int, entry: EntryId, now: float
     ) -> None:
         self.task = request.task
+        self.queue = request.queue
+        """The queue of the task's job."""
+        self.requested_at = now
+        """When its start was requested from the target."""
         self.request_number = request.request_number
         """Identifies the entry's start request."""
         self.number = number
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -17,6 +17,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.agent.completions import UnacknowledgedCompletions
+from fulmarscale.agent.crash_recorder import CrashRecorder
 from fulmarscale.agent.entry_session import choose_preferred
 from fulmarscale.agent.entry_session import EntrySession
 from fulmarscale.agent.run import Run
@@ -115,6 +116,7 @@
         self._lease_expires_at = float("-inf")
         """When all runs have ended for certain if the lease isn't extended."""
         self._completions = UnacknowledgedCompletions()
+        self._crashes = CrashRecorder()
         self._runs: dict[TaskKey, Run] = {}
         self._orphans: dict[TaskKey, int] = {}
         """The run numbers of listed runs that this agent does not manage."""
@@ -336,15 +338,46 @@
         return self._collect_actions(now)
 
     def mark_target_unavailable(
-        self, reason: str, now: float
+        self, reason: str, now: float, *, is_refused: bool = False
     ) -> list[RunAction]:
-        """Record that the target gave no usable response to a renewal."""
+        """Record that the target gave no usable response to a renewal.
+
+        :param reason: the error, for the log.
+        :param now: the agent's time.
+        :param is_refused: whether the target's machine is up but refused the
+            connection.
+        """
         if self._is_target_available:
             self._is_target_available = False
             self._notify_all()
             self._log(Event.TARGET_UNREACHABLE, reason=reason)
+            if is_refused:
+                self._record_crash(now)
         return self._collect_actions(now)
 
+    def _record_crash(self, now: float) -> None:
+        """Record a crash of the target unless it was leaving or had no runs.
+
+        :param now: the agent's time.
+        """
+        target = self._target
+        if target is None or target.state is not TargetState.READY:
+            return
+        if not self._runs:
+            return
+        crash = self._crashes.record_crash(
+            target.incarnation, self._runs.values(), now
+        )
+        self._log(
+            Event.TARGET_CRASHED,
+            target=target.incarnation.target,
+            born_ms=target.incarnation.born_ms,
+            runs=[
+                (_format_task(run.task), run.queue, round(run.age_s, 3))
+                for run in crash.runs
+            ],
+        )
+
     def record_renewal(self, sent_at: float) -> None:
         """Record that a request which extends the lease was sent.
 
@@ -387,6 +420,12 @@
             self._is_target_available = True
             self._notify_all()
             self._log(Event.TARGET_REACHED, target=target.incarnation.target)
+            if self._crashes.disprove(target.incarnation) is not None:
+                self._log(
+                    Event.CRASH_DISPROVED,
+                    target=target.incarnation.target,
+                    born_ms=target.incarnation.born_ms,
+                )
         for completion in listed.completions:
             if self._completions.record_position(completion.position):
                 self._handle_completion(completion, now)
@@ -419,6 +458,7 @@
                 )
                 self._stop(run, now)
             case _:
+                self._crashes.remove_rejected_run(task, now)
                 self._finish_run(
                     run, RunOutcome.NOT_STARTED, now, RefusalReason.REJECTED
                 )
@@ -555,8 +595,11 @@
 
     def _end_incarnation(self, now: float) -> None:
         """Discard all state of an incarnation of the target that has ended."""
+        outcome = self._outcome_without_target
         for run in list(self._runs.values()):
-            self._finish_run(run, RunOutcome.LAPSED, now)
+            self._finish_run(run, outcome, now)
+        if self._target is not None:
+            self._crashes.confirm(self._target.incarnation)
         self._orphans.clear()
         self._run_numbers.clear()
         self._is_target_available = False
@@ -672,7 +715,7 @@
         highest, _ = self._run_numbers.get(request.task, (0, now))
         number = highest + 1
         self._run_numbers[request.task] = (number, now)
-        run = Run(request, number, session.entry)
+        run = Run(request, number, session.entry, now)
         self._runs[request.task] = run
         check_invariant(
             self.used.fits(target.capacity), "runs fit the target's capacity"
@@ -885,11 +928,25 @@
         """Finish all runs once their lease has expired for certain."""
         if self._is_target_available or now <= self._lease_expires_at:
             return
+        outcome = self._outcome_without_target
         for run in list(self._runs.values()):
             self._log(
-                Event.RUN_LAPSED, task=_format_task(run.task), run=run.number
+                Event.RUN_LAPSED,
+                task=_format_task(run.task),
+                run=run.number,
+                queue=run.queue,
+                end=outcome.value,
             )
-            self._finish_run(run, RunOutcome.LAPSED, now)
+            self._finish_run(run, outcome, now)
+
+    @property
+    def _outcome_without_target(self) -> RunOutcome:
+        """The outcome of the runs of a target that does not respond."""
+        target = self._target
+        has_crashed = target is not None and self._crashes.has_crashed(
+            target.incarnation
+        )
+        return RunOutcome.CRASHED if has_crashed else RunOutcome.LAPSED
 
     def _finish_run(
         self,
@@ -926,6 +983,7 @@
         if now - self._last_expiry_at < EXPIRY_INTERVAL_S:
             return
         self._last_expiry_at = now
+        self._crashes.expire(now)
         self._reports = {
             task: cached
             for task, cached in self._reports.items()
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -244,7 +244,13 @@
         self._failed_renewals += 1
         if self._failed_renewals < MAX_FAILED_RENEWALS:
             return
-        self._decide(self._guard.mark_target_unavailable, error.detail)
+
+        def mark_unavailable(now: float) -> list[RunAction]:
+            return self._guard.mark_target_unavailable(
+                error.detail, now, is_refused=error.is_refused
+            )
+
+        self._decide(mark_unavailable)
         await asyncio.sleep(UNREACHABLE_RETRY_S)
 
     async def _list_runs(self, incarnation: TargetIncarnation) -> None:
--- a/src/fulmarscale/agent/run_target_client.py
+++ b/src/fulmarscale/agent/run_target_client.py
@@ -24,8 +24,14 @@
 class TargetUnreachableError(FulmarError):
     """The target gave no usable response to a request."""
 
-    def __init__(self, detail: str) -> None:
+    def __init__(self, detail: str, *, is_refused: bool = False) -> None:
         super().__init__(ResultCode.TARGET_CONNECTION_LOST, detail)
+        self._is_refused = is_refused
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the target's machine is up but refused the connection."""
+        return self._is_refused
 
 
 class RunTargetClient(ABC):
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -109,5 +109,6 @@
                 request_number=self._last_start_number,
                 required_label=task.step.required_label,
                 owner_epoch=job.owner_epoch,
+                queue=job.queue.name,
             )
         )
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -270,6 +270,17 @@
 
     The agent does not renew the target's lease until it has run out.
     """
+    TARGET_CRASHED = 618
+    """The target refuses connections while it has runs.
+
+    Each of its runs is logged with its queue and its age in seconds, the
+    youngest first. They end once their lease has run out.
+    """
+    CRASH_DISPROVED = 619
+    """The target responds again as the same incarnation.
+
+    It had not crashed.
+    """
     INVARIANT_BROKEN = 900
     """A safety invariant does not hold.
 
--- a/src/fulmarscale/platform/http_client.py
+++ b/src/fulmarscale/platform/http_client.py
@@ -39,11 +39,17 @@
     """A request that got no response."""
 
     def __init__(
-        self, detail: str, *, may_be_sent: bool, is_timeout: bool = False
+        self,
+        detail: str,
+        *,
+        may_be_sent: bool,
+        is_timeout: bool = False,
+        is_refused: bool = False,
     ) -> None:
         super().__init__(ResultCode.TARGET_CONNECTION_LOST, detail)
         self._may_be_sent = may_be_sent
         self._is_timeout = is_timeout
+        self._is_refused = is_refused
 
     @property
     def may_be_sent(self) -> bool:
@@ -55,6 +61,11 @@
         """Whether the server left the request unanswered."""
         return self._is_timeout
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether no process listens on the server's port."""
+        return self._is_refused
+
 
 class HttpConnection(asyncio.Protocol):
     """A connection that carries one request at a time."""
@@ -253,7 +264,11 @@
                     HttpConnection, host, int(port)
                 )
         except (OSError, TimeoutError) as error:
-            raise RequestError(repr(error), may_be_sent=False) from error
+            raise RequestError(
+                repr(error),
+                may_be_sent=False,
+                is_refused=isinstance(error, ConnectionRefusedError),
+            ) from error
         return connection
 
     def _release(self, connection: HttpConnection | None) -> None:
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -184,7 +184,9 @@
         try:
             response = await self._call("/api/hold", incarnation, body, wait_s)
         except RequestError as error:
-            raise TargetUnreachableError(error.detail) from error
+            raise TargetUnreachableError(
+                error.detail, is_refused=error.is_refused
+            ) from error
         if response.status != OK:
             reason = self._handle_conflict(response)
             raise TargetUnreachableError(f"{response.status} {reason}")
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from fulmarscale.ids import EntryId
+from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import RunOutcome
@@ -39,6 +40,8 @@
     The completion of a durable job's run is stored before the target may
     forget it.
     """
+    queue: QueueName = QueueName("")
+    """The queue of the job, for records of crashes."""
 
 
 class RunReport(MessagePart):
--- a/src/fulmarscale/runs/model.py
+++ b/src/fulmarscale/runs/model.py
@@ -152,6 +152,8 @@
     Also reported for an expected run that the agent doesn't know, and for a
     running one that the target no longer lists.
     """
+    CRASHED = "crashed"
+    """Its target crashed. The task, or another one there, may be the cause."""
     NOT_STARTED = "not_started"
     """The run did not start and never will by this request."""
 
