--- a/features/support/dispatch_score.py
+++ b/features/support/dispatch_score.py
@@ -21,6 +21,23 @@
 """Length of the windows of which the worst two are shown."""
 
 
+def score_windows(
+    workload: Workload, jobs: list[JobDraw], completed_at: dict[str, float]
+) -> dict[int, float]:
+    """Return the share of the worth that was served in each window.
+
+    :param completed_at: as for `score_jobs`.
+    :returns: the shares by the window's number, from 0.
+    """
+    by_window: dict[int, list[JobDraw]] = {}
+    for job in jobs:
+        by_window.setdefault(int(job.arrives_s / WINDOW_S), []).append(job)
+    return {
+        window: score_jobs(workload, members, completed_at)["worth"]
+        for window, members in sorted(by_window.items())
+    }
+
+
 def score_jobs(
     workload: Workload, jobs: list[JobDraw], completed_at: dict[str, float]
 ) -> dict[str, float]:
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -162,9 +162,12 @@
 
         def respond() -> None:
             nonlocal is_answered
-            if is_answered or target.incarnation != born:
+            if is_answered:
                 return
             is_answered = True
+            if not target.is_up or target.incarnation != born:
+                self._later(HOP_DELAY_S, self._poll_failed)
+                return
             listed = target.list_runs(self.guard.forgettable_position)
             self._later(RESPONSE_S / 2, lambda: receive(listed))
 
@@ -213,8 +216,11 @@
         if self._failed_renewals < MAX_FAILED_RENEWALS:
             self._poll_after(0.0)
             return
+        is_refused = not self.target.is_up and not self.target.is_dark
         self.perform(
-            self.guard.mark_target_unavailable("no answer", self._clock.now)
+            self.guard.mark_target_unavailable(
+                "no answer", self._clock.now, is_refused=is_refused
+            )
         )
         self._poll_after(UNREACHABLE_RETRY_S)
 
@@ -335,6 +341,10 @@
         """When each job was answered as completed."""
         self.rejected_at: dict[str, float] = {}
         """When each job was first rejected."""
+        self.failed: set[str] = set()
+        """Jobs that were answered as failed."""
+        self.crashing_jobs: set[str] = set()
+        """Jobs whose first task crashes targets."""
         self.slowed_targets: set[str] = set()
         """Names of the targets that a fault has slowed down."""
         self.refused_starts = 0
@@ -344,6 +354,9 @@
         super().__init__(workload.entries, len(workload.cores), warm_up_s=2.0)
         self.began_at = self.clock.now
         """When the first job could arrive, in virtual time."""
+        for fault in workload.faults:
+            if fault.kind == "crashing_tasks":
+                self._choose_crashing_jobs(fault)
         for job in jobs:
             self.clock.call_in(
                 job.arrives_s, lambda job=job: self._send(job, job.entry)
@@ -449,9 +462,21 @@
             self.workload.resend_s, lambda: self._send(job, number)
         )
 
+    def _choose_crashing_jobs(self, fault: FaultKind) -> None:
+        """Choose the jobs of a fault whose first task crashes targets."""
+        random = Random(f"{self.seed}/crashing_tasks/{fault.at_s}")
+        for job in self.jobs:
+            is_chosen = random.random() < fault.share
+            is_hit = 0 <= job.arrives_s - fault.at_s < fault.for_s
+            if is_chosen and is_hit and job.kind.name == fault.job_kind:
+                self.crashing_jobs.add(job.name)
+                self.make_task_crash_targets(job.name, 0)
+        for target in self.targets:
+            target.crash_delay_s = fault.x
+
     def _begin(self, fault: FaultKind) -> None:
         match fault.kind:
-            case "burst":
+            case "burst" | "crashing_tasks":
                 return
             case "power_loss":
                 for entry in list(self.entries):
@@ -564,6 +589,8 @@
                     self._bench.completed_at[name] = self._bench.elapsed_s
                 case JobOutcome.NOT_RUN:
                     self._bench.rejected_at[name] = self._bench.elapsed_s
+                case JobOutcome.FAILED:
+                    self._bench.failed.add(name)
                 case JobOutcome.UNFINISHED:
                     self._bench.resend(name)
                 case _:
--- a/features/support/dispatch_workload.py
+++ b/features/support/dispatch_workload.py
@@ -61,17 +61,20 @@
 
     kind: str
     """`burst`, `unanswered`, `crash`, `slow`, `failing`, `hanging`,
-    `power_loss`, `entry_kill` or `agent_kill`."""
+    `power_loss`, `entry_kill`, `agent_kill` or `crashing_tasks`."""
     at_s: float
     """Start, in seconds from the first job."""
     for_s: float = 5.0
     """Duration in seconds."""
     share: float = 0.15
-    """Share of the targets that it affects, or of the requests."""
+    """Share of the targets that it affects, or of the requests or jobs."""
     x: float = 2.0
-    """Strength: a factor on the load or on run times."""
+    """Strength: a factor on the load or on run times.
+
+    For tasks that crash targets, the time from their start to the crash.
+    """
     job_kind: str = ""
-    """The kind of jobs that a burst multiplies; empty for all."""
+    """The kind of jobs of a burst or with crashing tasks; empty for all."""
 
 
 class Workload(msgspec.Struct, frozen=True):
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -65,6 +65,12 @@
 HEARTBEAT_INTERVAL_S: Final = 0.5
 """Time between heartbeats."""
 
+CRASH_DELAY_S: Final = 0.01
+"""Time from the start of a task that crashes its target to the crash."""
+
+CRASH_RESTART_S: Final = 3.3
+"""Time that a target takes to start again after a crash by a task."""
+
 STOP_DURATION_S: Final = 0.03
 """Time that a target needs to stop a run."""
 
@@ -149,6 +155,12 @@
         self.capacity = Resources(cores * 1000, 65536, 0)
         self.state = TargetState.READY
         self.is_up = True
+        self.is_dark = False
+        """Whether it is down because its machine has no power."""
+        self.crashing_tasks: set[tuple[str, int]] = set()
+        """Jobs and indexes of the tasks that crash the target."""
+        self.crash_delay_s = CRASH_DELAY_S
+        """Time from the start of such a task to the crash, in seconds."""
         self.labels: tuple[str, ...] = ()
         self.work_factor = 1.0
         """Factor on the work of each task."""
@@ -184,12 +196,17 @@
         self._lease_expires_at = float("inf")
         """When the lease expires; infinite before the first grant."""
 
-    def crash(self, down_s: float) -> None:
+    def crash(self, down_s: float, *, is_dark: bool = False) -> None:
         """Lose all state and come back as another incarnation.
 
         :param down_s: time until it is up again.
+        :param is_dark: whether its machine loses power, so that connections
+            to it are not refused.
         """
+        if not self.is_up:
+            return
         self.is_up = False
+        self.is_dark = is_dark
         self._finish_all(RunOutcome.LAPSED)
         self._clock.call_in(down_s, self._start_again)
 
@@ -233,6 +250,11 @@
         self.running[action.task] = (action.number, run)
         self.peak_running = max(self.peak_running, len(self.running))
         self.extend(until)
+        if (action.task.job_id, action.task.index) in self.crashing_tasks:
+            self._clock.call_in(
+                self.crash_delay_s,
+                lambda: self._crash_by(action.task, action.number),
+            )
         if self.is_hung:
             return StartResponse.STARTED
         outcome = RunOutcome.FAILED if self.is_failing else RunOutcome.DONE
@@ -241,6 +263,12 @@
         )
         return StartResponse.STARTED
 
+    def _crash_by(self, task: Any, number: int) -> None:
+        """Crash if a run that crashes the target still runs."""
+        current = self.running.get(task)
+        if current is not None and current[0] == number:
+            self.crash(CRASH_RESTART_S)
+
     def _work_s(self, action: StartRun) -> float:
         """Return the work of a task on a sound target, in seconds."""
         return int(action.payload) / 1000
@@ -309,6 +337,7 @@
         self.highest_token = 0
         self._lease_expires_at = float("inf")
         self._last_position = 0
+        self.is_dark = False
         self.is_up = True
 
     _last_position = 0
@@ -508,13 +537,17 @@
                 )
                 return
             self._wait_for_completion(
-                requested_at, requested_at + RENEW_WAIT_S, renew
+                requested_at,
+                requested_at + RENEW_WAIT_S,
+                renew,
+                handle_failure,
             )
 
         def handle_failure() -> None:
+            is_refused = not self.target.is_up and not self.target.is_dark
             self.perform(
                 self.guard.mark_target_unavailable(
-                    "no answer", self._clock.now
+                    "no answer", self._clock.now, is_refused=is_refused
                 )
             )
             renew()
@@ -522,23 +555,33 @@
         self._clock.call_in(TICK_S, lambda: self.call_or_defer(renew))
 
     def _wait_for_completion(
-        self, requested_at: float, until: float, renew_again: Any
+        self,
+        requested_at: float,
+        until: float,
+        renew_again: Any,
+        fail: Any,
     ) -> None:
-        """Respond to a renewal once a run has ended or `until` is reached."""
+        """Respond to a renewal once a run has ended or `until` is reached.
+
+        :param requested_at: when the renewal was sent.
+        :param until: when the target responds at the latest.
+        :param renew_again: called after the response.
+        :param fail: called instead if the target goes down.
+        """
+        if not self.target.is_up:
+            pause_s = RENEW_TIMEOUT_S if self.target.is_dark else HOP_DELAY_S
+            self._clock.call_in(pause_s, lambda: self.call_or_defer(fail))
+            return
         forgettable_position = self.guard.forgettable_position
         has_completion = any(
             completion.position > forgettable_position
             for completion in self.target.completions
         )
-        if (
-            not has_completion
-            and self._clock.now < until
-            and self.target.is_up
-        ):
+        if not has_completion and self._clock.now < until:
             self._clock.call_in(
                 HOP_DELAY_S,
                 lambda: self._wait_for_completion(
-                    requested_at, until, renew_again
+                    requested_at, until, renew_again, fail
                 ),
             )
             return
@@ -877,6 +920,19 @@
         """Start an entry."""
         return EntryNode(self, name, incarnation)
 
+    def make_task_crash_targets(self, job_id: str, index: int) -> None:
+        """Make a task of a job crash each target that starts it."""
+        for target in self.targets:
+            target.crashing_tasks.add((job_id, index))
+
+    def starts_of(self, job_id: str, index: int) -> list[RunRecord]:
+        """Return the runs of a task of a job, by start."""
+        return [
+            run
+            for run in self.history
+            if (run.task.job_id, run.task.index) == (job_id, index)
+        ]
+
     def advance(self, duration_s: float) -> None:
         """Advance the virtual time by a duration."""
         self.clock.run_until(self.clock.now + duration_s)
