Give up tasks that crash their targets, and try suspects alone

Cause: the end of a run by a crash of its target was handled as a lapse, which says nothing about the task. Nothing counted it, at no place, so the retries of a task had no bound: a poison message without a retry limit.

Change: agents keep the crashes of their target for 60 s and report them to all entries, with the runs, their queues and ages. Each entry attributes them: a run is suspected in proportion to the inverse of its age, beside a share for crashes by no task. A job with a suspicion of 0.2, or two crashes under a task, is run again only on trial: one job at a time and entry, on one target, where nothing else starts meanwhile. It is given up as failed, with the code TASK_CRASHES_TARGETS, after two crashes with a suspicion of 0.8 or after three. A success clears a task. For durable jobs the crashes must be confirmed by the next incarnation of the target. As all entries have the records, they outlive the entry that started the task, and count for a resend.

Evidence: the first three scenarios of crashes.feature failed before and pass. Open: bulkheads; crash counts that survive the loss of all machines.

--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "backlog",
+        "crash_revision",
         "entry",
         "expected",
         "has_changes",
@@ -58,6 +59,8 @@
         """Positions of the unacknowledged completions sent on this stream."""
         self.received_sequence = 0
         """The sequence number of the entry's newest message."""
+        self.crash_revision = 0
+        """The revision of the target's crashes that the entry was sent."""
         self.sent_at = now
         self.must_send = True
         """Whether a message is to be sent at once."""
--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -79,6 +79,7 @@
         "demand",
         "entry",
         "is_confirmed",
+        "is_exclusive",
         "is_stop_pending",
         "number",
         "owner_epoch",
@@ -110,6 +111,8 @@
         self.demand = request.demand
         self.owner_epoch = request.owner_epoch
         """The fencing number of a durable job's owner; 0 for other jobs."""
+        self.is_exclusive = request.is_exclusive
+        """Whether no other job's task may start beside the run."""
         self.phase = RunPhase.STARTING
         self.is_confirmed = False
         """Whether the target has responded that it started the run."""
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -65,6 +65,7 @@
     from fulmarscale.runs.messages import EntryMessage
     from fulmarscale.runs.messages import ExpectedRun
     from fulmarscale.runs.messages import StartRequest
+    from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import TargetReport
 
 STORED_OUTCOMES: Final = (RunOutcome.DONE, RunOutcome.FAILED)
@@ -206,10 +207,24 @@
         """The resources that all runs use.
 
         The demand of an orphan run is unknown, so the whole capacity counts as
-        used until all orphans have ended.
+        used until all orphans have ended, and while a run is exclusive.
         """
-        if self._orphans and self._target is not None:
+        is_blocked = bool(self._orphans) or self._exclusive_job is not None
+        if is_blocked and self._target is not None:
             return self._target.capacity
+        return self._demand_of_runs
+
+    @property
+    def _exclusive_job(self) -> JobId | None:
+        """The job with an exclusive run; none if there is none."""
+        for run in self._runs.values():
+            if run.is_exclusive:
+                return run.task.job_id
+        return None
+
+    @property
+    def _demand_of_runs(self) -> Resources:
+        """The resources that the runs of this agent use."""
         total = Resources()
         for run in self._runs.values():
             total += run.demand
@@ -516,6 +531,8 @@
                 session.backlog = 0
             if self._must_send_site_config(session, now):
                 session.must_send = True
+            if self._must_send_crashes(session, now):
+                session.must_send = True
         for run in self._runs.values():
             self._repeat_stop(run, now)
         self._release_completions(now)
@@ -534,6 +551,12 @@
             self._site_config, self._site_config_since, entry_revision, now
         )
 
+    def _must_send_crashes(self, session: EntrySession, now: float) -> bool:
+        """Return whether an entry has to be sent the target's crashes."""
+        if session.crash_revision == self._crashes.revision:
+            return False
+        return self._crashes.is_settled(now)
+
     def _adopt_next_incarnation(self, now: float) -> None:
         """Adopt the next incarnation once the former one's runs have ended."""
         if self._next_incarnation is None or self._is_target_available:
@@ -702,10 +725,19 @@
             return RefusalReason.WRONG_SERVICE
         if request.task in self._runs:
             return RefusalReason.WITHDRAWN
-        if not request.demand.fits(target.capacity - self.used):
+        if not self._has_room(request, target):
             return RefusalReason.NO_ROOM
         return None
 
+    def _has_room(self, request: StartRequest, target: TargetReport) -> bool:
+        """Return whether a run fits the capacity that others leave."""
+        exclusive_job = self._exclusive_job
+        if exclusive_job not in (None, request.task.job_id):
+            return False
+        if self._orphans:
+            return False
+        return request.demand.fits(target.capacity - self._demand_of_runs)
+
     def _start(
         self, session: EntrySession, request: StartRequest, now: float
     ) -> None:
@@ -718,7 +750,8 @@
         run = Run(request, number, session.entry, now)
         self._runs[request.task] = run
         check_invariant(
-            self.used.fits(target.capacity), "runs fit the target's capacity"
+            self._demand_of_runs.fits(target.capacity),
+            "runs fit the target's capacity",
         )
         # A start extends the lease of all runs, as a renewal does.
         self.record_renewal(now)
@@ -1070,6 +1103,7 @@
     ) -> None:
         site = self._site_config
         is_behind = self._must_send_site_config(session, now)
+        has_crashes = self._must_send_crashes(session, now)
         others = sum(
             other.backlog
             for other in self._sessions.values()
@@ -1090,11 +1124,14 @@
             others_backlog=others,
             is_stopping=self._is_stopping,
             is_offered_elsewhere=self._preferred not in (None, session),
+            crashes=self._crashes.report(now) if has_crashes else (),
         )
         session.reports = []
         session.has_changes = False
         session.must_send = False
         session.sent_at = now
+        if has_crashes:
+            session.crash_revision = self._crashes.revision
         if is_behind:
             session.site_revision = site.revision
         self._actions.append(SendMessage(session.number, message))
--- a/src/fulmarscale/entry/jobs/actions.py
+++ b/src/fulmarscale/entry/jobs/actions.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
 from fulmarscale.runs.messages import DurableCompletion
 from fulmarscale.runs.messages import EntryMessage
@@ -19,7 +20,7 @@
     COMPLETED = "completed"
     """All tasks have succeeded."""
     FAILED = "failed"
-    """A task has failed as often as the queue allows."""
+    """A task has failed as often as the queue allows, or crashes targets."""
     STORED = "stored"
     """The job is stored and will be run; only for durable jobs."""
     NOT_RUN = "not_run"
@@ -61,6 +62,8 @@
     """The delay after which a retry is likely to be accepted."""
     took_s: float = 0.0
     """Time from the job's arrival to its answer."""
+    code: ResultCode = ResultCode.OK
+    """Why the job has failed."""
 
 
 class CloseDurableJob(DispatchAction):
@@ -70,6 +73,8 @@
     """The job."""
     outcome: JobOutcome
     """COMPLETED or FAILED."""
+    code: ResultCode = ResultCode.OK
+    """Why the job has failed."""
 
 
 class AdvanceOwnerEpoch(DispatchAction):
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -0,0 +1,345 @@
+"""Attributes crashes of targets to the tasks that ran there.
+
+All entries receive the crashes from the agents, so that each one knows a
+task's crashes although another entry, which may be lost, had it started.
+
+A crash has many suspects: every run on the target. The time after which a
+task crashes its target is unknown, so its prior is the scale-free one, whose
+density falls with the inverse of the time. A run is suspected in proportion
+to that density at its age. Runs that started just before a crash thus get
+most of the suspicion, and so does a task that recurs.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import Final
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from fulmarscale.runs.crashes import CrashedRun
+from fulmarscale.runs.crashes import CrashState
+from fulmarscale.runs.model import QueueName
+from fulmarscale.runs.model import TaskKey
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarscale.entry.jobs.job import Job
+    from fulmarscale.runs.crashes import TargetCrash
+    from fulmarscale.runs.model import JobId
+    from fulmarscale.runs.model import TargetIncarnation
+
+HISTORY_RETENTION_S: Final = 60.0
+"""How long a crash is remembered.
+
+Longer than any caller retries the same job.
+"""
+
+AGE_RESOLUTION_S: Final = 0.01
+"""Accuracy of the age of a run at a crash: requests and responses take time.
+
+It bounds the suspicion of a run that had just been requested.
+"""
+
+UNRELATED_AGE_S: Final = 0.2
+"""A crash by no task at all is as likely as one by a single run of this age.
+
+Targets also crash by themselves.
+"""
+
+SUSPECT_LEVEL: Final = 0.2
+"""Suspicion from which a job is run again only on trial."""
+
+GIVE_UP_LEVEL: Final = 0.8
+"""Suspicion from which a job is given up after MIN_CRASHES."""
+
+MIN_CRASHES: Final = 2
+"""Crashes under a task after which it may be given up."""
+
+MAX_CRASHES: Final = 3
+"""Crashes under a task after which it is given up in any case."""
+
+LOST_CRASH_SUSPICION: Final = 0.5
+"""Suspicion by a stored crash whose other runs are no longer known."""
+
+UNRESOLVED_S: Final = 10.0
+"""How long a suspected crash may stay unresolved.
+
+A crashed target restarts within a few seconds. After this time it is taken to
+be gone for good.
+"""
+
+BLAME_SHARE: Final = 0.5
+"""Share of the suspicion from which a crash is attributed to a queue."""
+
+
+class KnownCrash(msgspec.Struct):
+    """A crash as an entry knows it."""
+
+    agent: str
+    """The agent of the target."""
+    state: CrashState
+    """How certain the crash is."""
+    crashed_at: float
+    """When the target crashed, by the entry's time."""
+    runs: tuple[CrashedRun, ...]
+    """The runs that were on the target, the youngest first."""
+
+
+class Suspicion(msgspec.Struct):
+    """What the known crashes say about one job."""
+
+    innocence: float = 1.0
+    """Probability that the job has caused none of the crashes."""
+    counts: dict[TaskKey, int] = {}
+    """Number of crashes under each of its tasks."""
+    last_at: float = float("-inf")
+    """When the last of these crashes was."""
+
+    @property
+    def level(self) -> float:
+        """Probability that the job has caused one of the crashes."""
+        return 1.0 - self.innocence
+
+    @property
+    def max_count(self) -> int:
+        """The most crashes under one task."""
+        return max(self.counts.values(), default=0)
+
+    @property
+    def is_sufficient(self) -> bool:
+        """Whether the job is given up for these crashes."""
+        if self.max_count >= MAX_CRASHES:
+            return True
+        return self.max_count >= MIN_CRASHES and self.level >= GIVE_UP_LEVEL
+
+
+class QueueCrash(msgspec.Struct, frozen=True):
+    """A crash that is attributed to the tasks of a queue."""
+
+    queue: QueueName
+    """The queue."""
+    agent: str
+    """The agent of the target."""
+    crashed_at: float
+    """When the target crashed, by the entry's time."""
+
+
+NO_SUSPICION: Final = Suspicion()
+
+
+class CrashHistory:
+    """The crashes that an entry knows of, and their suspects."""
+
+    def __init__(self) -> None:
+        self._crashes: dict[TargetIncarnation, KnownCrash] = {}
+        self._stored_counts: dict[JobId, dict[TaskKey, int]] = {}
+        """Crashes under tasks of durable jobs, from their stored records."""
+        self._succeeded: dict[TaskKey, float] = {}
+        """When each task that was on a crashed target has succeeded."""
+        self._suspected: dict[JobId, Suspicion] = {}
+        """By all crashes that are not disproved."""
+        self._confirmed: dict[JobId, Suspicion] = {}
+        """By confirmed crashes only."""
+        self._queue_crashes: tuple[QueueCrash, ...] = ()
+
+    @property
+    def queue_crashes(self) -> tuple[QueueCrash, ...]:
+        """Crashes attributed to queues of which a job was given up."""
+        return self._queue_crashes
+
+    @property
+    def crashes(self) -> dict[TargetIncarnation, KnownCrash]:
+        """All known crashes, by the incarnation of the target."""
+        return self._crashes
+
+    def update(
+        self, agent: str, crashes: Iterable[TargetCrash], now: float
+    ) -> set[JobId]:
+        """Record the crashes that an agent reports.
+
+        :param agent: the agent's name.
+        :param crashes: the crashes.
+        :param now: the entry's time.
+        :returns: the jobs whose suspicion may have changed.
+        """
+        changed: set[JobId] = set()
+        for crash in crashes:
+            known = self._crashes.get(crash.incarnation)
+            if known is not None and (known.state, known.runs) == (
+                crash.state,
+                crash.runs,
+            ):
+                continue
+            crashed_at = (
+                now - crash.age_s if known is None else known.crashed_at
+            )
+            self._crashes[crash.incarnation] = KnownCrash(
+                agent, crash.state, crashed_at, crash.runs
+            )
+            changed.update(run.task.job_id for run in crash.runs)
+        if changed:
+            self._attribute()
+        return changed
+
+    def restore(self, job: Job, counts: dict[TaskKey, int]) -> None:
+        """Record the stored crashes of a durable job.
+
+        :param job: the job.
+        :param counts: the number of crashes under its tasks.
+        """
+        if counts:
+            self._stored_counts[job.job_id] = counts
+            self._attribute()
+
+    def forget_job(self, job_id: JobId) -> None:
+        """Forget what was stored of a job that has been closed."""
+        if self._stored_counts.pop(job_id, None) is not None:
+            self._attribute()
+
+    def record_success(self, task: TaskKey, now: float) -> None:
+        """Record that a task has succeeded, which clears it of its crashes.
+
+        :param task: the task.
+        :param now: the entry's time.
+        """
+        suspicion = self._suspected.get(task.job_id)
+        if suspicion is not None and task in suspicion.counts:
+            self._succeeded[task] = now
+            self._attribute()
+
+    def expire(self, now: float) -> None:
+        """Remove crashes that are older than HISTORY_RETENTION_S."""
+        expired = [
+            incarnation
+            for incarnation, crash in self._crashes.items()
+            if now - crash.crashed_at > HISTORY_RETENTION_S
+        ]
+        if not expired:
+            return
+        for incarnation in expired:
+            del self._crashes[incarnation]
+        self._succeeded = {
+            task: at
+            for task, at in self._succeeded.items()
+            if now - at <= HISTORY_RETENTION_S
+        }
+        self._attribute()
+
+    def suspicion_of(self, job_id: JobId) -> Suspicion:
+        """Return what all crashes that are not disproved say of a job."""
+        return self._suspected.get(job_id, NO_SUSPICION)
+
+    def is_suspect(self, job_id: JobId) -> bool:
+        """Return whether a job may only be run on trial."""
+        suspicion = self.suspicion_of(job_id)
+        if suspicion.max_count >= MIN_CRASHES:
+            return True
+        return suspicion.level >= SUSPECT_LEVEL
+
+    def must_give_up(self, job: Job) -> bool:
+        """Return whether a job is given up, as it crashes targets.
+
+        A durable job's crashes must be confirmed, as its state is final.
+        """
+        suspicion = self.suspicion_of(job.job_id)
+        if not job.is_durable or suspicion.max_count >= MAX_CRASHES:
+            return suspicion.is_sufficient
+        return self._confirmed.get(job.job_id, NO_SUSPICION).is_sufficient
+
+    def must_hold(self, job: Job, now: float) -> bool:
+        """Return whether a job has to wait until its crashes are resolved.
+
+        :param job: the job.
+        :param now: the entry's time.
+        """
+        suspicion = self.suspicion_of(job.job_id)
+        return (
+            suspicion.is_sufficient and now - suspicion.last_at < UNRESOLVED_S
+        )
+
+    def _attribute(self) -> None:
+        """Recompute all suspicions from the crashes."""
+        self._suspected = self._suspicions(is_confirmed_only=False)
+        self._confirmed = self._suspicions(is_confirmed_only=True)
+        blamed = {
+            run.queue
+            for crash in self._crashes.values()
+            for run in crash.runs
+            if self.suspicion_of(run.task.job_id).is_sufficient
+        }
+        queue_crashes = []
+        for crash in self._crashes.values():
+            for queue, weight in self._queue_weights(crash).items():
+                if queue in blamed and weight >= BLAME_SHARE:
+                    queue_crashes.append(
+                        QueueCrash(queue, crash.agent, crash.crashed_at)
+                    )
+        self._queue_crashes = tuple(
+            sorted(queue_crashes, key=lambda each: each.crashed_at)
+        )
+
+    def _suspicions(
+        self, *, is_confirmed_only: bool
+    ) -> dict[JobId, Suspicion]:
+        suspicions: dict[JobId, Suspicion] = {}
+        for crash in self._crashes.values():
+            if crash.state is CrashState.DISPROVED:
+                continue
+            if is_confirmed_only and crash.state is CrashState.SUSPECTED:
+                continue
+            for job_id, weight in self._job_weights(crash).items():
+                suspicion = suspicions.setdefault(job_id, Suspicion())
+                suspicion.innocence *= 1.0 - weight
+                suspicion.last_at = max(suspicion.last_at, crash.crashed_at)
+            for run in crash.runs:
+                if run.task in self._succeeded:
+                    continue
+                counts = suspicions[run.task.job_id].counts
+                counts[run.task] = counts.get(run.task, 0) + 1
+        for job_id, stored in self._stored_counts.items():
+            suspicion = suspicions.setdefault(job_id, Suspicion())
+            self._add_stored(suspicion, stored)
+        return suspicions
+
+    def _add_stored(
+        self, suspicion: Suspicion, stored: dict[TaskKey, int]
+    ) -> None:
+        """Add stored crashes, some of which may also be known."""
+        lost = 0
+        for task, count in stored.items():
+            known = suspicion.counts.get(task, 0)
+            if task in self._succeeded or known >= count:
+                continue
+            suspicion.counts[task] = count
+            lost = max(lost, count - known)
+        suspicion.innocence *= (1.0 - LOST_CRASH_SUSPICION) ** lost
+
+    def _run_weights(self, crash: KnownCrash) -> dict[TaskKey, float]:
+        """Return the probability that each run has caused a crash."""
+        densities = {
+            run.task: 1.0 / (run.age_s + AGE_RESOLUTION_S)
+            for run in crash.runs
+            if run.task not in self._succeeded
+        }
+        total = sum(densities.values()) + 1.0 / (
+            UNRELATED_AGE_S + AGE_RESOLUTION_S
+        )
+        return {task: density / total for task, density in densities.items()}
+
+    def _job_weights(self, crash: KnownCrash) -> dict[JobId, float]:
+        weights: dict[JobId, float] = defaultdict(float)
+        for task, weight in self._run_weights(crash).items():
+            weights[task.job_id] += weight
+        return weights
+
+    def _queue_weights(self, crash: KnownCrash) -> dict[QueueName, float]:
+        if crash.state is CrashState.DISPROVED:
+            return {}
+        run_weights = self._run_weights(crash)
+        weights: dict[QueueName, float] = defaultdict(float)
+        for run in crash.runs:
+            weights[run.queue] += run_weights.get(run.task, 0.0)
+        return weights
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -19,6 +19,7 @@
 from fulmarscale.entry.jobs.actions import OpenAgentStream
 from fulmarscale.entry.jobs.admission_control import AdmissionControl
 from fulmarscale.entry.jobs.capacity_prober import CapacityProber
+from fulmarscale.entry.jobs.crash_history import CrashHistory
 from fulmarscale.entry.jobs.estimates import RunTimes
 from fulmarscale.entry.jobs.fleet import Fleet
 from fulmarscale.entry.jobs.job import Job
@@ -31,6 +32,7 @@
 from fulmarscale.entry.jobs.run_results import RunResults
 from fulmarscale.entry.jobs.subset import Subset
 from fulmarscale.entry.jobs.waiting_order import LatestStartOrder
+from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
 from fulmarscale.runs.limits import BUSY_TICK_S
 from fulmarscale.runs.limits import IDLE_TICK_S
@@ -48,6 +50,7 @@
     from fulmarscale.entry.jobs.agent_view import AgentView
     from fulmarscale.entry.jobs.subset import AnnouncedAgent
     from fulmarscale.ids import EntryId
+    from fulmarscale.runs.crashes import TargetCrash
     from fulmarscale.runs.messages import AgentMessage
     from fulmarscale.runs.messages import CompletionAck
     from fulmarscale.runs.model import JobSpec
@@ -100,17 +103,25 @@
         self._sessions: dict[int, AgentView] = {}
         """Agents by the session number of their open stream."""
         self._run_times = RunTimes()
+        self._crashes = CrashHistory()
         self._monitor = RunMonitor(self._fleet, self._run_times, self._log)
         self._results = RunResults(
             entry,
             self._open,
             self._fleet,
             self._monitor,
+            self._crashes,
             close_job=self._close_job,
             act=self._act,
             log=self._log,
         )
-        self._placer = Placer(self._fleet, LatestStartOrder(), self._open)
+        self._placer = Placer(
+            self._fleet,
+            LatestStartOrder(),
+            self._open,
+            self._crashes,
+            self._log,
+        )
         self._admission = AdmissionControl(
             self._fleet, self._run_times, self._open.waiting, self._log
         )
@@ -195,6 +206,10 @@
         if self._overload.is_overloaded:
             self._abandon(job, now, "overloaded")
             return self._defer_flush()
+        if self._crashes.must_give_up(job):
+            # An earlier submission of the job has run, perhaps elsewhere.
+            self._results.give_up_if_crashing(job, now)
+            return self._defer_flush()
         self._admission.add(job)
         self._subset.record_needs(job, now)
         self._log(
@@ -410,12 +425,23 @@
             self._monitor.record_progress(
                 job, task, progress.percent, reported_at, now
             )
+        if message.crashes:
+            self._apply_crashes(view.name, message.crashes, now)
         for report in message.reports:
             self._results.apply_report(view, report, now)
         for completion in message.completions:
             self._results.apply_completion(view, completion, now)
         return self._defer_flush()
 
+    def _apply_crashes(
+        self, agent: str, crashes: tuple[TargetCrash, ...], now: float
+    ) -> None:
+        """Record crashes of a target and give up the jobs that cause them."""
+        for job_id in sorted(self._crashes.update(agent, crashes, now)):
+            job = self._open.jobs.get(job_id)
+            if job is not None:
+                self._results.give_up_if_crashing(job, now)
+
     def adopt_site_config(
         self, site: SiteConfig, now: float
     ) -> list[DispatchAction]:
@@ -431,6 +457,7 @@
         for view in self._fleet.views:
             if view.assigned and now - view.last_message_at > RUN_EXPIRY_S:
                 self._results.expire_runs(view, now)
+        self._crashes.expire(now)
         forecast = self._admission.forecast()
         for job in list(self._open.jobs.values()):
             self._check_job(job, forecast, now)
@@ -540,6 +567,8 @@
         now: float,
         reason: str,
         wait_s: float = 0.0,
+        *,
+        code: ResultCode = ResultCode.OK,
     ) -> None:
         """Close a job, stop its runs and report its outcome.
 
@@ -548,9 +577,11 @@
         :param now: the entry's time.
         :param reason: why it is closed, for the log.
         :param wait_s: its predicted wait, in seconds, if it is rejected.
+        :param code: why it has failed, for the caller.
         """
         self._open.remove(job.job_id)
         self._admission.discard(job.job_id)
+        self._crashes.forget_job(job.job_id)
         self._stop_runs(job)
         self._log(
             Event.JOB_ENDED,
@@ -562,11 +593,11 @@
             over_objective_s=round(now - job.objective_at, 3),
         )
         if job.is_durable:
-            self._actions.append(CloseDurableJob(job.job_id, outcome))
+            self._actions.append(CloseDurableJob(job.job_id, outcome, code))
             return
         took_s = now - job.arrived_at
         self._actions.append(
-            AnswerJob(job.job_id, outcome, retry_after_s(wait_s), took_s)
+            AnswerJob(job.job_id, outcome, retry_after_s(wait_s), took_s, code)
         )
 
     def _stop_runs(self, job: Job) -> None:
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -212,6 +212,30 @@
             for view in self.serving(job.queue.service)
         )
 
+    def least_used(self, job: Job, task: Task, now: float) -> AgentView | None:
+        """Return the healthy agent with the fewest runs that can run a task.
+
+        :param job: the job.
+        :param task: one of its tasks.
+        :param now: the entry's time.
+        :returns: none if no target can run it now.
+        """
+        candidates = [
+            view
+            for view in self.usable(job, now)
+            if self.can_run(job, task, view)
+        ]
+        return min(
+            candidates,
+            key=lambda view: (
+                view.name in task.failed_on,
+                view.slowness.is_slow(now),
+                view.capacity.cpu_millicores - view.free.cpu_millicores,
+                view.name,
+            ),
+            default=None,
+        )
+
     def has_unexpired_run(self, key: TaskKey) -> bool:
         """Return whether an earlier run of a task may not have ended yet."""
         return any(key in view.assigned for view in self._agents.values())
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -129,6 +129,8 @@
 
         `is_started` also covers assigned tasks.
         """
+        self.trial_count = 0
+        """How often it was run on trial, as it is suspected of a crash."""
         self.objective_at = arrived_at
         """When the answer is due by the queue's objective."""
         self.useful_until = arrived_at
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -1,4 +1,8 @@
-"""Places waiting tasks on agents and requests their starts."""
+"""Places waiting tasks on agents and requests their starts.
+
+A job that is suspected of a crash of its target is run on trial: on one
+target at a time, where nothing else starts meanwhile, and one job at a time.
+"""
 
 from __future__ import annotations
 
@@ -6,17 +10,21 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.job import TaskPhase
+from fulmarscale.events import Event
 from fulmarscale.runs.messages import StartRequest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.crash_history import CrashHistory
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.entry.jobs.open_jobs import OpenJobs
+    from fulmarscale.entry.jobs.run_monitor import DecisionLog
     from fulmarscale.entry.jobs.waiting_order import WaitingOrder
+    from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import ServiceName
 
 MAX_UNPLACED_JOBS: Final = 3
@@ -33,14 +41,25 @@
     :param fleet: the entry's agents.
     :param order: the order in which jobs get free capacity.
     :param open_jobs: the entry's open jobs.
+    :param crashes: the known crashes of targets.
+    :param log: writes a line about a decision.
     """
 
     def __init__(
-        self, fleet: Fleet, order: WaitingOrder, open_jobs: OpenJobs
+        self,
+        fleet: Fleet,
+        order: WaitingOrder,
+        open_jobs: OpenJobs,
+        crashes: CrashHistory,
+        log: DecisionLog,
     ) -> None:
         self._fleet = fleet
         self._order = order
         self._open = open_jobs
+        self._crashes = crashes
+        self._log = log
+        self._trial_job: JobId | None = None
+        """The job that was last run on trial."""
         self._last_start_number = 0
         """The number of the last start request."""
 
@@ -50,11 +69,26 @@
         :param waiting: jobs with tasks that wait for capacity.
         :param now: the entry's time.
         """
+        ready = [
+            job
+            for job in self._order.sort(waiting, now)
+            if now >= job.earliest_start_at
+        ]
+        suspects = [
+            job for job in ready if self._crashes.is_suspect(job.job_id)
+        ]
+        excluded = {job.job_id for job in suspects}
+        self._place_jobs(
+            [job for job in ready if job.job_id not in excluded], now
+        )
+        if suspects:
+            self._run_trial(suspects, now)
+
+    def _place_jobs(self, jobs: list[Job], now: float) -> None:
+        """Place the tasks of jobs, the first job's first."""
         unplaced = 0
         usable: dict[ServiceName, list[AgentView]] = {}
-        for job in self._order.sort(waiting, now):
-            if now < job.earliest_start_at:
-                continue
+        for job in jobs:
             service = job.queue.service
             if service not in usable:
                 usable[service] = self._fleet.usable(job, now)
@@ -66,6 +100,77 @@
             if unplaced >= MAX_UNPLACED_JOBS:
                 return
 
+    def _run_trial(self, suspects: list[Job], now: float) -> None:
+        """Start the tasks of the most suspected job that can be tried.
+
+        Jobs that had fewer trials go first, so that one whose trials do not
+        end leaves the others their turn.
+
+        :param suspects: jobs that may only be run on trial.
+        :param now: the entry's time.
+        """
+        running = self._open.jobs.get(self._trial_job or "")
+        if running is not None and running.is_assigned:
+            return
+        for job in sorted(
+            suspects,
+            key=lambda job: (
+                job.trial_count,
+                -self._crashes.suspicion_of(job.job_id).level,
+            ),
+        ):
+            if job.is_assigned or self._crashes.must_hold(job, now):
+                continue
+            if self._try_job(job, now):
+                self._trial_job = job.job_id
+                return
+
+    def _try_job(self, job: Job, now: float) -> bool:
+        """Start a job's tasks on trial, on the target with the fewest runs.
+
+        :param job: the job.
+        :param now: the entry's time.
+        :returns: whether any task was placed.
+        """
+        tasks = [
+            task
+            for task in job.waiting
+            if not self._fleet.has_unexpired_run(task.key)
+        ]
+        if not tasks:
+            return False
+        view = self._fleet.least_used(job, tasks[0], now)
+        if view is None:
+            return False
+        placed = [
+            task
+            for task in tasks
+            if self._start_on_trial(job, task, view, now)
+        ]
+        job.trial_count += 1
+        self._log(
+            Event.JOB_ON_TRIAL,
+            job=job.job_id,
+            queue=job.queue.name,
+            agent=view.name,
+            tasks=len(placed),
+            crashes=self._crashes.suspicion_of(job.job_id).max_count,
+            suspicion=round(self._crashes.suspicion_of(job.job_id).level, 3),
+        )
+        return True
+
+    def _start_on_trial(
+        self, job: Job, task: Task, view: AgentView, now: float
+    ) -> bool:
+        """Start a task on trial if the target can run it.
+
+        :returns: whether it was placed.
+        """
+        if not self._fleet.can_run(job, task, view):
+            return False
+        self._request_start(job, task, view, now, is_exclusive=True)
+        return True
+
     def _place_job(self, job: Job, views: list[AgentView], now: float) -> bool:
         """Request starts of as many of a job's waiting tasks as possible.
 
@@ -89,9 +194,22 @@
         return is_complete
 
     def _request_start(
-        self, job: Job, task: Task, view: AgentView, now: float
+        self,
+        job: Job,
+        task: Task,
+        view: AgentView,
+        now: float,
+        *,
+        is_exclusive: bool = False,
     ) -> None:
-        """Assign a task to an agent and queue its start request."""
+        """Assign a task to an agent and queue its start request.
+
+        :param job: the job.
+        :param task: the task.
+        :param view: the agent.
+        :param now: the entry's time.
+        :param is_exclusive: whether nothing else may start beside the run.
+        """
         self._open.set_phase(job, task, TaskPhase.ASSIGNED)
         task.agent = view.name
         task.assigned_at = now
@@ -110,5 +228,6 @@
                 required_label=task.step.required_label,
                 owner_epoch=job.owner_epoch,
                 queue=job.queue.name,
+                is_exclusive=is_exclusive,
             )
         )
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -9,6 +9,7 @@
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import StoreCompletion
 from fulmarscale.entry.jobs.job import TaskPhase
+from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import RunOutcome
@@ -18,6 +19,7 @@
 
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.crash_history import CrashHistory
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
@@ -33,7 +35,13 @@
     """Closes a job and reports its outcome."""
 
     def __call__(
-        self, job: Job, outcome: JobOutcome, now: float, reason: str
+        self,
+        job: Job,
+        outcome: JobOutcome,
+        now: float,
+        reason: str,
+        *,
+        code: ResultCode = ResultCode.OK,
     ) -> None:
         """Close a job.
 
@@ -41,6 +49,7 @@
         :param outcome: its outcome.
         :param now: the entry's time.
         :param reason: why it is closed, for the log.
+        :param code: why it has failed, for the caller.
         """
 
 
@@ -51,6 +60,7 @@
     :param open_jobs: its open jobs.
     :param fleet: its agents.
     :param monitor: records the durations of runs.
+    :param crashes: the known crashes of targets.
     :param close_job: closes jobs that are done or have failed.
     :param act: adds an action to those of the current call.
     :param log: writes a line about a decision.
@@ -62,6 +72,7 @@
         open_jobs: OpenJobs,
         fleet: Fleet,
         monitor: RunMonitor,
+        crashes: CrashHistory,
         *,
         close_job: JobCloser,
         act: Callable[[DispatchAction], None],
@@ -71,6 +82,7 @@
         self._open = open_jobs
         self._fleet = fleet
         self._monitor = monitor
+        self._crashes = crashes
         self._close_job = close_job
         self._act = act
         self._log = log
@@ -168,7 +180,38 @@
         if job.is_done:
             self._close_job(job, JobOutcome.COMPLETED, now, "done")
         elif max_failures >= job.queue.max_attempts:
-            self._close_job(job, JobOutcome.FAILED, now, "attempts_used_up")
+            self._close_failed(job, now)
+        else:
+            self.give_up_if_crashing(job, now)
+
+    def give_up_if_crashing(self, job: Job, now: float) -> None:
+        """Close a job as failed if one of its tasks crashes targets."""
+        if not self._crashes.must_give_up(job):
+            return
+        suspicion = self._crashes.suspicion_of(job.job_id)
+        self._log(
+            Event.JOB_CRASHES_TARGETS,
+            job=job.job_id,
+            queue=job.queue.name,
+            crashes=suspicion.max_count,
+            suspicion=round(suspicion.level, 3),
+        )
+        self._close_job(
+            job,
+            JobOutcome.FAILED,
+            now,
+            "crashes_targets",
+            code=ResultCode.TASK_CRASHES_TARGETS,
+        )
+
+    def _close_failed(self, job: Job, now: float) -> None:
+        self._close_job(
+            job,
+            JobOutcome.FAILED,
+            now,
+            "attempts_used_up",
+            code=ResultCode.ATTEMPTS_USED_UP,
+        )
 
     def expire_runs(self, view: AgentView, now: float) -> None:
         """Treat all runs of an agent as ended after RUN_EXPIRY_S of silence.
@@ -197,6 +240,7 @@
     ) -> None:
         job.may_have_run = True
         view.record_success()
+        self._crashes.record_success(task.key, now)
         self._monitor.record_success(view, job, task, now)
         self._open.set_phase(job, task, TaskPhase.DONE)
         if job.is_done:
@@ -223,7 +267,7 @@
             agent_failures=view.failures,
         )
         if task.failures >= job.queue.max_attempts:
-            self._close_job(job, JobOutcome.FAILED, now, "attempts_used_up")
+            self._close_failed(job, now)
 
     def _record_refusal(
         self,
--- a/src/fulmarscale/errors.py
+++ b/src/fulmarscale/errors.py
@@ -53,6 +53,10 @@
     """At least one task is not done; each task has its own code."""
     ANSWER_TOO_LARGE = 1008
     """The target's result exceeds the agent's size limit."""
+    TASK_CRASHES_TARGETS = 1009
+    """A task was given up, as targets crashed each time that it ran."""
+    ATTEMPTS_USED_UP = 1010
+    """A task has failed as often as its queue allows."""
     DEADLINE_PASSED = 2001
     """The deadline passed before the task was started."""
     CANCELLED = 2002
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -161,6 +161,14 @@
 
     It is being stopped so that its task can start at another agent.
     """
+    JOB_CRASHES_TARGETS = 524
+    """A job is given up, as targets crashed under one of its tasks.
+
+    `crashes` is their number, `suspicion` the probability that the job has
+    caused one of them.
+    """
+    JOB_ON_TRIAL = 525
+    """A job that is suspected of a crash is run again, alone on a target."""
     STOOD_STILL = 530
     """The process was paused for `pause_s` seconds.
 
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -14,6 +14,7 @@
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import JobState
 from fulmarscale.errors import FulmarError
+from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
 from fulmarscale.platform.asgi import DisconnectedError
 from fulmarscale.platform.asgi import read_body
@@ -227,7 +228,10 @@
         if answer.outcome is JobOutcome.NOT_RUN:
             seconds = max(1, math.ceil(answer.retry_after_s))
             headers += ((b"retry-after", str(seconds).encode()),)
-        body = msgspec.json.encode({"state": answer.outcome.value})
+        content: dict[str, str | int] = {"state": answer.outcome.value}
+        if answer.code is not ResultCode.OK:
+            content["code"] = answer.code.value
+        body = msgspec.json.encode(content)
         await respond(send, status, body, headers)
 
     def _connection_headers(self) -> tuple[tuple[bytes, bytes], ...]:
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from fulmarscale.ids import EntryId
+from fulmarscale.runs.crashes import TargetCrash
 from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import Resources
@@ -42,6 +43,8 @@
     """
     queue: QueueName = QueueName("")
     """The queue of the job, for records of crashes."""
+    is_exclusive: bool = False
+    """Whether no other job's task may start beside the run."""
 
 
 class RunReport(MessagePart):
@@ -186,3 +189,5 @@
     """Whether the free capacity is offered to another entry first."""
     completions: tuple[DurableCompletion, ...] = ()
     """Unacknowledged completions of this entry and of lost entries."""
+    crashes: tuple[TargetCrash, ...] = ()
+    """Crashes of the target; sent when a stream opens and on changes."""
