Confine queues whose tasks crash targets to a part of the targets

Callers saw: all queues lost alike, as any target may be the next one that a bad task crashes. With tasks given up after two or three crashes, 15 bad jobs in ten seconds still cost 17 to 26 crashes of 11 targets.

Cause: no isolation between queues on the shared targets (a noisy neighbour).

Change: once a job of a queue is given up for its crashes, the queue is confined to three tenths of its service's targets: those that it has crashed already, then by a hash of the agents' names, so that entries choose the same ones without messages. Other queues leave the part alone for 5 s after a crash and use it last for the rest of the confinement, which ends 15 s after the last crash. Predictions, placement and reported backlogs are kept apart. In the part, trials go after jobs that are not suspects. Jobs, not runs, share the blame for a crash, and what other crashes say of a job counts as its prior.

--- a/src/fulmarscale/entry/jobs/admission.py
+++ b/src/fulmarscale/entry/jobs/admission.py
@@ -48,8 +48,9 @@
 class Forecast:
     """Predicts waiting times from the jobs that wait at one moment.
 
-    Jobs with an earlier latest start are placed first. The backlog of other
-    entries is assumed to be distributed over latest starts like this entry's.
+    The jobs are those that wait for the same targets. Jobs with an earlier
+    latest start are placed first. The backlog of other entries is assumed to
+    be distributed over latest starts like this entry's.
     """
 
     def __init__(self, waiting: Iterable[Job], run_times: RunTimes) -> None:
--- a/src/fulmarscale/entry/jobs/admission_control.py
+++ b/src/fulmarscale/entry/jobs/admission_control.py
@@ -8,6 +8,7 @@
 from fulmarscale.entry.jobs.admission import ends_too_late
 from fulmarscale.entry.jobs.admission import Forecast
 from fulmarscale.entry.jobs.admission import is_satisfiable
+from fulmarscale.entry.jobs.bulkheads import Partition
 from fulmarscale.events import Event
 
 if TYPE_CHECKING:
@@ -76,9 +77,25 @@
         """Forget a job that is closed or removed."""
         self._undecided.pop(job_id, None)
 
-    def forecast(self) -> Forecast:
-        """Return a forecast from the jobs that wait now."""
-        return Forecast(self._waiting.values(), self._run_times)
+    def forecasts(self) -> dict[Partition, Forecast]:
+        """Return forecasts from the jobs that wait now, by partition."""
+        return {
+            partition: self._forecast(partition) for partition in Partition
+        }
+
+    def _forecast(self, partition: Partition, *extra: Job) -> Forecast:
+        """Return a forecast for the targets of one partition.
+
+        :param partition: the partition.
+        :param extra: jobs that wait beside those that are open.
+        """
+        partition_of = self._fleet.bulkheads.partition_of
+        waiting = [
+            job
+            for job in (*self._waiting.values(), *extra)
+            if partition_of(job) is partition
+        ]
+        return Forecast(waiting, self._run_times)
 
     def take_decidable(self, now: float) -> list[Job]:
         """Return and remove the new jobs whose free capacity is known.
@@ -96,25 +113,25 @@
         return decidable
 
     def check_new(
-        self, job: Job, forecast: Forecast, now: float
+        self, job: Job, forecasts: dict[Partition, Forecast], now: float
     ) -> float | None:
         """Return the wait of a new job that is unlikely to be on time.
 
         :param job: a job that has just arrived.
-        :param forecast: the forecast that predicts its wait.
+        :param forecasts: the forecasts, one of which predicts its wait.
         :param now: the entry's time.
         :returns: seconds; none if the job is admitted.
         """
         if self._fleet.has_capacity(job, now):
             return None
-        wait_s = self._predict_wait_s(job, forecast, now)
+        wait_s = self._predict_wait_s(job, forecasts, now)
         if is_satisfiable(job, wait_s):
             return None
         self._log_hopeless(job, wait_s, now)
         return wait_s
 
     def check_waiting(
-        self, job: Job, forecast: Forecast, now: float
+        self, job: Job, forecasts: dict[Partition, Forecast], now: float
     ) -> float | None:
         """Return the wait of a waiting job that would end too late.
 
@@ -122,7 +139,7 @@
         LATE_SHARE of its useful time.
 
         :param job: a job without any started task.
-        :param forecast: the forecast that predicts its wait.
+        :param forecasts: the forecasts, one of which predicts its wait.
         :param now: the entry's time.
         :returns: seconds; none if the job may stay.
         """
@@ -130,7 +147,7 @@
             return None
         if self._fleet.has_capacity(job, now):
             return None
-        wait_s = self._predict_wait_s(job, forecast, now)
+        wait_s = self._predict_wait_s(job, forecasts, now)
         if not ends_too_late(job, wait_s, self._run_times, now):
             return None
         self._log_hopeless(job, wait_s, now)
@@ -145,7 +162,8 @@
         """
         if self._fleet.has_capacity(job, now) or self._is_starting_up(now):
             return None
-        forecast = Forecast([*self._waiting.values(), job], self._run_times)
+        partition = self._fleet.bulkheads.partition_of(job)
+        forecast = self._forecast(partition, job)
         wait_s = forecast.wait_s(job, self._fleet.load(job, now))
         critical_path_s = job.objective_at - job.latest_start_at
         ends_at = now + wait_s + critical_path_s
@@ -156,12 +174,13 @@
         return now - self._started_at < STARTUP_S
 
     def _predict_wait_s(
-        self, job: Job, forecast: Forecast, now: float
+        self, job: Job, forecasts: dict[Partition, Forecast], now: float
     ) -> float:
         """Return a job's predicted wait, in seconds."""
         if self._is_starting_up(now):
             # Not all targets are known yet; they are assumed to be available.
             return 0.0
+        forecast = forecasts[self._fleet.bulkheads.partition_of(job)]
         return forecast.wait_s(job, self._fleet.load(job, now))
 
     def _log_hopeless(self, job: Job, wait_s: float, now: float) -> None:
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/bulkheads.py
@@ -0,0 +1,147 @@
+"""Confines queues whose tasks crash targets to a part of the targets.
+
+The part is the same for all entries without coordination: the targets that
+such a queue has crashed already, and then the first ones by a hash of the
+agents' names. The other queues don't use the part for some seconds after each
+crash, so that a queue's crashes cost only itself (the bulkhead pattern).
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from hashlib import blake2b
+from math import ceil
+from typing import Final
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.crash_history import QueueCrash
+    from fulmarscale.entry.jobs.job import Job
+    from fulmarscale.runs.model import QueueName
+    from fulmarscale.runs.model import ServiceName
+
+CONFINED_SHARE: Final = 0.3
+"""Share of a service's targets that its confined queues get, rounded up."""
+
+CONFINEMENT_S: Final = 15.0
+"""How long a queue stays confined after the last crash by its tasks.
+
+Several restarts of a target, so that a queue whose part is down as a whole
+stays confined until its tasks run again.
+"""
+
+RESERVATION_S: Final = 5.0
+"""How long other queues don't use the confined part after a crash there.
+
+A restart of a target and some time for its next run.
+"""
+
+HASH_BYTES: Final = 8
+
+
+class Partition(Enum):
+    """A part of the targets of a service."""
+
+    OPEN = "open"
+    """The targets of all queues that are not confined."""
+    CONFINED = "confined"
+    """The targets of the confined queues."""
+
+
+class Bulkheads:
+    """The confined queues and the agents of their targets."""
+
+    def __init__(self) -> None:
+        self._queues: dict[QueueName, float] = {}
+        """Confined queues, with the time of the last crash by each."""
+        self._members: dict[ServiceName, list[str]] = {}
+        """Names of the agents in the confined part of each service."""
+        self._member_names: frozenset[str] = frozenset()
+        self._is_reserved = False
+        """Whether only the confined queues use the confined parts."""
+        self._crashed: dict[str, None] = {}
+        """Names of the agents whose targets they have crashed, in order."""
+
+    @property
+    def queues(self) -> frozenset[QueueName]:
+        """The confined queues."""
+        return frozenset(self._queues)
+
+    @property
+    def members(self) -> frozenset[str]:
+        """Names of all agents in confined parts."""
+        return self._member_names
+
+    def update_crashes(
+        self, crashes: Collection[QueueCrash], now: float
+    ) -> None:
+        """Update the confined queues from the crashes by their tasks.
+
+        :param crashes: all crashes that are attributed to queues, by time.
+        :param now: the entry's time.
+        """
+        self._queues = {}
+        self._crashed = {}
+        for crash in crashes:
+            if now - crash.crashed_at <= CONFINEMENT_S:
+                self._queues[crash.queue] = crash.crashed_at
+        for crash in crashes:
+            if crash.queue in self._queues:
+                self._crashed[crash.agent] = None
+        last_crash_at = max(self._queues.values(), default=float("-inf"))
+        self._is_reserved = now - last_crash_at <= RESERVATION_S
+
+    def update_members(self, agents: dict[ServiceName, list[str]]) -> None:
+        """Choose the agents of the confined parts.
+
+        An agent stays a member while it exists and any queue is confined.
+
+        :param agents: the names of each service's agents.
+        """
+        if not self._queues:
+            self._members = {}
+            self._member_names = frozenset()
+            return
+        for service, names in agents.items():
+            size = min(ceil(CONFINED_SHARE * len(names)), len(names) - 1)
+            present = set(names)
+            members = [
+                name
+                for name in self._members.get(service, ())
+                if name in present
+            ]
+            ranking = [name for name in self._crashed if name in present]
+            ranking += sorted(names, key=_hash)
+            for name in ranking:
+                if len(members) < size and name not in members:
+                    members.append(name)
+            self._members[service] = members[: max(size, 0)]
+        self._member_names = frozenset(
+            name for members in self._members.values() for name in members
+        )
+
+    def partition_of(self, job: Job) -> Partition:
+        """Return the part in which a job's tasks may run."""
+        is_confined = job.queue.name in self._queues and bool(
+            self._members.get(job.queue.service)
+        )
+        return Partition.CONFINED if is_confined else Partition.OPEN
+
+    def allows(self, job: Job, view: AgentView) -> bool:
+        """Return whether a job's tasks may run on an agent's target."""
+        return self.partition_of(job) in self.partitions_on(view.name)
+
+    def partitions_on(self, agent: str) -> tuple[Partition, ...]:
+        """Return the parts whose jobs may run on an agent's target."""
+        if agent not in self._member_names:
+            return (Partition.OPEN,)
+        if self._is_reserved:
+            return (Partition.CONFINED,)
+        return (Partition.OPEN, Partition.CONFINED)
+
+
+def _hash(name: str) -> bytes:
+    return blake2b(name.encode(), digest_size=HASH_BYTES).digest()
--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -3,11 +3,12 @@
 All entries receive the crashes from the agents, so that each one knows a
 task's crashes although another entry, which may be lost, had it started.
 
-A crash has many suspects: every run on the target. The time after which a
-task crashes its target is unknown, so its prior is the scale-free one, whose
-density falls with the inverse of the time. A run is suspected in proportion
-to that density at its age. Runs that started just before a crash thus get
-most of the suspicion, and so does a task that recurs.
+A crash has many suspects: every job with a run on the target. The time after
+which a task crashes its target is unknown, so its prior is the scale-free one,
+whose density falls with the inverse of the time. A job is suspected in
+proportion to that density at the age of its youngest run, and to what the
+other crashes say of it. So most of the suspicion falls on jobs whose runs
+started just before a crash, and on jobs that recur.
 """
 
 from __future__ import annotations
@@ -44,15 +45,21 @@
 """
 
 UNRELATED_AGE_S: Final = 0.2
-"""A crash by no task at all is as likely as one by a single run of this age.
+"""A crash by no task at all is as likely as one by a job with a run this old.
 
 Targets also crash by themselves.
 """
 
+BASE_PRIOR: Final = 0.1
+"""Prior probability of a job that no other crash makes suspect.
+
+A job that recurs thus outweighs one that doesn't by a factor of up to 11.
+"""
+
 SUSPECT_LEVEL: Final = 0.2
 """Suspicion from which a job is run again only on trial."""
 
-GIVE_UP_LEVEL: Final = 0.8
+GIVE_UP_LEVEL: Final = 0.9
 """Suspicion from which a job is given up after MIN_CRASHES."""
 
 MIN_CRASHES: Final = 2
@@ -270,13 +277,24 @@
             for run in crash.runs
             if self.suspicion_of(run.task.job_id).is_sufficient
         }
+        crashes = [
+            crash
+            for crash in self._crashes.values()
+            if crash.state is not CrashState.DISPROVED
+        ]
         queue_crashes = []
-        for crash in self._crashes.values():
-            for queue, weight in self._queue_weights(crash).items():
-                if queue in blamed and weight >= BLAME_SHARE:
-                    queue_crashes.append(
-                        QueueCrash(queue, crash.agent, crash.crashed_at)
-                    )
+        for crash, weights in zip(
+            crashes, self._weights(crashes), strict=True
+        ):
+            queues = {run.task.job_id: run.queue for run in crash.runs}
+            by_queue: dict[QueueName, float] = defaultdict(float)
+            for job_id, weight in weights.items():
+                by_queue[queues[job_id]] += weight
+            queue_crashes += [
+                QueueCrash(queue, crash.agent, crash.crashed_at)
+                for queue, weight in by_queue.items()
+                if queue in blamed and weight >= BLAME_SHARE
+            ]
         self._queue_crashes = tuple(
             sorted(queue_crashes, key=lambda each: each.crashed_at)
         )
@@ -285,12 +303,18 @@
         self, *, is_confirmed_only: bool
     ) -> dict[JobId, Suspicion]:
         suspicions: dict[JobId, Suspicion] = {}
-        for crash in self._crashes.values():
-            if crash.state is CrashState.DISPROVED:
-                continue
-            if is_confirmed_only and crash.state is CrashState.SUSPECTED:
-                continue
-            for job_id, weight in self._job_weights(crash).items():
+        excluded = {CrashState.DISPROVED}
+        if is_confirmed_only:
+            excluded.add(CrashState.SUSPECTED)
+        crashes = [
+            crash
+            for crash in self._crashes.values()
+            if crash.state not in excluded
+        ]
+        for crash, weights in zip(
+            crashes, self._weights(crashes), strict=True
+        ):
+            for job_id, weight in weights.items():
                 suspicion = suspicions.setdefault(job_id, Suspicion())
                 suspicion.innocence *= 1.0 - weight
                 suspicion.last_at = max(suspicion.last_at, crash.crashed_at)
@@ -317,29 +341,46 @@
             lost = max(lost, count - known)
         suspicion.innocence *= (1.0 - LOST_CRASH_SUSPICION) ** lost
 
-    def _run_weights(self, crash: KnownCrash) -> dict[TaskKey, float]:
-        """Return the probability that each run has caused a crash."""
-        densities = {
-            run.task: 1.0 / (run.age_s + AGE_RESOLUTION_S)
-            for run in crash.runs
-            if run.task not in self._succeeded
-        }
-        total = sum(densities.values()) + 1.0 / (
-            UNRELATED_AGE_S + AGE_RESOLUTION_S
-        )
-        return {task: density / total for task, density in densities.items()}
-
-    def _job_weights(self, crash: KnownCrash) -> dict[JobId, float]:
-        weights: dict[JobId, float] = defaultdict(float)
-        for task, weight in self._run_weights(crash).items():
-            weights[task.job_id] += weight
-        return weights
-
-    def _queue_weights(self, crash: KnownCrash) -> dict[QueueName, float]:
-        if crash.state is CrashState.DISPROVED:
-            return {}
-        run_weights = self._run_weights(crash)
-        weights: dict[QueueName, float] = defaultdict(float)
+    def _weights(self, crashes: list[KnownCrash]) -> list[dict[JobId, float]]:
+        """Return the probability that each job has caused each crash."""
+        independent = [self._job_weights(crash, {}) for crash in crashes]
+        innocence: dict[JobId, float] = {}
+        for weights in independent:
+            for job_id, weight in weights.items():
+                innocence[job_id] = innocence.get(job_id, 1.0) * (1.0 - weight)
+        return [
+            self._job_weights(
+                crash,
+                {
+                    job_id: 1.0 - innocence[job_id] / (1.0 - weight)
+                    for job_id, weight in weights.items()
+                },
+            )
+            for crash, weights in zip(crashes, independent, strict=True)
+        ]
+
+    def _job_weights(
+        self, crash: KnownCrash, levels: dict[JobId, float]
+    ) -> dict[JobId, float]:
+        """Return the probability that each job has caused a crash.
+
+        :param crash: the crash.
+        :param levels: the suspicion of jobs by other crashes.
+        """
+        ages_s: dict[JobId, float] = {}
         for run in crash.runs:
-            weights[run.queue] += run_weights.get(run.task, 0.0)
-        return weights
+            if run.task not in self._succeeded:
+                job_id = run.task.job_id
+                ages_s[job_id] = min(run.age_s, ages_s.get(job_id, run.age_s))
+        scores = {
+            job_id: _density(age_s) * (BASE_PRIOR + levels.get(job_id, 0.0))
+            for job_id, age_s in ages_s.items()
+        }
+        total = sum(scores.values())
+        total += _density(UNRELATED_AGE_S) * BASE_PRIOR
+        return {job_id: score / total for job_id, score in scores.items()}
+
+
+def _density(age_s: float) -> float:
+    """Return the relative density of crashes at an age of a run."""
+    return 1.0 / (age_s + AGE_RESOLUTION_S)
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -48,6 +48,7 @@
     from fulmarscale.entry.jobs.actions import DispatchAction
     from fulmarscale.entry.jobs.admission import Forecast
     from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.bulkheads import Partition
     from fulmarscale.entry.jobs.subset import AnnouncedAgent
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.crashes import TargetCrash
@@ -441,6 +442,23 @@
             job = self._open.jobs.get(job_id)
             if job is not None:
                 self._results.give_up_if_crashing(job, now)
+        self._update_bulkheads(now)
+
+    def _update_bulkheads(self, now: float) -> None:
+        """Update the confined queues and their targets."""
+        bulkheads = self._fleet.bulkheads
+        former = bulkheads.queues
+        bulkheads.update_crashes(self._crashes.queue_crashes, now)
+        if not former and not bulkheads.queues:
+            return
+        bulkheads.update_members(self._subset.agents_by_service())
+        if bulkheads.queues != former:
+            self._open.needs_placement = True
+            self._log(
+                Event.QUEUES_CONFINED,
+                queues=sorted(bulkheads.queues),
+                agents=sorted(bulkheads.members),
+            )
 
     def adopt_site_config(
         self, site: SiteConfig, now: float
@@ -458,9 +476,10 @@
             if view.assigned and now - view.last_message_at > RUN_EXPIRY_S:
                 self._results.expire_runs(view, now)
         self._crashes.expire(now)
-        forecast = self._admission.forecast()
+        self._update_bulkheads(now)
+        forecasts = self._admission.forecasts()
         for job in list(self._open.jobs.values()):
-            self._check_job(job, forecast, now)
+            self._check_job(job, forecasts, now)
         self._open.needs_placement = True
         self._overload.expect_tick(now + self.tick_pause_s(now))
         used_millicores = (
@@ -473,11 +492,11 @@
 
     def _check_new_jobs(self, now: float) -> None:
         """Reject new jobs that can't be on time once capacity is known."""
-        forecast: Forecast | None = None
+        forecasts: dict[Partition, Forecast] | None = None
         for job in self._admission.take_decidable(now):
-            if forecast is None:
-                forecast = self._admission.forecast()
-            wait_s = self._admission.check_new(job, forecast, now)
+            if forecasts is None:
+                forecasts = self._admission.forecasts()
+            wait_s = self._admission.check_new(job, forecasts, now)
             self._reject(job, wait_s, now)
 
     def _reject(self, job: Job, wait_s: float | None, now: float) -> None:
@@ -538,14 +557,16 @@
                 jobs=len(self._open.jobs),
             )
 
-    def _check_job(self, job: Job, forecast: Forecast, now: float) -> None:
+    def _check_job(
+        self, job: Job, forecasts: dict[Partition, Forecast], now: float
+    ) -> None:
         """Check a job's deadline, predicted wait and the speed of its runs."""
         if now >= job.deadline_at:
             self._abandon(job, now, "deadline")
             return
         if not job.is_started and not job.is_durable:
             if now >= self._hold_until:
-                wait_s = self._admission.check_waiting(job, forecast, now)
+                wait_s = self._admission.check_waiting(job, forecasts, now)
                 self._reject(job, wait_s, now)
             return
         for task in job.assigned:
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -11,6 +11,7 @@
 
 from fulmarscale.entry.jobs.admission import Load
 from fulmarscale.entry.jobs.agent_view import AgentView
+from fulmarscale.entry.jobs.bulkheads import Bulkheads
 from fulmarscale.runs.limits import MAX_STATE_AGE_S
 from fulmarscale.runs.limits import STREAM_TIMEOUT_S
 from fulmarscale.runs.model import TargetState
@@ -35,6 +36,8 @@
     """Whether a run of the task failed on the target."""
     is_slow: bool
     """Whether recent runs on the target took far longer than expected."""
+    is_confined: bool
+    """Whether the target is in the part of the confined queues."""
     is_off_rack: bool
     """Whether the task's data is on another rack."""
     negative_free_share: float
@@ -50,6 +53,8 @@
         self._data_centre = data_centre
         """The entry's data centre."""
         self._closed_data_centres: tuple[str, ...] = ()
+        self.bulkheads = Bulkheads()
+        """Which queues are confined to which of the targets."""
         self._agents: dict[str, AgentView] = {}
         """All agents, by name."""
         self._connected: dict[str, AgentView] = {}
@@ -127,6 +132,8 @@
                 continue
             if target.data_centre in self._closed_data_centres:
                 continue
+            if not self.bulkheads.allows(job, view):
+                continue
             if (
                 view.is_unresponsive(now)
                 or now - view.last_message_at > STREAM_TIMEOUT_S
@@ -149,6 +156,7 @@
         return not any(
             view.needs_probe(now) or view.is_probe_pending(now)
             for view in self.serving(job.queue.service)
+            if self.bulkheads.allows(job, view)
         )
 
     def has_capacity(self, job: Job, now: float) -> bool:
@@ -184,7 +192,8 @@
         views = [
             view
             for view in self._connected.values()
-            if view.is_usable(job.queue.service, closed, now)
+            if self.bulkheads.allows(job, view)
+            and view.is_usable(job.queue.service, closed, now)
         ]
         slow = {view.name for view in views if view.slowness.is_slow(now)}
         if len(slow) > MAX_SLOW_SHARE * len(views):
@@ -210,6 +219,7 @@
             and not view.slowness.is_slow(now)
             and task.step.demand.fits(view.available)
             for view in self.serving(job.queue.service)
+            if self.bulkheads.allows(job, view)
         )
 
     def least_used(self, job: Job, task: Task, now: float) -> AgentView | None:
@@ -281,6 +291,7 @@
         return Rank(
             has_failed=view.name in task.failed_on,
             is_slow=view.slowness.is_slow(now),
+            is_confined=view.name in self.bulkheads.members,
             is_off_rack=bool(rack) and not view.has_label(rack),
             negative_free_share=-free_share,
             is_remote=view.data_centre != self._data_centre,
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.actions import SendEntryMessage
@@ -14,11 +15,26 @@
     from collections.abc import Collection
 
     from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.bulkheads import Partition
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.ids import EntryId
 
 
+class Backlog(NamedTuple):
+    """The jobs of an entry that wait for the same targets."""
+
+    millicores: int
+    """Their waiting demand, in thousandths of a core."""
+    slack_s: float
+    """The time until the earliest latest start, in seconds."""
+
+
+def _backlog(waiting: Collection[Job], now: float) -> Backlog:
+    slack_s = min((job.latest_start_at - now for job in waiting), default=0.0)
+    return Backlog(sum(map(waiting_demand, waiting)), slack_s)
+
+
 class Outbox:
     """Schedules and builds messages to agents, at most one each at a time."""
 
@@ -86,28 +102,34 @@
         views = self._fleet.pop_dirty()
         if not views:
             return []
-        backlog = sum(map(waiting_demand, waiting))
-        slack_s = min(
-            (job.latest_start_at - now for job in waiting), default=0.0
-        )
-        return [
-            self._build_message(view, backlog, slack_s, now)
-            for view in views
-            if view.session is not None
-        ]
+        bulkheads = self._fleet.bulkheads
+        backlogs: dict[tuple[Partition, ...], Backlog] = {}
+        messages = []
+        for view in views:
+            if view.session is None:
+                continue
+            partitions = bulkheads.partitions_on(view.name)
+            if partitions not in backlogs:
+                backlogs[partitions] = _backlog(
+                    [
+                        job
+                        for job in waiting
+                        if bulkheads.partition_of(job) in partitions
+                    ],
+                    now,
+                )
+            messages.append(
+                self._build_message(view, backlogs[partitions], now)
+            )
+        return messages
 
     def _build_message(
-        self,
-        view: AgentView,
-        backlog: int,
-        slack_s: float,
-        now: float,
+        self, view: AgentView, backlog: Backlog, now: float
     ) -> SendEntryMessage:
         """Build a message to an agent and clear what was queued for it.
 
         :param view: the agent.
-        :param backlog: the waiting demand, in thousandths of a core.
-        :param slack_s: the time until the earliest latest start.
+        :param backlog: what waits for its target.
         :param now: the entry's time.
         :returns: the action that sends it.
         """
@@ -124,13 +146,13 @@
             expected=view.expected,
             site_revision=site.revision,
             site=site if must_propagate_site else None,
-            backlog=backlog,
-            slack_s=slack_s,
+            backlog=backlog.millicores,
+            slack_s=backlog.slack_s,
             acks=tuple(view.acks),
             has_durable_jobs=self._has_durable_jobs,
             is_probe=view.must_probe,
         )
-        view.has_reported_backlog = backlog > 0
+        view.has_reported_backlog = backlog.millicores > 0
         if view.must_probe:
             view.must_probe = False
             view.probed_at = now
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Final
 from typing import TYPE_CHECKING
 
+from fulmarscale.entry.jobs.bulkheads import Partition
 from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.events import Event
 from fulmarscale.runs.messages import StartRequest
@@ -28,7 +30,7 @@
     from fulmarscale.runs.model import ServiceName
 
 MAX_UNPLACED_JOBS: Final = 3
-"""Number of jobs not placed in full after which a placement pass ends.
+"""Number of jobs of a partition not placed in full that end its pass.
 
 Capacity that doesn't suffice for the most urgent jobs may still suffice for
 a smaller one.
@@ -86,19 +88,20 @@
 
     def _place_jobs(self, jobs: list[Job], now: float) -> None:
         """Place the tasks of jobs, the first job's first."""
-        unplaced = 0
-        usable: dict[ServiceName, list[AgentView]] = {}
+        unplaced: Counter[Partition] = Counter()
+        usable: dict[tuple[ServiceName, Partition], list[AgentView]] = {}
         for job in jobs:
-            service = job.queue.service
-            if service not in usable:
-                usable[service] = self._fleet.usable(job, now)
-            views = usable[service]
+            partition = self._fleet.bulkheads.partition_of(job)
+            if unplaced[partition] >= MAX_UNPLACED_JOBS:
+                continue
+            key = (job.queue.service, partition)
+            if key not in usable:
+                usable[key] = self._fleet.usable(job, now)
+            views = usable[key]
             if not views:
                 continue
             if not self._place_job(job, views, now):
-                unplaced += 1
-            if unplaced >= MAX_UNPLACED_JOBS:
-                return
+                unplaced[partition] += 1
 
     def _run_trial(self, suspects: list[Job], now: float) -> None:
         """Start the tasks of the most suspected job that can be tried.
@@ -121,10 +124,26 @@
         ):
             if job.is_assigned or self._crashes.must_hold(job, now):
                 continue
+            if self._has_fresh_jobs(job):
+                continue
             if self._try_job(job, now):
                 self._trial_job = job.job_id
                 return
 
+    def _has_fresh_jobs(self, suspect: Job) -> bool:
+        """Return whether other jobs wait for a confined suspect's targets.
+
+        A trial is likely to cost its target, so the others go first.
+        """
+        partition_of = self._fleet.bulkheads.partition_of
+        if partition_of(suspect) is Partition.OPEN:
+            return False
+        return any(
+            partition_of(job) is Partition.CONFINED
+            and not self._crashes.is_suspect(job.job_id)
+            for job in self._open.waiting.values()
+        )
+
     def _try_job(self, job: Job, now: float) -> bool:
         """Start a job's tasks on trial, on the target with the fewest runs.
 
--- a/src/fulmarscale/entry/jobs/subset.py
+++ b/src/fulmarscale/entry/jobs/subset.py
@@ -124,6 +124,14 @@
         self._agents = {agent.name: agent for agent in agents}
         self._is_ranked = False
 
+    def agents_by_service(self) -> dict[ServiceName, list[str]]:
+        """Return the names of all announced agents with a target."""
+        names: dict[ServiceName, list[str]] = {}
+        for agent in self._agents.values():
+            if agent.service:
+                names.setdefault(agent.service, []).append(agent.name)
+        return names
+
     def record_needs(self, job: Job, now: float) -> None:
         """Record the needs of a job that the subset may not meet.
 
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -169,6 +169,11 @@
     """
     JOB_ON_TRIAL = 525
     """A job that is suspected of a crash is run again, alone on a target."""
+    QUEUES_CONFINED = 526
+    """The queues whose tasks crash targets are confined to some targets.
+
+    The other queues don't use these. Without queues, the confinement ends.
+    """
     STOOD_STILL = 530
     """The process was paused for `pause_s` seconds.
 
