Store the crashes under durable tasks, and why a job has failed

Cause: the counts of crashes were only in the memory of entries and agents. A loss of all machines dropped them, and a durable task that crashes targets started again from zero.

Change: the record of a durable job that is suspected of a crash gets the count of crashes by task, stored with a new owner epoch before the job is tried again. A new owner adds the crashes that it learns of after reading the record to the stored ones. The record of a failed job has its result code, which GET shows beside the state.

--- a/features/support/durable_site.py
+++ b/features/support/durable_site.py
@@ -99,14 +99,14 @@
                 case AdvanceOwnerEpoch():
                     self._perform_storage(
                         self.manager.advance_owner_epoch(
-                            action.job_id, self._clock.now
+                            action.job_id, action.crashes, self._clock.now
                         )
                     )
                 case CloseDurableJob():
                     state = STATE_BY_OUTCOME[action.outcome]
                     self._perform_storage(
                         self.manager.finalize_job(
-                            action.job_id, state, self._clock.now
+                            action.job_id, state, action.code, self._clock.now
                         )
                     )
 
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -216,6 +216,17 @@
         record = await self._read_record(job_id)
         return None if record is None else record.state
 
+    async def code_of(self, job_id: JobId) -> ResultCode:
+        """Return why a job has failed, whichever entry owns it.
+
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        code = self._manager.stored_code(job_id)
+        if code is not None:
+            return code
+        record = await self._read_record(job_id)
+        return ResultCode.OK if record is None else ResultCode(record.code)
+
     async def pending_of(self, queue: str) -> int:
         """Return the number of a queue's accepted jobs that have not started.
 
@@ -248,13 +259,22 @@
 
         self._decide(apply_completion)
 
-    def advance_owner_epoch(self, job_id: JobId) -> None:
-        """Store a new owner epoch, so that tasks may be started again."""
-        self._decide(self._manager.advance_owner_epoch, job_id)
+    def advance_owner_epoch(
+        self, job_id: JobId, crashes: tuple[tuple[int, int], ...]
+    ) -> None:
+        """Store a new owner epoch, so that tasks may be started again.
 
-    def finalize_job(self, job_id: JobId, state: DurableJobState) -> None:
-        """Store the state in which a job has ended."""
-        self._decide(self._manager.finalize_job, job_id, state)
+        :param job_id: the job.
+        :param crashes: numbers of its tasks under which targets crashed, each
+            with the number of crashes.
+        """
+        self._decide(self._manager.advance_owner_epoch, job_id, crashes)
+
+    def finalize_job(
+        self, job_id: JobId, state: DurableJobState, code: ResultCode
+    ) -> None:
+        """Store the state in which a job has ended, and why it has failed."""
+        self._decide(self._manager.finalize_job, job_id, state, code)
 
     def update_members(self, rows: tuple[Row, ...]) -> None:
         """Update the lease rows of all entries."""
--- a/src/fulmarscale/entry/durable/durable_job.py
+++ b/src/fulmarscale/entry/durable/durable_job.py
@@ -8,6 +8,7 @@
 
 from fulmarscale.entry.durable.record import DurableJobState
 from fulmarscale.entry.durable.record import RecordedCompletion
+from fulmarscale.errors import ResultCode
 from fulmarscale.runs.messages import CompletionAck
 
 if TYPE_CHECKING:
@@ -116,16 +117,38 @@
             )
         )
 
-    def advance_epoch(self, now: float) -> None:
-        """Raise the owner epoch: no later owner then counts earlier runs."""
+    def advance_epoch(
+        self, now: float, crashes: tuple[tuple[int, int], ...] = ()
+    ) -> None:
+        """Raise the owner epoch: no later owner then counts earlier runs.
+
+        :param now: the entry's time.
+        :param crashes: numbers of tasks under which targets crashed, each
+            with the number of crashes.
+        """
+        counts = dict(self.record.crashes)
+        for number, count in crashes:
+            counts[number] = max(count, counts.get(number, 0))
         self.record = msgspec.structs.replace(
-            self.record, owner_epoch=self.record.owner_epoch + 1
+            self.record,
+            owner_epoch=self.record.owner_epoch + 1,
+            crashes=tuple(sorted(counts.items())),
         )
         self.mark_dirty(now, is_urgent=True)
 
-    def finalize(self, state: DurableJobState, now: float) -> None:
-        """Set the state in which the job ended, to be stored at once."""
-        self.record = self.record.ended_as(state)
+    def finalize(
+        self,
+        state: DurableJobState,
+        now: float,
+        code: ResultCode = ResultCode.OK,
+    ) -> None:
+        """Set the state in which the job ended, to be stored at once.
+
+        :param state: the state.
+        :param now: the entry's time.
+        :param code: why it has failed.
+        """
+        self.record = self.record.ended_as(state, code)
         self.finalized_at = now
         self.mark_dirty(now, is_urgent=True)
 
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -37,6 +37,7 @@
 from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.durable.write_queue import INCONCLUSIVE_STATUSES
 from fulmarscale.entry.durable.write_queue import WriteQueue
+from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
 from fulmarscale.runs.messages import CompletionAck
 
@@ -185,23 +186,46 @@
             self._answer_end_waiters(job_id, StorageOutcome.STORED)
         return self._take_actions(now)
 
+    def stored_code(self, job_id: JobId) -> ResultCode | None:
+        """Return why a job has failed; none if it isn't owned here."""
+        job = self._jobs.get(job_id)
+        if job is None or job.stored_record is None or not self._is_owner:
+            return None
+        return ResultCode(job.stored_record.code)
+
     def finalize_job(
-        self, job_id: JobId, state: DurableJobState, now: float
+        self,
+        job_id: JobId,
+        state: DurableJobState,
+        code: ResultCode,
+        now: float,
     ) -> list[ManagerAction]:
-        """Store the state in which a job has ended."""
+        """Store the state in which a job has ended.
+
+        :param job_id: the job.
+        :param state: the state.
+        :param code: why it has failed.
+        :param now: the entry's time.
+        """
         job = self._jobs.get(job_id)
         if job is not None and job.is_open:
-            job.finalize(state, now)
+            job.finalize(state, now, code)
             self._write_queue.enqueue(job)
         return self._take_actions(now)
 
     def advance_owner_epoch(
-        self, job_id: JobId, now: float
+        self, job_id: JobId, crashes: tuple[tuple[int, int], ...], now: float
     ) -> list[ManagerAction]:
-        """Store a new owner epoch, so that tasks may be started again."""
+        """Store a new owner epoch, so that tasks may be started again.
+
+        :param job_id: the job.
+        :param crashes: numbers of its tasks under which targets crashed, each
+            with the number of crashes.
+        :param now: the entry's time.
+        """
         job = self._jobs.get(job_id)
         if job is not None and job.is_open:
-            job.advance_epoch(now)
+            job.advance_epoch(now, crashes)
             self._write_queue.enqueue(job)
         return self._take_actions(now)
 
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from fulmarscale.entry.durable.rows import RowKey
+from fulmarscale.errors import ResultCode
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
@@ -93,14 +94,33 @@
     By them, a later owner detects which of the completions that agents still
     hold are stored already. They are kept when the job has ended.
     """
+    crashes: tuple[tuple[int, int], ...] = ()
+    """Numbers of the tasks under which targets crashed, each with a count.
 
-    def ended_as(self, state: DurableJobState) -> DurableJobRecord:
+    Only of a job that is suspected of them. Emptied when the job has ended.
+    """
+    code: int = ResultCode.OK
+    """Why the job has failed: the value of a `ResultCode`."""
+
+    def ended_as(
+        self, state: DurableJobState, code: ResultCode = ResultCode.OK
+    ) -> DurableJobRecord:
         """Return the record of the ended job.
 
-        It has empty `spec`, `done` and `failures`, but keeps `completions`.
+        It has empty `spec`, `done`, `failures` and `crashes`, but keeps
+        `completions`.
+
+        :param state: the state in which the job ended.
+        :param code: why it has failed.
         """
         return msgspec.structs.replace(
-            self, state=state, spec=JobSpec("", ()), done=(), failures=()
+            self,
+            state=state,
+            spec=JobSpec("", ()),
+            done=(),
+            failures=(),
+            crashes=(),
+            code=code.value,
         )
 
 
--- a/src/fulmarscale/entry/jobs/actions.py
+++ b/src/fulmarscale/entry/jobs/actions.py
@@ -81,11 +81,13 @@
     """Store a new owner epoch of a durable job.
 
     A run was abandoned whose outcome is unknown. The new epoch fences it: no
-    later owner may count it.
+    later owner may count it. Or a target crashed under one of its tasks.
     """
 
     job_id: JobId
     """The job."""
+    crashes: tuple[tuple[int, int], ...] = ()
+    """Numbers of tasks under which targets crashed, each with a count."""
 
 
 class StoreCompletion(DispatchAction):
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -241,6 +241,11 @@
         job.owner_epoch = record.owner_epoch
         self._admission.set_objective(job)
         job.restore(record.done, record.failures)
+        self._crashes.restore(
+            job,
+            {job.tasks[number].key: count for number, count in record.crashes},
+            now,
+        )
         self._subset.record_needs(job, now)
         self._open.add(job)
         if job.owner_epoch > 1:
--- a/src/fulmarscale/entry/jobs/job_service.py
+++ b/src/fulmarscale/entry/jobs/job_service.py
@@ -12,6 +12,7 @@
     from fulmarscale.entry.durable.record import DurableJobState
     from fulmarscale.entry.jobs.actions import AnswerJob
     from fulmarscale.entry.jobs.actions import JobState
+    from fulmarscale.errors import ResultCode
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import JobSpec
     from fulmarscale.runs.site_config import Queue
@@ -43,6 +44,13 @@
         :raises FulmarError: STORE_UNAVAILABLE; the job may be cancelled.
         """
 
+    @abstractmethod
+    async def code_of(self, job_id: JobId) -> ResultCode:
+        """Return why a job has failed.
+
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+
     @abstractmethod
     async def pending_of(self, queue: str) -> int:
         """Return the number of a queue's durable jobs not yet started."""
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -369,10 +369,14 @@
                         is_counted=action.is_counted,
                     )
                 case AdvanceOwnerEpoch():
-                    self._durable_jobs.advance_owner_epoch(action.job_id)
+                    self._durable_jobs.advance_owner_epoch(
+                        action.job_id, action.crashes
+                    )
                 case CloseDurableJob():
                     state = DURABLE_STATES[action.outcome]
-                    self._durable_jobs.finalize_job(action.job_id, state)
+                    self._durable_jobs.finalize_job(
+                        action.job_id, state, action.code
+                    )
                 case LogDispatchDecision():
                     self._log.write(action.event, **action.fields)
 
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -119,6 +119,8 @@
                     end=report.outcome.value,
                 )
                 self._open.set_phase(job, task, TaskPhase.WAITING)
+                if report.outcome is RunOutcome.CRASHED:
+                    self._store_crashes(job)
 
     def apply_completion(
         self, view: AgentView, completion: DurableCompletion, now: float
@@ -289,7 +291,23 @@
                 reason=report.refusal.value if report.refusal else None,
             )
 
-    def _advance_owner_epoch(self, job: Job) -> None:
+    def _store_crashes(self, job: Job) -> None:
+        """Start nothing of a durable suspect until its crashes are stored."""
+        if not job.is_durable or not self._crashes.is_suspect(job.job_id):
+            return
+        counts = self._crashes.suspicion_of(job.job_id).counts
+        self._advance_owner_epoch(
+            job,
+            tuple(
+                (number, counts[task.key])
+                for number, task in enumerate(job.tasks)
+                if task.key in counts
+            ),
+        )
+
+    def _advance_owner_epoch(
+        self, job: Job, crashes: tuple[tuple[int, int], ...] = ()
+    ) -> None:
         """Start nothing of a durable job until a new owner epoch is stored.
 
         A run was abandoned that may have succeeded. The agent may keep its
@@ -297,4 +315,4 @@
         """
         if job.is_durable and job.earliest_start_at < float("inf"):
             job.earliest_start_at = float("inf")
-            self._act(AdvanceOwnerEpoch(job.job_id))
+            self._act(AdvanceOwnerEpoch(job.job_id, crashes))
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 import math
 from typing import Any
 from typing import Final
@@ -147,7 +148,20 @@
         if not state_name:
             await respond(send, GONE)
             return
-        await respond(send, 200, msgspec.json.encode({"state": state_name}))
+        content = await self._describe_state(job_id, state_name)
+        await respond(send, 200, msgspec.json.encode(content))
+
+    async def _describe_state(
+        self, job_id: JobId, state_name: str
+    ) -> dict[str, str | int]:
+        """Return a response's content: the state, and why a job has failed."""
+        content: dict[str, str | int] = {"state": state_name}
+        if state_name != DurableJobState.FAILED.value:
+            return content
+        with suppress(FulmarError):
+            code = await self._job_service.durable_jobs.code_of(job_id)
+            content["code"] = code.value
+        return content
 
     async def _resolve_state(
         self, job_id: JobId, state: JobState | None, *, is_cancel: bool
