Confine a queue once two targets crash mainly under its jobs

Cause: a queue was confined only once a job of it was given up, about 1 s after the first crash, as a trial waits for the lease.

Change: a queue is also confined after two crashes within 5 s that are attributed to it, if these are most of the crashes in that time. Crashes by no task hit all queues, so they rarely meet this.

--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -82,6 +82,16 @@
 BLAME_SHARE: Final = 0.6
 """Share of the suspicion from which a crash is attributed to a queue."""
 
+MIN_QUEUE_CRASHES: Final = 2
+"""Crashes by a queue within QUEUE_WINDOW_S for which it is blamed.
+
+They must also be most of all crashes in that time. A queue of which a job was
+given up is blamed for a single one.
+"""
+
+QUEUE_WINDOW_S: Final = 5.0
+"""Time within which a queue's crashes count together."""
+
 
 class KnownCrash(msgspec.Struct):
     """A crash as an entry knows it."""
@@ -304,6 +314,7 @@
             for run in crash.runs
             if self.suspicion_of(run.task.job_id).is_sufficient
         }
+        blamed |= _frequent_causes(crashes, causes)
         self._queue_crashes = tuple(
             QueueCrash(queue, crash.agent, crash.crashed_at)
             for crash, queue in zip(crashes, causes, strict=True)
@@ -423,6 +434,27 @@
     return None
 
 
+def _frequent_causes(
+    crashes: list[KnownCrash], causes: list[QueueName | None]
+) -> set[QueueName]:
+    """Return the queues that caused most crashes of a window of time.
+
+    :param crashes: all crashes, by time.
+    :param causes: the queue that each is attributed to, if any.
+    """
+    frequent: set[QueueName] = set()
+    first = 0
+    for last, crash in enumerate(crashes):
+        while crash.crashed_at - crashes[first].crashed_at > QUEUE_WINDOW_S:
+            first += 1
+        counts = Counter(causes[first : last + 1])
+        for queue, count in counts.items():
+            is_most = 2 * count > last + 1 - first
+            if queue is not None and count >= MIN_QUEUE_CRASHES and is_most:
+                frequent.add(queue)
+    return frequent
+
+
 def _density(age_s: float) -> float:
     """Return the relative density of crashes at an age of a run."""
     return 1.0 / (age_s + AGE_RESOLUTION_S)
