Don't move the runs of a target that does not respond

Cause: the straggler check took the runs on a crashed target for stalled. It asked the agent every 50 ms to stop them, which the target refuses, and counted each as a failure of the target. With three such runs the target was quarantined when it came back: one trial run at a time.

Change: runs on a target that does not respond are left to its agent, which ends them with their lease. Found while looking for the same cause elsewhere (the end of a target taken for something that its runs did).

Evidence: the scenario on the quarantine failed before and passes. Scenarios for losses of power, draining targets, several steps and shrinking capacity hold.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -57,3 +57,52 @@
     And no task was started more than 3 times by crashes
     And no job that can be done is answered as failed
     And no task ever had two runs at once
+
+  # Guards against runs on a crashed target counting as failures of the target.
+  Scenario: A target is not quarantined for the runs that its crash ended
+    Given a simulated site of 1 entries and 2 targets of 16 cores
+    When job "a" of 8 tasks of 1000 ms is submitted to entry 0
+    And 0.3 s pass
+    And target 0 crashes and restarts after 1 s
+    And 0.9 s pass
+    Then entry 0 has quarantined no target
+    And 4 s pass
+    And job "a" is completed at entry 0
+
+  # Guards against the blame of tasks for a loss of power.
+  Scenario: A task whose targets lose power one after the other is completed
+    Given a simulated site of 1 entries and 5 targets of 16 cores
+    When job "a" of 1 tasks of 2000 ms is submitted to entry 0
+    And the target that runs job "a" loses power, 3 times 1.5 s apart
+    And 8 s pass
+    Then job "a" is completed at entry 0
+
+  # Guards against the blame of tasks for the shutdown of a draining target.
+  Scenario: A task whose targets drain and leave one after the other is completed
+    Given a simulated site of 1 entries and 5 targets of 16 cores
+    When job "a" of 1 tasks of 2000 ms is submitted to entry 0
+    And the target that runs job "a" drains and leaves, 3 times 1.5 s apart
+    And 8 s pass
+    Then job "a" is completed at entry 0
+
+  # Guards against a job of several steps that is cleared by its first step.
+  Scenario: A task of a later step that crashes targets is given up
+    Given a simulated site of 2 entries, 8 targets and a store
+    And task 3 of job "bad" crashes each target that starts it
+    When durable job "bad" with steps of 3, 4 and 2 tasks of 300 ms is submitted to entry 0
+    And 20 s pass
+    Then task 3 of job "bad" was started at most 3 times
+    And the store records job "bad" as failed
+    And no guarantee for durable jobs is violated
+
+  # Guards against starts beyond the capacity of a target that shrinks.
+  Scenario: A target whose capacity shrinks under load is not overcommitted further
+    Given a simulated site of 2 entries and 2 targets of 16 cores
+    When 6 jobs of 4 tasks of 800 ms are submitted at once
+    And 0.3 s pass
+    And the capacity of target 0 shrinks to 8 cores for 3 s
+    And 0.6 s pass
+    And 20 jobs of 4 tasks of 200 ms are submitted at once
+    And 8 s pass
+    Then no task started on target 0 beyond 8 cores while it had shrunk
+    And every job got a response
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -7,12 +7,24 @@
 
 from behave import given
 from behave import then
+from behave import when
 
 from features.support.dispatch_score import score_jobs
+from features.support.run_site import TASK
+from fulmarscale.runs.model import Resources
+from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from features.support.run_site import FakeTarget
+
+DOWN_S = 5.0
+"""Time for which targets are down that lose power or leave."""
+
+HEARTBEAT_WAIT_S = 0.6
+"""Time after which a change of a target is known to its agent."""
+
 
 @given('task {index:d} of job "{job}" crashes each target that starts it')
 def make_task_crash_targets(context: Context, index: int, job: str) -> None:
@@ -56,3 +68,82 @@
             site.seed,
             site.failed - site.crashing_jobs,
         )
+
+
+def find_target_of(context: Context, job: str) -> FakeTarget:
+    """Return the target that runs a task of a job."""
+    for target in context.run_site.targets:
+        if any(task.job_id == job for task in target.running):
+            return target
+    raise AssertionError(f"no target runs a task of job {job}")
+
+
+@when(
+    'the target that runs job "{job}" loses power, {times:d} times'
+    " {gap_s:g} s apart"
+)
+def lose_power(context: Context, job: str, times: int, gap_s: float) -> None:
+    for _ in range(times):
+        context.run_site.advance(gap_s)
+        find_target_of(context, job).crash(DOWN_S, is_dark=True)
+
+
+@when(
+    'the target that runs job "{job}" drains and leaves, {times:d} times'
+    " {gap_s:g} s apart"
+)
+def drain_and_leave(
+    context: Context, job: str, times: int, gap_s: float
+) -> None:
+    site = context.run_site
+    for _ in range(times):
+        site.advance(gap_s - HEARTBEAT_WAIT_S)
+        target = find_target_of(context, job)
+        target.state = TargetState.DRAINING
+        site.advance(HEARTBEAT_WAIT_S)
+        target.crash(DOWN_S)
+        target.state = TargetState.READY
+
+
+@when(
+    "the capacity of target {number:d} shrinks to {cores:d} cores for {s:g} s"
+)
+def shrink_capacity(
+    context: Context, number: int, cores: int, s: float
+) -> None:
+    site = context.run_site
+    target = site.targets[number]
+    former = target.capacity
+    target.capacity = Resources(cores * 1000, former.memory_mb, 0)
+    context.shrunk = (site.clock.now + HEARTBEAT_WAIT_S, site.clock.now + s)
+
+    def grow() -> None:
+        target.capacity = former
+
+    site.clock.call_in(s, grow)
+
+
+@then(
+    "no task started on target {number:d} beyond {cores:d} cores while it had"
+    " shrunk"
+)
+def check_shrunk(context: Context, number: int, cores: int) -> None:
+    history = context.run_site.targets[number].history
+    since, until = context.shrunk
+    started = [run for run in history if since <= run.started_at < until]
+    assert started, "nothing started on the shrunk target"
+    for run in started:
+        running = [
+            other
+            for other in history
+            if other.started_at <= run.started_at
+            and (other.ended_at or run.started_at) >= run.started_at
+        ]
+        used = TASK.cpu_millicores * len(running)
+        assert used <= cores * 1000, (run, used)
+
+
+@then("entry {number:d} has quarantined no target")
+def check_quarantine(context: Context, number: int) -> None:
+    views = context.run_site.entries[number].dispatcher.agents
+    assert not any(view.is_quarantined for view in views)
--- a/src/fulmarscale/entry/jobs/run_monitor.py
+++ b/src/fulmarscale/entry/jobs/run_monitor.py
@@ -84,9 +84,13 @@
         self._run_times.record(job.queue.name, task.step.declared_s, ran_s)
 
     def check_run(self, job: Job, task: Task, now: float) -> None:
-        """Stop a run that has stalled or is far too slow, to move its task."""
+        """Stop a run that has stalled or is far too slow, to move its task.
+
+        A target that does not respond can't stop it: its agent ends the run
+        once the lease has run out.
+        """
         view = self._fleet.find(task.agent)
-        if view is None or task.stop_sent:
+        if view is None or view.target is None or task.stop_sent:
             return
         if now - task.assigned_at < MIN_ELAPSED_S:
             return
