List which task and queue crashed which targets: fulmar-crashes

Entries serve the crashes that they know of as JSON beside their metrics. Checked by a scenario that serves the list of an entry that didn't start the task.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -106,3 +106,11 @@
     And 8 s pass
     Then no task started on target 0 beyond 8 cores while it had shrunk
     And every job got a response
+
+  # Guards against operators not finding the task behind crashes of targets.
+  Scenario: Operators list which task and queue crashed which targets
+    Given a simulated site of 2 entries and 8 targets of 16 cores
+    And task 0 of job "bad" crashes each target that starts it
+    When job "bad" of 4 tasks of 300 ms is submitted to entry 0
+    And 6 s pass
+    Then fulmar-crashes lists 2 crashes by task "bad.0.0.0" of queue "quick" at entry 1
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from typing import TYPE_CHECKING
 
 from behave import given
 from behave import then
 from behave import when
+from click.testing import CliRunner
+import msgspec
 
 from features.support.dispatch_score import score_jobs
 from features.support.run_site import TASK
+from fulmarscale.cli.crashes import main as list_crashes
+from fulmarscale.http_server import AsgiServer
+from fulmarscale.logs import EventLog
+from fulmarscale.platform.asgi import CRASHES_PATH
+from fulmarscale.platform.asgi import MetricsApp
+from fulmarscale.runs.metrics import ProcessMetrics
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import TargetState
+from standins.ports import PortPicker
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -22,6 +32,9 @@
 DOWN_S = 5.0
 """Time for which targets are down that lose power or leave."""
 
+CONNECT_RETRY_S = 0.05
+"""Pause before a server that does not listen yet is tried again."""
+
 HEARTBEAT_WAIT_S = 0.6
 """Time after which a change of a target is known to its agent."""
 
@@ -147,3 +160,50 @@
 def check_quarantine(context: Context, number: int) -> None:
     views = context.run_site.entries[number].dispatcher.agents
     assert not any(view.is_quarantined for view in views)
+
+
+async def is_listening(port: int) -> bool:
+    """Return whether a port of loopback accepts connections."""
+    try:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+    except ConnectionRefusedError:
+        return False
+    writer.close()
+    return True
+
+
+async def run_list_crashes(document: bytes) -> str:
+    """Serve a document as an entry does, and run fulmar-crashes on it.
+
+    :returns: what it prints.
+    """
+    metrics = ProcessMetrics(EventLog("test", "test"), dict, ())
+    app = MetricsApp(metrics, {CRASHES_PATH: lambda: document})
+    port = PortPicker().pick()
+    server = AsgiServer(app, "127.0.0.1", port)
+    server.start()
+    try:
+        while not await is_listening(port):
+            await asyncio.sleep(CONNECT_RETRY_S)
+        result = await asyncio.to_thread(
+            CliRunner().invoke, list_crashes, [f"127.0.0.1:{port}"]
+        )
+    finally:
+        await server.close()
+    assert result.exit_code == 0, result.output
+    return result.output
+
+
+@then(
+    'fulmar-crashes lists {count:d} crashes by task "{task}" of queue'
+    ' "{queue}" at entry {number:d}'
+)
+def check_listed_crashes(
+    context: Context, count: int, task: str, queue: str, number: int
+) -> None:
+    site = context.run_site
+    reports = site.entries[number].dispatcher.crash_reports(site.clock.now)
+    output = asyncio.run(run_list_crashes(msgspec.json.encode(reports)))
+    rows = [line.split() for line in output.splitlines()]
+    listed = [row for row in rows if task in row and queue in row]
+    assert len(listed) == count, output
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -388,7 +388,7 @@
             target=target.incarnation.target,
             born_ms=target.incarnation.born_ms,
             runs=[
-                (_format_task(run.task), run.queue, round(run.age_s, 3))
+                (str(run.task), run.queue, round(run.age_s, 3))
                 for run in crash.runs
             ],
         )
@@ -468,7 +468,7 @@
             case StartResponse.UNKNOWN:
                 self._log(
                     Event.START_UNCONFIRMED,
-                    task=_format_task(task),
+                    task=str(task),
                     run=number,
                 )
                 self._stop(run, now)
@@ -685,7 +685,7 @@
             return
         self._log(
             Event.START_REFUSED,
-            task=_format_task(request.task),
+            task=str(request.task),
             entry=session.entry.name,
             reason=reason.value,
             echo_age_s=_round_age_s(self._echo_age_s(session.entry, now)),
@@ -771,7 +771,7 @@
             if run.entry == entry and run.phase is not RunPhase.STOPPING:
                 self._log(
                     Event.RUN_STOPPED,
-                    task=_format_task(run.task),
+                    task=str(run.task),
                     run=run.number,
                     entry=entry.name,
                 )
@@ -840,7 +840,7 @@
         if run is None:
             self._log(
                 Event.END_UNKNOWN,
-                task=_format_task(listed.task),
+                task=str(listed.task),
                 run=listed.number,
                 position=listed.position,
             )
@@ -922,7 +922,7 @@
         if item.task not in self._orphans:
             self._log(
                 Event.ORPHAN_STOPPED,
-                task=_format_task(item.task),
+                task=str(item.task),
                 run=item.number,
             )
         self._orphans[item.task] = item.number
@@ -965,7 +965,7 @@
         for run in list(self._runs.values()):
             self._log(
                 Event.RUN_LAPSED,
-                task=_format_task(run.task),
+                task=str(run.task),
                 run=run.number,
                 queue=run.queue,
                 end=outcome.value,
@@ -1153,9 +1153,5 @@
     return expected.request_number
 
 
-def _format_task(task: TaskKey) -> str:
-    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
-
-
 def _round_age_s(age_s: float) -> float | None:
     return None if age_s == float("inf") else round(age_s, 3)
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -20,6 +20,7 @@
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
 from fulmarscale.logs import NonBlockingStream
+from fulmarscale.platform.asgi import CRASHES_PATH
 from fulmarscale.platform.asgi import MetricsApp
 from fulmarscale.platform.ingress import IngressApp
 from fulmarscale.platform.ingress import ReadinessApp
@@ -62,7 +63,9 @@
         settings.connections,
     )
     metrics = AsgiServer(
-        MetricsApp(process.metrics), settings.address, settings.metrics_port
+        MetricsApp(process.metrics, {CRASHES_PATH: process.render_crashes}),
+        settings.address,
+        settings.metrics_port,
     )
     followers = (
         make_site_follower(store, process.adopt_site_config, log),
--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -26,6 +26,7 @@
 from fulmarscale.runs.model import TaskKey
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from fulmarscale.entry.jobs.job import Job
@@ -154,6 +155,33 @@
     """When the target crashed, by the entry's time."""
 
 
+class CrashReport(msgspec.Struct, frozen=True):
+    """A crash and its most suspected job, for operators."""
+
+    age_s: float
+    """Time since the crash, in seconds."""
+    agent: str
+    """The agent of the target."""
+    target: str
+    """The target."""
+    state: str
+    """How certain the crash is: a value of `CrashState`."""
+    queue: str
+    """The queue of the most suspected job; empty if there is none."""
+    task: str
+    """That job's youngest task on the target; empty if there is none."""
+    probability: float
+    """The probability that the job has caused the crash."""
+    crashes: int
+    """The most crashes under one of the job's tasks."""
+    is_given_up: bool
+    """Whether the job is given up for its crashes."""
+    is_confined: bool
+    """Whether the queue is confined to a part of the targets."""
+    runs: int
+    """Number of runs that the crash ended."""
+
+
 NO_SUSPICION: Final = Suspicion()
 
 
@@ -258,6 +286,54 @@
         }
         self._attribute()
 
+    def reports(
+        self, confined: Collection[QueueName], now: float
+    ) -> list[CrashReport]:
+        """Return all known crashes for operators, the newest first.
+
+        :param confined: the confined queues.
+        :param now: the entry's time.
+        """
+        crashes = dict(
+            sorted(self._crashes.items(), key=lambda item: -item[1].crashed_at)
+        )
+        weights = self._weights(list(crashes.values()))
+        return [
+            self._report(incarnation, crash, each, confined, now)
+            for (incarnation, crash), each in zip(
+                crashes.items(), weights, strict=True
+            )
+        ]
+
+    def _report(
+        self,
+        incarnation: TargetIncarnation,
+        crash: KnownCrash,
+        weights: dict[JobId, float],
+        confined: Collection[QueueName],
+        now: float,
+    ) -> CrashReport:
+        suspect = max(weights, key=weights.__getitem__, default=None)
+        run = next(
+            (run for run in crash.runs if run.task.job_id == suspect), None
+        )
+        suspicion = NO_SUSPICION
+        if suspect is not None:
+            suspicion = self.suspicion_of(suspect)
+        return CrashReport(
+            age_s=round(now - crash.crashed_at, 1),
+            agent=crash.agent,
+            target=incarnation.target,
+            state=crash.state.value,
+            queue=run.queue if run else "",
+            task=str(run.task) if run else "",
+            probability=round(weights[suspect], 3) if suspect else 0.0,
+            crashes=suspicion.max_count,
+            is_given_up=suspicion.is_sufficient,
+            is_confined=run is not None and run.queue in confined,
+            runs=len(crash.runs),
+        )
+
     def suspicion_of(self, job_id: JobId) -> Suspicion:
         """Return what all crashes that are not disproved say of a job."""
         return self._suspected.get(job_id, NO_SUSPICION)
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -49,6 +49,7 @@
     from fulmarscale.entry.jobs.admission import Forecast
     from fulmarscale.entry.jobs.agent_view import AgentView
     from fulmarscale.entry.jobs.bulkheads import Partition
+    from fulmarscale.entry.jobs.crash_history import CrashReport
     from fulmarscale.entry.jobs.subset import AnnouncedAgent
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.crashes import TargetCrash
@@ -163,6 +164,13 @@
         """The selection of agents that the entry keeps streams to."""
         return self._subset
 
+    def crash_reports(self, now: float) -> list[CrashReport]:
+        """Return the known crashes of targets for operators, newest first.
+
+        :param now: the entry's time.
+        """
+        return self._crashes.reports(self._fleet.bulkheads.queues, now)
+
     @property
     def is_ready(self) -> bool:
         """Whether there are a configuration and a stream to an agent."""
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -11,6 +11,8 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from fulmarscale.control.lease import INCARNATION_BITS
 from fulmarscale.entry.durable.actions import StorageOutcome
 from fulmarscale.entry.durable.driver import DurableJobDriver
@@ -125,6 +127,12 @@
         """The entry's metrics."""
         return self._metrics
 
+    def render_crashes(self) -> bytes:
+        """Return the known crashes of targets as JSON, for operators."""
+        return msgspec.json.encode(
+            self._dispatcher.crash_reports(boottime_s())
+        )
+
     @property
     def durable_jobs(self) -> DurableJobDriver:
         """The driver that stores and owns durable jobs."""
--- a/src/fulmarscale/platform/asgi.py
+++ b/src/fulmarscale/platform/asgi.py
@@ -7,10 +7,16 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
     from fulmarscale.runs.metrics import ProcessMetrics
 
 METRICS_PATH: Final = "/metrics"
 
+CRASHES_PATH: Final = "/crashes"
+"""Path of the crashes of targets that an entry knows of."""
+
 
 class DisconnectedError(Exception):
     """The client disconnected before its request was read."""
@@ -37,15 +43,28 @@
 
 
 class MetricsApp:
-    """ASGI application that exposes a process's metrics to Prometheus."""
+    """ASGI application with a process's metrics and documents for operators.
+
+    :param metrics: the metrics, for Prometheus.
+    :param documents: functions that return JSON documents, by path.
+    """
 
-    def __init__(self, metrics: ProcessMetrics) -> None:
+    def __init__(
+        self,
+        metrics: ProcessMetrics,
+        documents: Mapping[str, Callable[[], bytes]] | None = None,
+    ) -> None:
         self._metrics = metrics
+        self._documents = documents or {}
 
     async def __call__(
         self, scope: dict[str, Any], receive: Any, send: Any
     ) -> None:
         """Handle a request."""
+        render = self._documents.get(scope["path"])
+        if render is not None:
+            await respond(send, 200, render())
+            return
         if scope["path"] != METRICS_PATH:
             await respond(send, 404)
             return
--- a/src/fulmarscale/runs/model.py
+++ b/src/fulmarscale/runs/model.py
@@ -69,6 +69,9 @@
     index: int
     """The position of the task in its step, from 0."""
 
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+
 
 class Step(msgspec.Struct, frozen=True, array_like=True):
     """A step of a job: a number of tasks that are alike."""
