Try suspects of unconfined queues first, and count a blamed queue's other crashes

Trials went after all other jobs and waited for room (0.4 s). Once the queue was confined, two healthy targets were put into its part, though two that had crashed were free: their crashes had two suspects of like age, so no queue had enough of the suspicion.

Change: suspects of queues that are not confined are tried before other jobs are placed. A quarter of the suspicion attributes a crash to a queue that is blamed already. A job with two crashes is only a suspect with a suspicion of 0.1, so fewer neighbours wait for trials.

--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -61,6 +61,9 @@
 SUSPECT_LEVEL: Final = 0.2
 """Suspicion from which a job is run again only on trial."""
 
+RECURRENT_LEVEL: Final = 0.1
+"""The same for a job with MIN_CRASHES under one of its tasks."""
+
 GIVE_UP_LEVEL: Final = 0.9
 """Suspicion from which a job is given up after MIN_CRASHES."""
 
@@ -83,6 +86,9 @@
 BLAME_SHARE: Final = 0.6
 """Share of the suspicion from which a crash is attributed to a queue."""
 
+KNOWN_BLAME_SHARE: Final = 0.25
+"""The same for a queue that is blamed for other crashes already."""
+
 MIN_QUEUE_CRASHES: Final = 2
 """Crashes by a queue within QUEUE_WINDOW_S for which it is blamed.
 
@@ -341,8 +347,10 @@
     def is_suspect(self, job_id: JobId) -> bool:
         """Return whether a job may only be run on trial."""
         suspicion = self.suspicion_of(job_id)
-        if suspicion.max_count >= MIN_CRASHES:
+        if suspicion.max_count >= MAX_CRASHES:
             return True
+        if suspicion.max_count >= MIN_CRASHES:
+            return suspicion.level >= RECURRENT_LEVEL
         return suspicion.level >= SUSPECT_LEVEL
 
     def must_give_up(self, job: Job) -> bool:
@@ -378,11 +386,10 @@
             ),
             key=lambda crash: crash.crashed_at,
         )
+        weights = self._weights(crashes)
         causes = [
-            _blamed_queue(crash, weights)
-            for crash, weights in zip(
-                crashes, self._weights(crashes), strict=True
-            )
+            _find_cause(crash, each, set())
+            for crash, each in zip(crashes, weights, strict=True)
         ]
         blamed = {
             run.queue
@@ -391,6 +398,10 @@
             if self.suspicion_of(run.task.job_id).is_sufficient
         }
         blamed |= _frequent_causes(crashes, causes)
+        causes = [
+            _find_cause(crash, each, blamed)
+            for crash, each in zip(crashes, weights, strict=True)
+        ]
         self._queue_crashes = tuple(
             QueueCrash(queue, crash.agent, crash.crashed_at)
             for crash, queue in zip(crashes, causes, strict=True)
@@ -491,23 +502,26 @@
         return {job_id: score / total for job_id, score in scores.items()}
 
 
-def _blamed_queue(
-    crash: KnownCrash, weights: dict[JobId, float]
+def _find_cause(
+    crash: KnownCrash, weights: dict[JobId, float], blamed: set[QueueName]
 ) -> QueueName | None:
     """Return the queue that a crash is attributed to.
 
     :param crash: the crash.
     :param weights: the probability that each job has caused it.
+    :param blamed: queues that are blamed for other crashes.
     :returns: none if no queue has enough of the suspicion.
     """
     queues = {run.task.job_id: run.queue for run in crash.runs}
     by_queue: dict[QueueName, float] = defaultdict(float)
     for job_id, weight in weights.items():
         by_queue[queues[job_id]] += weight
-    for queue, weight in by_queue.items():
-        if weight >= BLAME_SHARE:
-            return queue
-    return None
+    if not by_queue:
+        return None
+    known = blamed & by_queue.keys()
+    queue = max(known or by_queue, key=by_queue.__getitem__)
+    limit = KNOWN_BLAME_SHARE if known else BLAME_SHARE
+    return queue if by_queue[queue] >= limit else None
 
 
 def _frequent_causes(
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -79,12 +79,25 @@
         suspects = [
             job for job in ready if self._crashes.is_suspect(job.job_id)
         ]
+        # The sooner a trial shows that a queue's tasks crash targets, the
+        # fewer of the targets that are open to all queues are lost.
+        partition_of = self._fleet.bulkheads.partition_of
+        self._run_trial(
+            [job for job in suspects if partition_of(job) is Partition.OPEN],
+            now,
+        )
         excluded = {job.job_id for job in suspects}
         self._place_jobs(
             [job for job in ready if job.job_id not in excluded], now
         )
-        if suspects:
-            self._run_trial(suspects, now)
+        self._run_trial(
+            [
+                job
+                for job in suspects
+                if partition_of(job) is Partition.CONFINED
+            ],
+            now,
+        )
 
     def _place_jobs(self, jobs: list[Job], now: float) -> None:
         """Place the tasks of jobs, the first job's first."""
