Share the targets again some seconds after a crash, and try two suspects

Cause: a confined queue kept to its part even while the rest was idle, and an entry tried one suspect at a time.

Change: 5 s after the last crash each queue may use all targets and prefers its own part; suspects stay in theirs. An entry tries two confined suspects at a time. The check of durable jobs counts starts after three crashes.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -114,3 +114,9 @@
     When job "bad" of 4 tasks of 300 ms is submitted to entry 0
     And 6 s pass
     Then fulmar-crashes lists 2 crashes by task "bad.0.0.0" of queue "quick" at entry 1
+
+  # Guards against broken guarantees where crashing tasks meet other faults.
+  Scenario: Random faults beside tasks that crash targets violate no guarantee
+    When random faults with seeds 1 to 15 are injected beside crashing tasks
+    Then no simulated site violated a guarantee for durable jobs
+    And every accepted job of the simulated sites has ended
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from features.support.durable_chaos import play_crashing_seed
 from features.support.durable_chaos import play_durable_seed
 from features.support.durable_site import DurableSite
 from features.support.durable_site import is_idle
@@ -213,6 +214,17 @@
     print(f"{runs} runs, {done} jobs completed")
 
 
+@when(
+    "random faults with seeds {first:d} to {last:d} are injected beside"
+    " crashing tasks"
+)
+def run_sites_with_crashes(context: Context, first: int, last: int) -> None:
+    with ProcessPoolExecutor(WORKERS) as pool:
+        context.chaos_results = list(
+            pool.map(play_crashing_seed, range(first, last + 1))
+        )
+
+
 @then("no simulated site violated a guarantee for durable jobs")
 def check_random_guarantees(context: Context) -> None:
     broken = [
--- a/features/support/durable_chaos.py
+++ b/features/support/durable_chaos.py
@@ -49,10 +49,13 @@
     """Plays the load and the faults of one seed.
 
     :param seed: seed of all random choices.
+    :param crashing_share: share of the jobs with a task that crashes targets.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, crashing_share: float = 0.0) -> None:
         self._random = Random(seed)
+        self._crashing_share = crashing_share
+        self._crashing_random = Random(f"{seed}/crashing")
         self.site = DurableSite(3, 4)
         self._job_count = 0
 
@@ -83,6 +86,8 @@
         )
         work_ms = self._random.choice((60, 200, 900, 2000))
         entry = self._choose_entry()
+        if self._crashing_random.random() < self._crashing_share:
+            self.site.make_task_crash_targets(job, 0)
         entry.submit_durable(job, task_counts, work_ms)
         clock = self.site.clock
         if self._random.random() < 0.2:
@@ -206,9 +211,24 @@
                     self.site.connect(entry, other)
 
 
-def play_durable_seed(seed: int) -> DurableSeedResult:
-    """Play one seed and check the guarantees on durable jobs."""
-    chaos_run = DurableChaosRun(seed)
+CRASHING_SHARE: Final = 0.05
+"""Share of jobs with a task that crashes targets, in runs with such jobs."""
+
+
+def play_crashing_seed(seed: int) -> DurableSeedResult:
+    """Play one seed in which some jobs have a task that crashes targets."""
+    return play_durable_seed(seed, CRASHING_SHARE)
+
+
+def play_durable_seed(
+    seed: int, crashing_share: float = 0.0
+) -> DurableSeedResult:
+    """Play one seed and check the guarantees on durable jobs.
+
+    :param seed: seed of all random choices.
+    :param crashing_share: share of the jobs with a task that crashes targets.
+    """
+    chaos_run = DurableChaosRun(seed, crashing_share)
     chaos_run.play()
     site = chaos_run.site
     outcomes = site.submission_outcomes()
--- a/features/support/durable_site.py
+++ b/features/support/durable_site.py
@@ -350,6 +350,7 @@
             f"target over capacity: {name}"
             for name in self.targets_over_capacity()
         ]
+        descriptions += self.tasks_over_budget()
         done_tasks = {
             run.task for run in self.history if run.outcome is RunOutcome.DONE
         }
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from heapq import heappop
 from heapq import heappush
 from typing import Any
@@ -68,6 +69,11 @@
 CRASH_DELAY_S: Final = 0.01
 """Time from the start of a task that crashes its target to the crash."""
 
+MAX_CRASHES: Final = 3
+"""Crashes under a task after which MAX_STARTS more starts are forbidden."""
+
+MAX_STARTS: Final = 3
+
 CRASH_RESTART_S: Final = 3.3
 """Time that a target takes to start again after a crash by a task."""
 
@@ -159,6 +165,8 @@
         """Whether it is down because its machine has no power."""
         self.crashing_tasks: set[tuple[str, int]] = set()
         """Jobs and indexes of the tasks that crash the target."""
+        self.crash_times: dict[Any, set[float]] = {}
+        """When each task has crashed the target."""
         self.crash_delay_s = CRASH_DELAY_S
         """Time from the start of such a task to the crash, in seconds."""
         self.labels: tuple[str, ...] = ()
@@ -266,7 +274,8 @@
     def _crash_by(self, task: Any, number: int) -> None:
         """Crash if a run that crashes the target still runs."""
         current = self.running.get(task)
-        if current is not None and current[0] == number:
+        if current is not None and current[0] == number and self.is_up:
+            self.crash_times.setdefault(task, set()).add(self._clock.now)
             self.crash(CRASH_RESTART_S)
 
     def _work_s(self, action: StartRun) -> float:
@@ -920,11 +929,39 @@
         """Start an entry."""
         return EntryNode(self, name, incarnation)
 
+    @property
+    def crash_times(self) -> dict[Any, set[float]]:
+        """When each task has crashed targets."""
+        times: dict[Any, set[float]] = {}
+        for target in self.targets:
+            for task, own in target.crash_times.items():
+                times.setdefault(task, set()).update(own)
+        return times
+
     def make_task_crash_targets(self, job_id: str, index: int) -> None:
         """Make a task of a job crash each target that starts it."""
         for target in self.targets:
             target.crashing_tasks.add((job_id, index))
 
+    def tasks_over_budget(self) -> list[str]:
+        """Return tasks started MAX_STARTS times after three crashes by them.
+
+        The platform's limit on tasks that crash the targets that start them.
+        """
+        crashes: Counter[Any] = Counter()
+        starts: Counter[Any] = Counter()
+        crash_times = self.crash_times
+        for run in self.history:
+            if crashes[run.task] >= MAX_CRASHES:
+                starts[run.task] += 1
+            is_crash = run.ended_at in crash_times.get(run.task, ())
+            crashes[run.task] += is_crash
+        return [
+            f"started too often after crashes: {task}"
+            for task, count in starts.items()
+            if count >= MAX_STARTS
+        ]
+
     def starts_of(self, job_id: str, index: int) -> list[RunRecord]:
         """Return the runs of a task of a job, by start."""
         return [
--- a/src/fulmarscale/entry/jobs/bulkheads.py
+++ b/src/fulmarscale/entry/jobs/bulkheads.py
@@ -2,8 +2,9 @@
 
 The part is the same for all entries without coordination: the targets that
 such a queue has crashed already, and then the first ones by a hash of the
-agents' names. The other queues don't use the part for some seconds after each
-crash, so that a queue's crashes cost only itself (the bulkhead pattern).
+agents' names. For some seconds after each crash, the confined queues use only
+this part and the others only the rest, so that a queue's crashes cost only
+itself (the bulkhead pattern). Later, each prefers its part.
 """
 
 from __future__ import annotations
@@ -34,7 +35,7 @@
 """
 
 RESERVATION_S: Final = 5.0
-"""How long other queues don't use the confined part after a crash there.
+"""How long queues use only their own part after a crash.
 
 A restart of a target and some time for its next run.
 """
@@ -136,11 +137,18 @@
 
     def partitions_on(self, agent: str) -> tuple[Partition, ...]:
         """Return the parts whose jobs may run on an agent's target."""
-        if agent not in self._member_names:
+        if not self._queues:
             return (Partition.OPEN,)
-        if self._is_reserved:
+        if not self._is_reserved:
+            return (Partition.OPEN, Partition.CONFINED)
+        if agent in self._member_names:
             return (Partition.CONFINED,)
-        return (Partition.OPEN, Partition.CONFINED)
+        return (Partition.OPEN,)
+
+    def is_own_part(self, job: Job, agent: str) -> bool:
+        """Return whether an agent is in the part of a job's queue."""
+        is_member = agent in self._member_names
+        return is_member == (self.partition_of(job) is Partition.CONFINED)
 
 
 def _hash(name: str) -> bytes:
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -36,8 +36,8 @@
     """Whether a run of the task failed on the target."""
     is_slow: bool
     """Whether recent runs on the target took far longer than expected."""
-    is_confined: bool
-    """Whether the target is in the part of the confined queues."""
+    is_other_part: bool
+    """Whether the target is in the part of the other queues."""
     is_off_rack: bool
     """Whether the task's data is on another rack."""
     negative_free_share: float
@@ -225,6 +225,8 @@
     def least_used(self, job: Job, task: Task, now: float) -> AgentView | None:
         """Return the healthy agent with the fewest runs that can run a task.
 
+        Only agents in the part of the job's queue are returned.
+
         :param job: the job.
         :param task: one of its tasks.
         :param now: the entry's time.
@@ -233,7 +235,8 @@
         candidates = [
             view
             for view in self.usable(job, now)
-            if self.can_run(job, task, view)
+            if self.bulkheads.is_own_part(job, view.name)
+            and self.can_run(job, task, view)
         ]
         return min(
             candidates,
@@ -282,7 +285,7 @@
         )
         return placed < step.max_tasks_per_target
 
-    def rank(self, task: Task, view: AgentView, now: float) -> Rank:
+    def rank(self, job: Job, task: Task, view: AgentView, now: float) -> Rank:
         """Return the rank of an agent for a task; the lowest is the best."""
         rack = task.step.data_rack
         free_share = view.available.cpu_millicores / max(
@@ -291,7 +294,7 @@
         return Rank(
             has_failed=view.name in task.failed_on,
             is_slow=view.slowness.is_slow(now),
-            is_confined=view.name in self.bulkheads.members,
+            is_other_part=not self.bulkheads.is_own_part(job, view.name),
             is_off_rack=bool(rack) and not view.has_label(rack),
             negative_free_share=-free_share,
             is_remote=view.data_centre != self._data_centre,
@@ -388,7 +391,9 @@
         """Return a heap of the agents that can run a task, by rank."""
         candidates = [
             RankedAgent(
-                self._fleet.rank(task, view, self._now), position, view
+                self._fleet.rank(self._job, task, view, self._now),
+                position,
+                view,
             )
             for position, view in enumerate(self._views)
             if self._fleet.can_run(self._job, task, view)
@@ -406,7 +411,7 @@
             if not self._fleet.can_run(self._job, task, view):
                 heappop(heap)
                 continue
-            rank = self._fleet.rank(task, view, self._now)
+            rank = self._fleet.rank(self._job, task, view, self._now)
             if rank == first.rank:
                 return view
             heapreplace(heap, RankedAgent(rank, first.position, view))
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -1,7 +1,7 @@
 """Places waiting tasks on agents and requests their starts.
 
 A job that is suspected of a crash of its target is run on trial: on one
-target at a time, where nothing else starts meanwhile, and one job at a time.
+target at a time, where nothing else starts meanwhile, and few jobs at a time.
 """
 
 from __future__ import annotations
@@ -37,6 +37,13 @@
 """
 
 
+MAX_TRIALS: Final = {Partition.OPEN: 1, Partition.CONFINED: 2}
+"""Most jobs of an entry that run on trial at once, by partition.
+
+Each trial may cost its target; the confined part is there for that.
+"""
+
+
 class Placer:
     """Places the tasks of one entry.
 
@@ -60,8 +67,8 @@
         self._open = open_jobs
         self._crashes = crashes
         self._log = log
-        self._trial_job: JobId | None = None
-        """The job that was last run on trial."""
+        self._trials: dict[JobId, Partition] = {}
+        """Jobs that run on trial, and where."""
         self._last_start_number = 0
         """The number of the last start request."""
 
@@ -117,7 +124,7 @@
                 unplaced[partition] += 1
 
     def _run_trial(self, suspects: list[Job], now: float) -> None:
-        """Start the tasks of the most suspected job that can be tried.
+        """Start the tasks of the most suspected jobs that can be tried.
 
         Jobs that had fewer trials go first, so that one whose trials do not
         end leaves the others their turn.
@@ -125,9 +132,12 @@
         :param suspects: jobs that may only be run on trial.
         :param now: the entry's time.
         """
-        running = self._open.jobs.get(self._trial_job or "")
-        if running is not None and running.is_assigned:
-            return
+        self._trials = {
+            job_id: partition
+            for job_id, partition in self._trials.items()
+            if job_id in self._open.jobs
+            and self._open.jobs[job_id].is_assigned
+        }
         for job in sorted(
             suspects,
             key=lambda job: (
@@ -139,9 +149,12 @@
                 continue
             if self._has_fresh_jobs(job):
                 continue
-            if self._try_job(job, now):
-                self._trial_job = job.job_id
+            partition = self._fleet.bulkheads.partition_of(job)
+            running = list(self._trials.values()).count(partition)
+            if running >= MAX_TRIALS[partition]:
                 return
+            if self._try_job(job, now):
+                self._trials[job.job_id] = partition
 
     def _has_fresh_jobs(self, suspect: Job) -> bool:
         """Return whether other jobs wait for a confined suspect's targets.
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -172,7 +172,8 @@
     QUEUES_CONFINED = 526
     """The queues whose tasks crash targets are confined to some targets.
 
-    The other queues don't use these. Without queues, the confinement ends.
+    For some seconds after a crash, the other queues don't use these. Without
+    queues, the confinement ends.
     """
     STOOD_STILL = 530
     """The process was paused for `pause_s` seconds.
