--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -147,6 +147,10 @@
         self._check_store()
         return DurableJobState.COMPLETED if job_id == "0033" else None
 
+    async def code_of(self, job_id: Any) -> ResultCode:
+        self._check_store()
+        return ResultCode.OK
+
     async def cancel(self, job_id: Any) -> bool:
         self._check_store()
         self.cancelled.append(job_id)
