--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from features.support.dispatch_site import DispatchSite
     from features.support.run_site import FakeTarget
 
 DOWN_S = 5.0
@@ -63,6 +64,48 @@
         assert figures["worth"] >= share, (site.seed, figures)
 
 
+def completed_share(
+    site: DispatchSite, since_s: float, until_s: float, kind: str = ""
+) -> float:
+    """Return the share of the jobs that arrive in a time and are completed.
+
+    :param site: the site.
+    :param since_s: start of the time, in seconds from the first job.
+    :param until_s: its end.
+    :param kind: the kind of jobs; empty for all.
+    """
+    jobs = [
+        job.name
+        for job in site.jobs
+        if since_s <= job.arrives_s < until_s and kind in ("", job.kind.name)
+    ]
+    return sum(name in site.completed_at for name in jobs) / len(jobs)
+
+
+@then(
+    "at least {share:f} of the jobs that arrive from {since_s:g} to"
+    " {until_s:g} s are completed"
+)
+def check_completed(
+    context: Context, share: float, since_s: float, until_s: float
+) -> None:
+    for site in context.sites:
+        completed = completed_share(site, since_s, until_s)
+        assert completed >= share, (site.seed, completed)
+
+
+@then(
+    'at least {share:f} of the jobs of kind "{kind}" from {since_s:g} to'
+    " {until_s:g} s are completed"
+)
+def check_completed_of_kind(
+    context: Context, share: float, kind: str, since_s: float, until_s: float
+) -> None:
+    for site in context.sites:
+        completed = completed_share(site, since_s, until_s, kind)
+        assert completed >= share, (site.seed, completed)
+
+
 @then("no task was started more than {most:d} times by crashes")
 def check_all_starts(context: Context, most: int) -> None:
     for site in context.sites:
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -449,7 +449,7 @@
             Resources(job.millicores, MEMORY_MB, 0),
             job.declared_s,
         )
-        wait_s = 3 * job.objective_s(self.workload) + self.workload.deadline_s
+        wait_s = self._wait_until_s(job) - self.elapsed_s
         entry.take(JobId(job.name), queue, JobSpec("", (step,)), wait_s)
 
     def resend(self, name: str) -> None:
@@ -458,10 +458,21 @@
             return
         job = self._jobs[name]
         number = self._random.randrange(len(self.entries))
+        resent_at_s = self.elapsed_s + self.workload.resend_s
+        if resent_at_s > self._wait_until_s(job):
+            return
         self.clock.call_in(
             self.workload.resend_s, lambda: self._send(job, number)
         )
 
+    def _wait_until_s(self, job: JobDraw) -> float:
+        """Return when the caller of a job stops waiting."""
+        return (
+            job.arrives_s
+            + 3 * job.objective_s(self.workload)
+            + self.workload.deadline_s
+        )
+
     def _choose_crashing_jobs(self, fault: FaultKind) -> None:
         """Choose the jobs of a fault whose first task crashes targets."""
         random = Random(f"{self.seed}/crashing_tasks/{fault.at_s}")
