Find the cause of a crash by the ages of earlier ones, and blame every queue

Cause: a queue was only blamed with most of the crashes of five seconds, so of several queues with crashing tasks only one was confined (the second one after 4 to 12 s in the virtual workload); and the youngest job of a crash was suspected with 0.25 to 0.5, as nothing was known of the time to a crash. Change: two crashes in five seconds are enough, and the ages of earlier crashes of a queue replace the scale-free prior (three passes of expectation maximisation over a histogram). Suspicions are recomputed once a tick, not for each of the tasks that succeed after a crash.

--- a/src/fulmarscale/entry/jobs/crash_attribution.py
+++ b/src/fulmarscale/entry/jobs/crash_attribution.py
@@ -5,13 +5,15 @@
 whose density falls with the inverse of the time. A job is suspected in
 proportion to that density at the age of its youngest run, and to what the
 other crashes say of it. So most of the suspicion falls on jobs whose runs
-started just before a crash, and on jobs that recur.
+started just before a crash, and on jobs that recur. With the number of a
+queue's crashes, the ages at which they happened replace the prior.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 from collections import defaultdict
+from math import log1p
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -45,6 +47,24 @@
 A job that recurs thus outweighs one that doesn't by a factor of up to 11.
 """
 
+BIN_WIDTH: Final = 0.5
+"""Width of a bin of the histogram of ages, as a difference of logarithms."""
+
+AGE_BINS: Final = 14
+"""Number of bins up to an age of about 10 s."""
+
+BIN_OFFSETS: Final = (-1, 0, 1)
+"""Bins around an age whose counts show that it is usual."""
+
+PRIOR_CRASHES: Final = 1.0
+"""Weight of the scale-free prior, in crashes."""
+
+AGE_PASSES: Final = 3
+"""How often ages and causes are derived from each other.
+
+Each pass separates a typical age more from those of bystanders.
+"""
+
 BLAME_SHARE: Final = 0.6
 """Share of the suspicion from which a crash is attributed to a queue."""
 
@@ -54,8 +74,7 @@
 MIN_QUEUE_CRASHES: Final = 2
 """Crashes by a queue within QUEUE_WINDOW_S for which it is blamed.
 
-They must also be most of all crashes in that time. A queue of which a job was
-given up is blamed for a single one.
+A queue of which a job was given up is blamed for a single one.
 """
 
 QUEUE_WINDOW_S: Final = 5.0
@@ -75,6 +94,43 @@
     """The runs that were on the target, the youngest first."""
 
 
+class CrashAges:
+    """The times after which the tasks of each queue crash targets.
+
+    Each counts with the probability that its job has caused the crash, in a
+    histogram whose bins grow with the age.
+
+    :param runs: the youngest run of each job at each crash.
+    :param weights: the probability that each job has caused each crash.
+    """
+
+    def __init__(
+        self,
+        runs: list[list[CrashedRun]],
+        weights: list[dict[JobId, float]],
+    ) -> None:
+        self._counts: dict[QueueName, Counter[int]] = defaultdict(Counter)
+        self._totals: dict[QueueName, float] = defaultdict(float)
+        for youngest, each in zip(runs, weights, strict=True):
+            for run in youngest:
+                weight = each[run.task.job_id]
+                self._counts[run.queue][_age_bin(run.age_s)] += weight
+                self._totals[run.queue] += weight
+
+    def likelihood_ratio(self, run: CrashedRun, weight: float) -> float:
+        """Return how likely a crash at a run's age is, against the prior.
+
+        :param run: the run.
+        :param weight: what the run itself has added to the counts.
+        """
+        counts = self._counts[run.queue]
+        age_bin = _age_bin(run.age_s)
+        near = sum(counts[age_bin + offset] for offset in BIN_OFFSETS) - weight
+        total = self._totals[run.queue] - weight
+        density = near * AGE_BINS / len(BIN_OFFSETS)
+        return (PRIOR_CRASHES + density) / (PRIOR_CRASHES + total)
+
+
 def cause_probabilities(
     crashes: list[KnownCrash], cleared: Collection[TaskKey]
 ) -> list[dict[JobId, float]]:
@@ -83,44 +139,69 @@
     :param crashes: the crashes.
     :param cleared: tasks that have caused none, as they have succeeded.
     """
-    independent = [_job_weights(crash, {}, cleared) for crash in crashes]
+    runs = [_youngest_runs(crash, cleared) for crash in crashes]
+    independent = [_job_weights(youngest) for youngest in runs]
     innocence: dict[JobId, float] = {}
     for weights in independent:
         for job_id, weight in weights.items():
             innocence[job_id] = innocence.get(job_id, 1.0) * (1.0 - weight)
-    return [
-        _job_weights(
-            crash,
-            {
-                job_id: 1.0 - innocence[job_id] / (1.0 - weight)
-                for job_id, weight in weights.items()
-            },
-            cleared,
-        )
-        for crash, weights in zip(crashes, independent, strict=True)
+    levels = [
+        {
+            job_id: 1.0 - innocence[job_id] / (1.0 - weight)
+            for job_id, weight in weights.items()
+        }
+        for weights in independent
     ]
+    latest = independent
+    for _ in range(AGE_PASSES):
+        ages = CrashAges(runs, latest)
+        latest = [
+            _job_weights(youngest, level, ages, former)
+            for youngest, level, former in zip(
+                runs, levels, latest, strict=True
+            )
+        ]
+    return latest
+
+
+def _youngest_runs(
+    crash: KnownCrash, cleared: Collection[TaskKey]
+) -> list[CrashedRun]:
+    """Return the youngest run of each job at a crash, as a suspect.
+
+    :param crash: the crash.
+    :param cleared: tasks that have succeeded.
+    """
+    youngest: dict[JobId, CrashedRun] = {}
+    for run in crash.runs:
+        known = youngest.get(run.task.job_id)
+        is_younger = known is None or run.age_s < known.age_s
+        if is_younger and run.task not in cleared:
+            youngest[run.task.job_id] = run
+    return list(youngest.values())
 
 
 def _job_weights(
-    crash: KnownCrash,
-    levels: dict[JobId, float],
-    cleared: Collection[TaskKey],
+    runs: list[CrashedRun],
+    levels: dict[JobId, float] | None = None,
+    ages: CrashAges | None = None,
+    former: dict[JobId, float] | None = None,
 ) -> dict[JobId, float]:
     """Return the probability that each job has caused a crash.
 
-    :param crash: the crash.
-    :param levels: the suspicion of jobs by other crashes.
-    :param cleared: tasks that have succeeded.
+    :param runs: the youngest run of each job.
+    :param levels: the suspicion of the jobs by other crashes.
+    :param ages: the ages at which tasks crash targets, if known.
+    :param former: the probabilities that the ages were counted with.
     """
-    ages_s: dict[JobId, float] = {}
-    for run in crash.runs:
-        if run.task not in cleared:
-            job_id = run.task.job_id
-            ages_s[job_id] = min(run.age_s, ages_s.get(job_id, run.age_s))
-    scores = {
-        job_id: _density(age_s) * (BASE_PRIOR + levels.get(job_id, 0.0))
-        for job_id, age_s in ages_s.items()
-    }
+    scores: dict[JobId, float] = {}
+    for run in runs:
+        job_id = run.task.job_id
+        level = levels[job_id] if levels else 0.0
+        score = _density(run.age_s) * (BASE_PRIOR + level)
+        if ages is not None and former is not None:
+            score *= ages.likelihood_ratio(run, former[job_id])
+        scores[job_id] = score
     total = sum(scores.values())
     total += _density(UNRELATED_AGE_S) * BASE_PRIOR
     return {job_id: score / total for job_id, score in scores.items()}
@@ -151,7 +232,7 @@
 def find_frequent_causes(
     crashes: list[KnownCrash], causes: list[QueueName | None]
 ) -> set[QueueName]:
-    """Return the queues that caused most crashes of a window of time.
+    """Return the queues that caused several crashes of a window of time.
 
     :param crashes: all crashes, by time.
     :param causes: the queue that each is attributed to, if any.
@@ -163,12 +244,16 @@
             first += 1
         counts = Counter(causes[first : last + 1])
         for queue, count in counts.items():
-            is_most = 2 * count > last + 1 - first
-            if queue is not None and count >= MIN_QUEUE_CRASHES and is_most:
+            if queue is not None and count >= MIN_QUEUE_CRASHES:
                 frequent.add(queue)
     return frequent
 
 
+def _age_bin(age_s: float) -> int:
+    """Return the bin of an age in the histogram of ages."""
+    return int(log1p(age_s / AGE_RESOLUTION_S) / BIN_WIDTH)
+
+
 def _density(age_s: float) -> float:
     """Return the relative density of crashes at an age of a run."""
     return 1.0 / (age_s + AGE_RESOLUTION_S)
--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -153,6 +153,8 @@
         self._confirmed: dict[JobId, Suspicion] = {}
         """By confirmed crashes only."""
         self._queue_crashes: tuple[QueueCrash, ...] = ()
+        self._is_outdated = False
+        """Whether successes have not been considered yet."""
 
     @property
     def queue_crashes(self) -> tuple[QueueCrash, ...]:
@@ -214,22 +216,28 @@
     def record_success(self, task: TaskKey, now: float) -> None:
         """Record that a task has succeeded, which clears it of its crashes.
 
+        This takes effect with the next update, as many tasks that a crash has
+        ended succeed at about the same time.
+
         :param task: the task.
         :param now: the entry's time.
         """
         suspicion = self._suspected.get(task.job_id)
         if suspicion is not None and task in suspicion.counts:
             self._succeeded[task] = now
-            self._attribute()
+            self._is_outdated = True
+
+    def refresh(self, now: float) -> None:
+        """Consider successes and drop crashes after HISTORY_RETENTION_S.
 
-    def expire(self, now: float) -> None:
-        """Remove crashes that are older than HISTORY_RETENTION_S."""
+        :param now: the entry's time.
+        """
         expired = [
             incarnation
             for incarnation, crash in self._crashes.items()
             if now - crash.crashed_at > HISTORY_RETENTION_S
         ]
-        if not expired:
+        if not expired and not self._is_outdated:
             return
         for incarnation in expired:
             del self._crashes[incarnation]
@@ -324,6 +332,7 @@
 
     def _attribute(self) -> None:
         """Recompute all suspicions from the crashes."""
+        self._is_outdated = False
         self._suspected = self._suspicions(is_confirmed_only=False)
         self._confirmed = self._suspicions(is_confirmed_only=True)
         crashes = sorted(
