Give confined queues all targets that the others don't need

Cause: the part of the confined queues had a fixed size of three tenths and was always down. A bulkhead without regard to load is the class of the fault. Change: agents report what the runs of each queue use while an entry confines queues; the open part keeps 1.5 times the peak of the other queues' load, the rest is the confined part. The crash rate is held down: a confined queue's job has its first 50 ms on a target for itself, longer the more of the part is down, so that a crash has one suspect and takes fewer runs with it; a suspect gets no second target while jobs that aren't suspected wait, and its caller is told at once (504: it may have run). Ruled out: recovery itself (the windows before the loss of power are as bad).

--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -33,6 +33,7 @@
         "entry",
         "expected",
         "has_changes",
+        "has_confined_queues",
         "has_durable_jobs",
         "latest_start_at",
         "must_send",
@@ -55,6 +56,8 @@
 
         True until its first message.
         """
+        self.has_confined_queues = False
+        """Whether the entry needs the loads by queue."""
         self.sent_positions: set[int] = set()
         """Positions of the unacknowledged completions sent on this stream."""
         self.received_sequence = 0
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
@@ -20,6 +21,7 @@
 from fulmarscale.agent.crash_recorder import CrashRecorder
 from fulmarscale.agent.entry_session import choose_preferred
 from fulmarscale.agent.entry_session import EntrySession
+from fulmarscale.agent.probation import Probation
 from fulmarscale.agent.run import Run
 from fulmarscale.agent.run import RunPhase
 from fulmarscale.agent.run import StartResponse
@@ -42,6 +44,7 @@
 from fulmarscale.runs.limits import TARGET_CLOCK_FACTOR
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import DurableCompletion
+from fulmarscale.runs.messages import QueueLoad
 from fulmarscale.runs.messages import RunProgress
 from fulmarscale.runs.messages import RunReport
 from fulmarscale.runs.model import RefusalReason
@@ -66,6 +69,7 @@
     from fulmarscale.runs.messages import ExpectedRun
     from fulmarscale.runs.messages import StartRequest
     from fulmarscale.runs.model import JobId
+    from fulmarscale.runs.model import QueueName
     from fulmarscale.runs.model import TargetReport
 
 STORED_OUTCOMES: Final = (RunOutcome.DONE, RunOutcome.FAILED)
@@ -135,6 +139,7 @@
         self._is_stopping = False
         self._preferred: EntrySession | None = None
         """The entry that free capacity is offered to first; none if to all."""
+        self._probation = Probation()
         self._entries_with_runs: set[EntryId] = set()
         self._actions: list[RunAction] = []
 
@@ -214,6 +219,13 @@
             return self._target.capacity
         return self._demand_of_runs
 
+    def _queue_loads(self) -> tuple[QueueLoad, ...]:
+        """Return what the runs of each queue use."""
+        loads: Counter[QueueName] = Counter()
+        for run in self._runs.values():
+            loads[run.queue] += run.demand.cpu_millicores
+        return tuple(QueueLoad(*load) for load in sorted(loads.items()))
+
     @property
     def _exclusive_job(self) -> JobId | None:
         """The job with an exclusive run; none if there is none."""
@@ -240,6 +252,9 @@
             or self._next_incarnation
             or self._completions.completions
         )
+        probation_s = self._probation.remaining_s(now)
+        if probation_s > 0.0:
+            return min(probation_s, BUSY_TICK_S)
         has_backlog = any(each.backlog > 0 for each in self._sessions.values())
         return BUSY_TICK_S if is_busy or has_backlog else IDLE_TICK_S
 
@@ -294,6 +309,7 @@
         session.received_sequence = message.sequence
         session.site_revision = message.site_revision
         session.has_durable_jobs = message.has_durable_jobs
+        session.has_confined_queues = message.has_confined_queues
         session.backlog = message.backlog
         session.latest_start_at = now + message.slack_s
         session.must_send = session.must_send or message.is_probe
@@ -521,6 +537,8 @@
     def tick(self, now: float) -> list[RunAction]:
         """Perform everything that is due by the time alone."""
         self._end_expired(now)
+        if self._probation.end(now):
+            self._mark_changed()
         self._adopt_next_incarnation(now)
         for entry in sorted({run.entry for run in self._runs.values()}):
             if self._echo_age_s(entry, now) > ECHO_TIMEOUT_S:
@@ -727,6 +745,8 @@
             return RefusalReason.WITHDRAWN
         if not self._has_room(request, target):
             return RefusalReason.NO_ROOM
+        if not self._probation.allows(request, now):
+            return RefusalReason.NO_ROOM
         return None
 
     def _has_room(self, request: StartRequest, target: TargetReport) -> bool:
@@ -749,6 +769,7 @@
         self._run_numbers[request.task] = (number, now)
         run = Run(request, number, session.entry, now)
         self._runs[request.task] = run
+        self._probation.record_start(request, now)
         check_invariant(
             self._demand_of_runs.fits(target.capacity),
             "runs fit the target's capacity",
@@ -1125,6 +1146,10 @@
             is_stopping=self._is_stopping,
             is_offered_elsewhere=self._preferred not in (None, session),
             crashes=self._crashes.report(now) if has_crashes else (),
+            queue_loads=(
+                self._queue_loads() if session.has_confined_queues else ()
+            ),
+            probation_s=self._probation.remaining_s(now),
         )
         session.reports = []
         session.has_changes = False
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -19,7 +19,9 @@
     from fulmarscale.runs.messages import CompletionAck
     from fulmarscale.runs.messages import DurableCompletion
     from fulmarscale.runs.messages import ExpectedRun
+    from fulmarscale.runs.messages import QueueLoad
     from fulmarscale.runs.messages import StartRequest
+    from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TargetReport
     from fulmarscale.runs.model import TaskKey
@@ -102,6 +104,12 @@
         """When the agent last refused a start."""
         self._used = Resources()
         """The resources in use by the agent's last message."""
+        self._probation_job: JobId | None = None
+        """The job that this entry last started there on probation."""
+        self._probation_ends_at = float("-inf")
+        """When runs of other jobs may start there."""
+        self.queue_loads: tuple[QueueLoad, ...] = ()
+        """What the runs of each queue use, by that message."""
         self._unaccounted_starts: list[tuple[int, Resources]] = []
         """Message sequence and demand of starts that `_used` leaves out."""
 
@@ -130,6 +138,11 @@
         """Free capacity for this entry: none while another is offered it."""
         return Resources() if self._is_offered_elsewhere else self._free
 
+    @property
+    def are_loads_known(self) -> bool:
+        """Whether the last message says what each queue uses."""
+        return bool(self.queue_loads) or not self._used.cpu_millicores
+
     def mark_dirty(self) -> None:
         """Schedule a message to the agent."""
         self._dirty.add(self.name)
@@ -156,6 +169,8 @@
         self.site_revision = message.site_revision
         self.others_backlog = message.others_backlog
         self._used = message.used
+        self.queue_loads = message.queue_loads
+        self._probation_ends_at = now + message.probation_s
         self._is_offered_elsewhere = message.is_offered_elsewhere
         self._unaccounted_starts = [
             (sequence, demand)
@@ -252,8 +267,23 @@
         self.must_probe = True
         self.mark_dirty()
 
-    def add_start(self, request: StartRequest) -> None:
-        """Queue a start request for the next message."""
+    def is_on_probation(self, job_id: JobId, now: float) -> bool:
+        """Return whether a run of another job was started there just now.
+
+        :param job_id: the job whose tasks are to be started.
+        :param now: the entry's time.
+        """
+        return now < self._probation_ends_at and job_id != self._probation_job
+
+    def add_start(self, request: StartRequest, now: float) -> None:
+        """Queue a start request for the next message.
+
+        :param request: the request.
+        :param now: the entry's time.
+        """
+        if request.probation_s > 0.0:
+            self._probation_job = request.task.job_id
+            self._probation_ends_at = now + request.probation_s
         self.starts.append(request)
         self.assigned[request.task] = request.request_number
         self._unaccounted_starts.append((self.sequence + 1, request.demand))
--- a/src/fulmarscale/entry/jobs/bulkheads.py
+++ b/src/fulmarscale/entry/jobs/bulkheads.py
@@ -1,10 +1,11 @@
 """Confines queues whose tasks crash targets to a part of the targets.
 
-The part is the same for all entries without coordination: the targets that
-such a queue has crashed already, and then the first ones by a hash of the
-agents' names. For some seconds after each crash, the confined queues use only
-this part and the others only the rest, so that a queue's crashes cost only
-itself (the bulkhead pattern). Later, each prefers its part.
+The part is nearly the same for all entries without coordination: the targets
+that such a queue has crashed already, and then the first ones by a hash of the
+agents' names. It takes all targets that the other queues don't need. For some
+seconds after each crash, the confined queues use only this part and the others
+only the rest, so that a queue's crashes cost only itself (the bulkhead
+pattern). Later, each prefers its part.
 """
 
 from __future__ import annotations
@@ -24,8 +25,21 @@
     from fulmarscale.runs.model import QueueName
     from fulmarscale.runs.model import ServiceName
 
-CONFINED_SHARE: Final = 0.3
-"""Share of a service's targets that its confined queues get, rounded up."""
+MIN_CONFINED_SHARE: Final = 0.3
+"""Least share of a service's targets that confined queues get, rounded up."""
+
+MIN_HEADROOM: Final = 1.2
+"""Least capacity of the open part, as a multiple of the open queues' load.
+
+Below it, the open part grows to HEADROOM.
+"""
+
+HEADROOM: Final = 1.5
+"""Capacity of the open part, as a multiple of the open queues' peak load.
+
+A target that has too many runs to take another task counts as free in part,
+and runs are not spread evenly.
+"""
 
 CONFINEMENT_S: Final = 15.0
 """How long a queue stays confined after the last crash by its tasks.
@@ -95,41 +109,54 @@
         last_crash_at = max(self._queues.values(), default=float("-inf"))
         self._is_reserved = now - last_crash_at <= RESERVATION_S
 
-    def update_members(self, agents: dict[ServiceName, list[str]]) -> None:
+    def update_members(
+        self,
+        agents: dict[ServiceName, list[str]],
+        open_loads: dict[ServiceName, float],
+    ) -> None:
         """Choose the agents of the confined parts.
 
-        An agent stays a member while it exists and any queue is confined.
+        An agent stays a member while it exists, any queue is confined and the
+        open queues don't need its target.
 
         :param agents: the names of each service's agents.
+        :param open_loads: the load of each service's open queues, as a share
+            of the capacity of its targets.
         """
         if not self._queues:
             self._members = {}
             self._member_names = frozenset()
             return
         for service, names in agents.items():
-            size = min(ceil(CONFINED_SHARE * len(names)), len(names) - 1)
             present = set(names)
             members = [
                 name
                 for name in self._members.get(service, ())
                 if name in present
             ]
+            size = _confined_size(
+                len(names), len(members), open_loads.get(service, 1.0)
+            )
             ranking = [name for name in self._crashed if name in present]
             ranking += sorted(names, key=_hash)
             for name in ranking:
                 if len(members) < size and name not in members:
                     members.append(name)
-            self._members[service] = members[: max(size, 0)]
+            self._members[service] = members[:size]
         self._member_names = frozenset(
             name for members in self._members.values() for name in members
         )
 
+    def is_confined(self, job: Job) -> bool:
+        """Return whether a job's queue is confined."""
+        return job.queue.name in self._queues
+
     def partition_of(self, job: Job) -> Partition:
         """Return the part in which a job's tasks may run."""
-        is_confined = job.queue.name in self._queues and bool(
-            self._members.get(job.queue.service)
-        )
-        return Partition.CONFINED if is_confined else Partition.OPEN
+        has_part = bool(self._members.get(job.queue.service))
+        if has_part and self.is_confined(job):
+            return Partition.CONFINED
+        return Partition.OPEN
 
     def allows(self, job: Job, view: AgentView) -> bool:
         """Return whether a job's tasks may run on an agent's target."""
@@ -151,5 +178,22 @@
         return is_member == (self.partition_of(job) is Partition.CONFINED)
 
 
+def _confined_size(targets: int, current: int, open_load: float) -> int:
+    """Return how many targets the confined queues of a service get.
+
+    :param targets: the number of the service's targets.
+    :param current: how many they have.
+    :param open_load: the load of the open queues, as a share of all targets.
+    """
+    most = targets - 1
+    least = min(ceil(MIN_CONFINED_SHARE * targets), most)
+    needed = ceil(MIN_HEADROOM * open_load * targets)
+    wanted = ceil(HEADROOM * open_load * targets)
+    open_size = targets - current
+    if not needed <= open_size <= wanted:
+        open_size = wanted
+    return max(least, min(targets - open_size, most), 0)
+
+
 def _hash(name: str) -> bytes:
     return blake2b(name.encode(), digest_size=HASH_BYTES).digest()
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -219,6 +219,9 @@
             # An earlier submission of the job has run, perhaps elsewhere.
             self._results.give_up_if_crashing(job, now)
             return self._defer_flush()
+        if self._crashes.suspicion_of(job_id).counts:
+            # Runs of an earlier submission of the job may have begun.
+            job.may_have_run = True
         self._admission.add(job)
         self._subset.record_needs(job, now)
         self._log(
@@ -460,12 +463,14 @@
     def _update_bulkheads(self, now: float) -> None:
         """Update the confined queues and their targets."""
         bulkheads = self._fleet.bulkheads
-        former = bulkheads.queues
+        former = (bulkheads.queues, bulkheads.members)
         bulkheads.update_crashes(self._crashes.queue_crashes, now)
-        if not former and not bulkheads.queues:
+        if not former[0] and not bulkheads.queues:
             return
-        bulkheads.update_members(self._subset.agents_by_service())
-        if bulkheads.queues != former:
+        agents = self._subset.agents_by_service()
+        self._fleet.update_open_loads(agents, self._open.waiting.values(), now)
+        bulkheads.update_members(agents, self._fleet.open_loads)
+        if (bulkheads.queues, bulkheads.members) != former:
             self._open.needs_placement = True
             self._log(
                 Event.QUEUES_CONFINED,
@@ -488,7 +493,7 @@
         for view in self._fleet.views:
             if view.assigned and now - view.last_message_at > RUN_EXPIRY_S:
                 self._results.expire_runs(view, now)
-        self._crashes.expire(now)
+        self._crashes.refresh(now)
         self._update_bulkheads(now)
         forecasts = self._admission.forecasts()
         for job in list(self._open.jobs.values()):
@@ -577,6 +582,9 @@
         if now >= job.deadline_at:
             self._abandon(job, now, "deadline")
             return
+        if self._must_drop_suspect(job):
+            self._abandon(job, now, "suspected")
+            return
         if not job.is_started and not job.is_durable:
             if now >= self._hold_until:
                 wait_s = self._admission.check_waiting(job, forecasts, now)
@@ -585,6 +593,19 @@
         for task in job.assigned:
             self._monitor.check_run(job, task, now)
 
+    def _must_drop_suspect(self, job: Job) -> bool:
+        """Return whether a suspected job is answered without another try.
+
+        The targets of its confined queue don't suffice for the jobs that are
+        not suspected, and are likely to be lost to it.
+        """
+        return (
+            not job.is_durable
+            and not job.is_assigned
+            and self._crashes.is_suspect(job.job_id)
+            and self._placer.has_fresh_jobs(job)
+        )
+
     def _abandon(
         self, job: Job, now: float, reason: str, wait_s: float = 0.0
     ) -> None:
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from heapq import heapify
 from heapq import heappop
 from heapq import heapreplace
@@ -10,14 +11,17 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.admission import Load
+from fulmarscale.entry.jobs.admission import waiting_demand
 from fulmarscale.entry.jobs.agent_view import AgentView
 from fulmarscale.entry.jobs.bulkheads import Bulkheads
+from fulmarscale.entry.jobs.open_load import OpenLoad
 from fulmarscale.runs.limits import MAX_STATE_AGE_S
 from fulmarscale.runs.limits import STREAM_TIMEOUT_S
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Iterable
 
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
@@ -55,6 +59,8 @@
         self._closed_data_centres: tuple[str, ...] = ()
         self.bulkheads = Bulkheads()
         """Which queues are confined to which of the targets."""
+        self._open_loads: dict[ServiceName, OpenLoad] = {}
+        """The load of the queues that are not confined, by service."""
         self._agents: dict[str, AgentView] = {}
         """All agents, by name."""
         self._connected: dict[str, AgentView] = {}
@@ -80,6 +86,17 @@
             return False
         return view.serves(view.target.service, self._closed_data_centres)
 
+    def confined_up_share(self, now: float) -> float:
+        """Return the share of the confined part whose targets accept runs.
+
+        :param now: the entry's time.
+        """
+        members = self.bulkheads.members & self._connected.keys()
+        if not members:
+            return 1.0
+        up = sum(self.is_agent_available(name, now) for name in members)
+        return up / len(members)
+
     def find(self, name: str) -> AgentView | None:
         """Return the agent of a name; none if it is unknown."""
         return self._agents.get(name)
@@ -117,6 +134,43 @@
         self._dirty.clear()
         return [self._agents[name] for name in names]
 
+    @property
+    def open_loads(self) -> dict[ServiceName, float]:
+        """The known peak load of each service's queues that are open."""
+        return {
+            name: load.peak
+            for name, load in self._open_loads.items()
+            if load.peak is not None
+        }
+
+    def update_open_loads(
+        self,
+        agents: dict[ServiceName, list[str]],
+        waiting: Iterable[Job],
+        now: float,
+    ) -> None:
+        """Measure the load of the queues that are not confined.
+
+        :param agents: the names of each service's agents.
+        :param waiting: the jobs with waiting tasks.
+        :param now: the entry's time.
+        """
+        if not self.bulkheads.queues:
+            self._open_loads.clear()
+            return
+        demands: Counter[ServiceName] = Counter()
+        for job in waiting:
+            if not self.bulkheads.is_confined(job):
+                demands[job.queue.service] += waiting_demand(job)
+        for service, names in agents.items():
+            views = [
+                self._connected[name]
+                for name in names
+                if name in self._connected
+            ]
+            load = self._open_loads.setdefault(service, OpenLoad())
+            load.update(views, self.bulkheads.queues, demands[service], now)
+
     def load(self, job: Job, now: float) -> Load:
         """Return the capacity for a job and the demand of other entries.
 
@@ -236,7 +290,7 @@
             view
             for view in self.usable(job, now)
             if self.bulkheads.is_own_part(job, view.name)
-            and self.can_run(job, task, view)
+            and self.can_run(job, task, view, now)
         ]
         return min(
             candidates,
@@ -264,11 +318,20 @@
         """
         return PlacementPass(self, job, views, now)
 
-    def can_run(self, job: Job, task: Task, view: AgentView) -> bool:
+    def can_run(
+        self, job: Job, task: Task, view: AgentView, now: float
+    ) -> bool:
         """Return whether a target satisfies a task's demand and constraints.
 
         A quarantined or slow target gets one run at a time.
+
+        :param job: the job.
+        :param task: one of its tasks.
+        :param view: the target's agent.
+        :param now: the entry's time.
         """
+        if view.is_on_probation(job.job_id, now):
+            return False
         step = task.step
         if view.target is None or not step.demand.fits(view.available):
             return False
@@ -378,7 +441,7 @@
         )
         if self._batch_size >= max_batch or last.slowness.is_slow(self._now):
             return False
-        return self._fleet.can_run(self._job, task, last)
+        return self._fleet.can_run(self._job, task, last, self._now)
 
     def _choose_best(self, task: Task) -> AgentView | None:
         """Return the best agent for any task of a task's step."""
@@ -396,7 +459,7 @@
                 view,
             )
             for position, view in enumerate(self._views)
-            if self._fleet.can_run(self._job, task, view)
+            if self._fleet.can_run(self._job, task, view, self._now)
         ]
         heapify(candidates)
         return candidates
@@ -408,7 +471,7 @@
         while heap:
             first = heap[0]
             view = first.view
-            if not self._fleet.can_run(self._job, task, view):
+            if not self._fleet.can_run(self._job, task, view, self._now):
                 heappop(heap)
                 continue
             rank = self._fleet.rank(self._job, task, view, self._now)
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -151,6 +151,7 @@
             acks=tuple(view.acks),
             has_durable_jobs=self._has_durable_jobs,
             is_probe=view.must_probe,
+            has_confined_queues=bool(self._fleet.bulkheads.queues),
         )
         view.has_reported_backlog = backlog.millicores > 0
         if view.must_probe:
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -37,6 +37,18 @@
 """
 
 
+PROBATION_S: Final = 0.05
+"""Time after the start of a confined queue's job that it has for itself.
+
+Most tasks that crash their targets do so soon after their start. The pause
+costs little: a target completes about as many jobs a second. It grows with the
+share of the part that is down, so that crashes slow down the starts, which
+cause them, and take fewer other runs with them.
+"""
+
+MIN_UP_SHARE: Final = 1 / 3
+"""Share of the part that counts as up at least, which bounds the pause."""
+
 MAX_TRIALS: Final = {Partition.OPEN: 1, Partition.CONFINED: 2}
 """Most jobs of an entry that run on trial at once, by partition.
 
@@ -71,6 +83,8 @@
         """Jobs that run on trial, and where."""
         self._last_start_number = 0
         """The number of the last start request."""
+        self._probation_s = PROBATION_S
+        """The present pause after the start of a confined queue's job."""
 
     def place(self, waiting: Iterable[Job], now: float) -> None:
         """Place waiting tasks on agents, in the order of their jobs.
@@ -78,6 +92,8 @@
         :param waiting: jobs with tasks that wait for capacity.
         :param now: the entry's time.
         """
+        up_share = max(MIN_UP_SHARE, self._fleet.confined_up_share(now))
+        self._probation_s = PROBATION_S / up_share
         ready = [
             job
             for job in self._order.sort(waiting, now)
@@ -147,7 +163,7 @@
         ):
             if job.is_assigned or self._crashes.must_hold(job, now):
                 continue
-            if self._has_fresh_jobs(job):
+            if self.has_fresh_jobs(job):
                 continue
             partition = self._fleet.bulkheads.partition_of(job)
             running = list(self._trials.values()).count(partition)
@@ -156,7 +172,7 @@
             if self._try_job(job, now):
                 self._trials[job.job_id] = partition
 
-    def _has_fresh_jobs(self, suspect: Job) -> bool:
+    def has_fresh_jobs(self, suspect: Job) -> bool:
         """Return whether other jobs wait for a confined suspect's targets.
 
         A trial is likely to cost its target, so the others go first.
@@ -211,7 +227,7 @@
 
         :returns: whether it was placed.
         """
-        if not self._fleet.can_run(job, task, view):
+        if not self._fleet.can_run(job, task, view, now):
             return False
         self._request_start(job, task, view, now, is_exclusive=True)
         return True
@@ -263,6 +279,7 @@
         task.stop_sent = False
         task.is_slowness_recorded = False
         self._last_start_number += 1
+        is_confined = self._fleet.bulkheads.is_confined(job)
         view.add_start(
             StartRequest(
                 task=task.key,
@@ -274,5 +291,7 @@
                 owner_epoch=job.owner_epoch,
                 queue=job.queue.name,
                 is_exclusive=is_exclusive,
-            )
+                probation_s=self._probation_s if is_confined else 0.0,
+            ),
+            now,
         )
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -45,6 +45,8 @@
     """The queue of the job, for records of crashes."""
     is_exclusive: bool = False
     """Whether no other job's task may start beside the run."""
+    probation_s: float = 0.0
+    """Time after the start in which no other job's task may start there."""
 
 
 class RunReport(MessagePart):
@@ -121,6 +123,15 @@
     """
 
 
+class QueueLoad(MessagePart):
+    """What the runs of one queue use of a target."""
+
+    queue: QueueName
+    """The queue."""
+    millicores: int
+    """Their processor demand, in thousandths of a core."""
+
+
 class EntryMessage(MessagePart):
     """A message from an entry to an agent."""
 
@@ -156,6 +167,8 @@
     """Whether any durable jobs may exist, as far as the entry knows."""
     is_probe: bool = False
     """Whether this is a capacity probe: the agent replies at once."""
+    has_confined_queues: bool = False
+    """Whether the entry confines queues and needs their loads by target."""
 
 
 class AgentMessage(MessagePart):
@@ -191,3 +204,7 @@
     """Unacknowledged completions of this entry and of lost entries."""
     crashes: tuple[TargetCrash, ...] = ()
     """Crashes of the target; sent when a stream opens and on changes."""
+    queue_loads: tuple[QueueLoad, ...] = ()
+    """The runs by queue; empty if the entry has no confined queues."""
+    probation_s: float = 0.0
+    """Time until runs of other jobs may start, after one on probation."""
