Odd input ends no background task, and no number is too large to pass on

One row of an agent that nests deeply ended the follower of agents for good, a port of 70000 its stream, a heartbeat or list of runs with such values the renewal of the lease; a job with a demand of 2**70 was accepted, and no message with the backlog could be encoded any more, while the streams stayed open without their writer. Class: a background task that ends by an exception nobody awaits, while the process stays ready with what it knew last. Change: all bytes from outside are decoded by one function with one error; integers are bounded by 2**53 - 1; addresses are checked where they arrive; background work that fails is logged and runs again (followers, streams, ticks, renewals, registration, settings, both protocols); a stream ends with its writer; a deadline that is not a number is bounded.

--- a/src/fulmarscale/agent/process.py
+++ b/src/fulmarscale/agent/process.py
@@ -9,7 +9,6 @@
 import asyncio
 from random import SystemRandom
 import time
-from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -27,6 +26,7 @@
 from fulmarscale.agent.inputs import StopRequested
 from fulmarscale.agent.inputs import TaskCompleted
 from fulmarscale.agent.inputs import Tick
+from fulmarscale.background import BackgroundTasks
 from fulmarscale.control.lease import INCARNATION_BITS
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import InvariantError
@@ -43,8 +43,6 @@
 from fulmarscale.wire.streams import EntryStreamClientHandler
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
     from fulmarscale.agent.actions import AgentAction
     from fulmarscale.agent.inputs import AgentInput
     from fulmarscale.agent.target_client import TargetClient
@@ -104,7 +102,7 @@
         self._session_number = 0
         self._running_tasks: dict[TaskRef, asyncio.Task[None]] = {}
         """The call to the target for each running task."""
-        self._background_tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(log)
         self._drained = asyncio.Event()
         self._failed = asyncio.Event()
 
@@ -118,8 +116,8 @@
         await self._table.start()
         await self._target.start()
         self._log.write(Event.PROCESS_STARTED)
-        self._spawn(self._poll_forever())
-        self._spawn(self._tick_forever())
+        self._tasks.run_forever(self._poll_forever)
+        self._tasks.run_forever(self._tick_forever)
 
     async def drain(self) -> None:
         """Shut down gracefully: wait until no task runs and results are sent.
@@ -137,9 +135,9 @@
 
     async def close(self) -> None:
         """Cancel all work and close all streams and connections."""
-        for task in [*self._background_tasks, *self._running_tasks.values()]:
+        for task in self._running_tasks.values():
             task.cancel()
-        await asyncio.gather(*self._background_tasks, return_exceptions=True)
+        await self._tasks.close()
         for stream in self._streams.values():
             await stream.close()
         await self._target.close()
@@ -202,7 +200,7 @@
                     run_or_none.cancel()
             case SyncEntryStreams():
                 addresses = {m.address for m in action.members}
-                self._spawn(self._sync_streams(addresses))
+                self._tasks.run_once(self._sync_streams(addresses))
             case Log():
                 self._log.write(action.event, **action.fields)
             case Drained():
@@ -251,6 +249,7 @@
                 self._make_announcement(),
                 self,
                 client_tls(self._settings.tls),
+                self._log,
             )
             self._streams[address] = stream
             stream.start()
@@ -271,8 +270,3 @@
         while True:
             self.dispatch(Tick())
             await asyncio.sleep(TICK_INTERVAL_S)
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._background_tasks.add(task)
-        task.add_done_callback(self._background_tasks.discard)
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -129,8 +129,8 @@
     async def start(self, host: str, port: int) -> None:
         """Listen for entries and begin to renew the target's lease."""
         await self._server.start(host, port)
-        self._spawn(self._tick_forever(self._guard.tick))
-        self._spawn(self._renew_forever())
+        self._tasks.run_forever(lambda: self._tick_forever(self._guard.tick))
+        self._tasks.run_forever(self._renew_forever)
         self._log.write(Event.PROCESS_STARTED)
 
     async def shut_down(self) -> None:
@@ -149,7 +149,7 @@
 
     async def close(self) -> None:
         """Close all streams and connections."""
-        await self._end_tasks()
+        await self._tasks.close()
         await self._server.close()
         await self._target.close()
         self._log.write(Event.PROCESS_STOPPED)
@@ -272,16 +272,16 @@
         for action in actions:
             match action:
                 case ListRuns():
-                    self._spawn(self._list_runs(action.incarnation))
+                    self._tasks.run_once(self._list_runs(action.incarnation))
                 case SendMessage():
                     outgoing = self._sessions.get(action.session)
                     if outgoing is not None:
                         outgoing.put(action.message)
                 case StartRun():
                     self._renew_now.set()
-                    self._spawn(self._start(action))
+                    self._tasks.run_once(self._start(action))
                 case StopRun():
-                    self._spawn(self._stop(action))
+                    self._tasks.run_once(self._stop(action))
                 case CloseStream():
                     outgoing = self._sessions.pop(action.session, None)
                     if outgoing is not None:
--- a/src/fulmarscale/agent/target_client.py
+++ b/src/fulmarscale/agent/target_client.py
@@ -14,6 +14,7 @@
 from fulmarscale.agent.inputs import TargetAnnounced
 from fulmarscale.agent.inputs import TargetUnavailable
 from fulmarscale.agent.inputs import TaskCompleted
+from fulmarscale.decoding import decode_json
 from fulmarscale.errors import Outcome
 from fulmarscale.errors import ResultCode
 from fulmarscale.wire.messages import TaskResult
@@ -122,9 +123,7 @@
         assert self._announce_client is not None
         response = await self._announce_client.get(ANNOUNCE_PATH)
         response.raise_for_status()
-        announcement = msgspec.json.decode(
-            response.content, type=TargetAnnouncement
-        )
+        announcement = decode_json(response.content, TargetAnnouncement)
         if self._transport is None:
             # Reserves one connection for the announcement.
             limits = httpx.Limits(
@@ -212,7 +211,7 @@
         self, start: StartTask, content: bytes, began_at: float
     ) -> TaskCompleted:
         try:
-            response = msgspec.json.decode(content, type=RunResponse)
+            response = decode_json(content, RunResponse)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
             code = ResultCode.TARGET_BAD_ANSWER
             return self._outcome_unknown(start, code, began_at)
--- a/src/fulmarscale/cli/_settings_watcher.py
+++ b/src/fulmarscale/cli/_settings_watcher.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
+from fulmarscale.background import BackgroundTask
 from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
 from fulmarscale.settings import BaseSettings
@@ -44,20 +45,17 @@
         self._apply = apply
         self._log = log
         self._reload_requested = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._run, log)
 
     def start(self) -> None:
         """Start watching; SIGHUP no longer ends the process."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop watching."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
 
     def reload(self) -> None:
         """Read the file and apply the settings if they have changed."""
--- a/src/fulmarscale/cli/crashes.py
+++ b/src/fulmarscale/cli/crashes.py
@@ -15,6 +15,7 @@
 
 from fulmarscale.cli._client import print_table
 from fulmarscale.cli._common import ExitCode
+from fulmarscale.decoding import decode_json
 from fulmarscale.entry.jobs.crash_history import CrashReport
 from fulmarscale.platform.asgi import CRASHES_PATH
 
@@ -44,7 +45,7 @@
     """
     response = httpx.get(f"http://{address}{CRASHES_PATH}", timeout=TIMEOUT_S)
     response.raise_for_status()
-    return msgspec.json.decode(response.content, type=list[CrashReport])
+    return decode_json(response.content, list[CrashReport])
 
 
 def to_row(crash: CrashReport) -> tuple[object, ...]:
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -149,12 +149,12 @@
 
     def start(self) -> None:
         """Start the periodic decisions and the search for durable jobs."""
-        self._spawn(self._tick_forever())
-        self._spawn(self._poll_until_answered())
+        self._tasks.run_forever(self._tick_forever)
+        self._tasks.run_forever(self._poll_until_answered)
 
     async def close(self) -> None:
         """Stop all background tasks."""
-        await self._end_tasks()
+        await self._tasks.close()
 
     def activate(self) -> None:
         """Start to acquire the lease and own jobs, as durable jobs exist."""
@@ -290,7 +290,7 @@
             self._decide(self._manager.apply_cancellation, job_id, row.version)
             if row.row_key.key not in self._removing_cancel_rows:
                 self._removing_cancel_rows.add(row.row_key.key)
-                self._spawn(self._remove_cancel_row(row))
+                self._tasks.run_once(self._remove_cancel_row(row))
 
     def _tick(self) -> None:
         self._decide(self._manager.tick, self._runner.pending())
@@ -337,11 +337,11 @@
         for action in actions:
             match action:
                 case CommitBatch():
-                    self._spawn(self._commit(action))
+                    self._tasks.run_once(self._commit(action))
                 case CommitMember():
-                    self._spawn(self._commit_member(action))
+                    self._tasks.run_once(self._commit_member(action))
                 case ScanRecords():
-                    self._spawn(self._scan())
+                    self._tasks.run_once(self._scan())
                 case StartJob():
                     self._runner.start_durable_job(
                         action.job_id, action.record
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from fulmarscale.decoding import decode_msgpack
 from fulmarscale.entry.durable.rows import RowKey
 from fulmarscale.errors import ResultCode
 from fulmarscale.ids import EntryId
@@ -197,6 +198,6 @@
 
 def _decode(value: bytes, kind: type[Record]) -> Record | None:
     try:
-        return msgspec.msgpack.decode(value, type=kind)
+        return decode_msgpack(value, kind)
     except msgspec.MsgspecError:
         return None
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -155,7 +155,8 @@
 
     def start(self) -> None:
         """Start the periodic ticks and the handling of durable jobs."""
-        self._spawn(self._tick_forever(self._dispatcher.tick))
+        tick = self._dispatcher.tick
+        self._tasks.run_forever(lambda: self._tick_forever(tick))
         self._durable_jobs.start()
         self._log.write(Event.PROCESS_STARTED)
 
@@ -185,7 +186,7 @@
     async def close(self) -> None:
         """Stop all work and close all streams."""
         await self._durable_jobs.close()
-        await self._end_tasks()
+        await self._tasks.close()
         for stream in self._streams.values():
             await stream.close()
         self._log.write(Event.PROCESS_STOPPED)
@@ -363,7 +364,9 @@
                         outgoing.put(action.message)
                 case OpenAgentStream():
                     self._close_stream(action.name)
-                    stream = AgentStream(action.name, action.address, self)
+                    stream = AgentStream(
+                        action.name, action.address, self, self._log
+                    )
                     self._streams[action.name] = stream
                     stream.start()
                 case CloseAgentStream():
@@ -392,7 +395,7 @@
         """Close the stream to an agent, if there is one."""
         stream = self._streams.pop(name, None)
         if stream is not None:
-            self._spawn(stream.close())
+            self._tasks.run_once(stream.close())
 
     def _gauges(self) -> dict[str, float]:
         """Return the current gauge values by name."""
--- a/src/fulmarscale/entry/process.py
+++ b/src/fulmarscale/entry/process.py
@@ -9,6 +9,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from fulmarscale.background import BackgroundTasks
 from fulmarscale.control.actions import AnswerCaller
 from fulmarscale.control.actions import AnswerOperator
 from fulmarscale.control.actions import CloseSession
@@ -53,8 +54,6 @@
 from fulmarscale.wire.streams import StreamServerHandler
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
     from fulmarscale.control.actions import Action
     from fulmarscale.control.actions import ChangeResult
     from fulmarscale.control.actions import RowChange
@@ -130,7 +129,7 @@
         self._request_number = 0
         self._callers: dict[RequestId, asyncio.Future[AnswerCaller]] = {}
         self._operators: dict[RequestId, asyncio.Future[ChangeResult]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(log)
         self._has_left = asyncio.Event()
         self._failed = asyncio.Event()
         self._is_stopping = False
@@ -171,7 +170,7 @@
         await self._table.start()
         host, port = split_address(self._settings.stream_address)
         await self._server.start(host, port)
-        self._spawn(self._tick_forever())
+        self._tasks.run_forever(self._tick_forever)
         self._log.write(Event.PROCESS_STARTED)
 
     async def shut_down(self) -> None:
@@ -193,9 +192,7 @@
 
     async def close(self) -> None:
         """Stop all work and close all streams and connections."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
         for stream in self._peer_streams.values():
             await stream.close()
         await self._server.close()
@@ -345,11 +342,11 @@
                 future = self._operators.get(action.request)
                 _resolve(future, action.result)
             case ReadTable():
-                self._spawn(self._read_table(action))
+                self._tasks.run_once(self._read_table(action))
             case WriteEntryList():
-                self._spawn(self._write_entry_list(action))
+                self._tasks.run_once(self._write_entry_list(action))
             case WriteChange():
-                self._spawn(self._write_change(action.change))
+                self._tasks.run_once(self._write_change(action.change))
             case CloseSession():
                 outgoing = self._sessions.get(action.session)
                 if outgoing is not None:
@@ -379,6 +376,7 @@
                 action.to.address,
                 self._settings.secret,
                 client_tls(self._settings.tls),
+                self._log,
             )
             self._peer_streams[action.to.address] = stream
             stream.start()
@@ -434,11 +432,6 @@
         self._request_number += 1
         return RequestId(self._request_number)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _resolve(future: asyncio.Future[Any] | None, value: object) -> None:
     if future is not None and not future.done():
--- a/src/fulmarscale/platform/agent_registration.py
+++ b/src/fulmarscale/platform/agent_registration.py
@@ -13,11 +13,14 @@
 
 import msgspec
 
+from fulmarscale.background import BackgroundTask
+from fulmarscale.decoding import decode_json
 from fulmarscale.entry.durable.rows import RowKey
 from fulmarscale.entry.jobs.subset import AnnouncedAgent
 from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
 from fulmarscale.runs.model import TargetReport
+from fulmarscale.settings import split_address
 
 if TYPE_CHECKING:
     from fulmarscale.logs import EventLog
@@ -63,9 +66,17 @@
 def decode_agent_row(value: bytes) -> AgentRow:
     """Decode the value of an agent's row.
 
-    :raises msgspec.MsgspecError: if it can't be decoded.
+    :raises msgspec.MsgspecError: if it can't be decoded or has an address
+        that can't be connected to.
     """
-    return msgspec.json.decode(value, type=AgentRow)
+    row = decode_json(value, AgentRow)
+    try:
+        split_address(row.address)
+        if row.target_address:
+            split_address(row.target_address)
+    except ValueError as error:
+        raise msgspec.ValidationError(f"invalid address: {error}") from error
+    return row
 
 
 class AgentRegistrar:
@@ -80,7 +91,7 @@
         self._log = log
         self._changed = asyncio.Event()
         self._changed.set()
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._run, log)
 
     async def read_previous_row(self) -> AgentRow | None:
         """Read the row that an earlier process of this agent wrote.
@@ -100,14 +111,11 @@
 
     def start(self) -> None:
         """Start writing the row in the background."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop writing the row."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
 
     def update_target(self, report: TargetReport, address: str) -> None:
         """Set the row's target; writes the row if it changes.
--- a/src/fulmarscale/platform/heartbeats.py
+++ b/src/fulmarscale/platform/heartbeats.py
@@ -8,11 +8,13 @@
 
 import msgspec
 
+from fulmarscale.decoding import decode_json
 from fulmarscale.events import Event
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
 from fulmarscale.platform.wire import WireHeartbeat
 from fulmarscale.runs.model import TargetReport
+from fulmarscale.settings import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,8 +65,9 @@
             await respond(send, 404)
             return
         try:
-            message = msgspec.json.decode(body, type=WireHeartbeat)
+            message = decode_json(body, WireHeartbeat)
             report = message.decode(path.removeprefix(HEARTBEAT_PATH))
+            split_address(message.address)
         except (msgspec.MsgspecError, ValueError) as error:
             self._log.write(Event.HEARTBEAT_INVALID, detail=str(error))
             await respond(send, 400)
--- a/src/fulmarscale/platform/http_table.py
+++ b/src/fulmarscale/platform/http_table.py
@@ -18,6 +18,7 @@
 from fulmarscale.control.configuration import DataCentreState
 from fulmarscale.control.entry_list import EntryList
 from fulmarscale.control.entry_list import Member
+from fulmarscale.decoding import decode_json
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.ids import CustomerName
@@ -205,9 +206,7 @@
                 TRANSACTION_PATH, content=msgspec.json.encode(transaction)
             )
             response.raise_for_status()
-            return msgspec.json.decode(
-                response.content, type=TransactionResponse
-            )
+            return decode_json(response.content, TransactionResponse)
         except (httpx.HTTPError, msgspec.MsgspecError) as error:
             detail = type(error).__name__
             raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail) from error
@@ -300,4 +299,4 @@
 
 
 def _decode(value: msgspec.Raw, value_type: Any) -> Any:
-    return msgspec.json.decode(value, type=value_type)
+    return decode_json(value, value_type)
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from fulmarscale.decoding import decode_json
 from fulmarscale.entry.durable.record import DurableJobState
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import JobState
@@ -205,7 +206,7 @@
         A durable one is stored before the response.
         """
         try:
-            wire_job = msgspec.json.decode(body, type=WireJob)
+            wire_job = decode_json(body, WireJob)
             spec = wire_job.decode()
         except (msgspec.MsgspecError, ValueError) as error:
             await self._reject(send, scope, 400, str(error))
@@ -282,4 +283,6 @@
         wait_s = float(value or b"") / 1000
     except ValueError:
         return MAX_WAIT_S
+    if math.isnan(wait_s):
+        return MAX_WAIT_S
     return min(max(wait_s, 0.0), MAX_WAIT_S)
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -16,6 +16,8 @@
 from fulmarscale.agent.run import StartResponse
 from fulmarscale.agent.run_target_client import RunTargetClient
 from fulmarscale.agent.run_target_client import TargetUnreachableError
+from fulmarscale.decoding import decode_json
+from fulmarscale.decoding import NonNegativeInt
 from fulmarscale.events import Event
 from fulmarscale.platform.http_client import CONNECT_TIMEOUT_S
 from fulmarscale.platform.http_client import HttpClient
@@ -191,7 +193,7 @@
             reason = self._handle_conflict(response)
             raise TargetUnreachableError(f"{response.status} {reason}")
         try:
-            run_list = msgspec.json.decode(response.body, type=WireRunList)
+            run_list = decode_json(response.body, WireRunList)
             self._update_clock_offset(run_list.clock_ms)
             return _decode_run_list(incarnation, run_list)
         except (msgspec.MsgspecError, ValueError) as error:
@@ -244,7 +246,7 @@
     def _read_reason(self, response: HttpResponse) -> str:
         """Return the reason in a response and record the runner's clock."""
         try:
-            decoded = msgspec.json.decode(response.body, type=WireRunResponse)
+            decoded = decode_json(response.body, WireRunResponse)
         except msgspec.MsgspecError:
             return "unreadable"
         self._update_clock_offset(decoded.clock_ms)
@@ -285,12 +287,13 @@
 ) -> RunList:
     running = []
     for row in run_list.running:
-        name, number, _, percent = row[:4]
+        name, number, _, progress = row[:4]
+        percent = min(100.0, max(0.0, decode_json(progress, float)))
         running.append(
             ListedRun(
-                task=parse_task(msgspec.json.decode(name, type=str)),
-                number=msgspec.json.decode(number, type=int),
-                percent=round(msgspec.json.decode(percent, type=float)),
+                task=parse_task(decode_json(name, str)),
+                number=decode_json(number, NonNegativeInt),
+                percent=round(percent),
             )
         )
     ended = [
--- a/src/fulmarscale/platform/store.py
+++ b/src/fulmarscale/platform/store.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fulmarscale.decoding import decode_json
 from fulmarscale.entry.durable.rows import CommitResult
 from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.durable.rows import Row
@@ -253,12 +254,10 @@
         return CommitResult(CommitStatus.REFUSED)
     try:
         if response.status == OK:
-            decoded = msgspec.json.decode(
-                response.body, type=WireTransactionResponse
-            )
+            decoded = decode_json(response.body, WireTransactionResponse)
             return CommitResult(CommitStatus.APPLIED, decoded.ver)
         if response.status == PRECONDITION_FAILED:
-            rows = msgspec.json.decode(response.body, type=WireRows).rows
+            rows = decode_json(response.body, WireRows).rows
             return CommitResult(CommitStatus.CONFLICT, 0, decode_rows(rows))
     except (msgspec.MsgspecError, FulmarError):
         return CommitResult(CommitStatus.UNKNOWN)
@@ -284,7 +283,7 @@
 
 def _decode(response: HttpResponse, message_type: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(response.body, type=message_type)
+        return decode_json(response.body, message_type)
     except msgspec.MsgspecError as error:
         raise _unavailable_error(str(error)) from error
 
--- a/src/fulmarscale/platform/table_follower.py
+++ b/src/fulmarscale/platform/table_follower.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from fulmarscale.background import BackgroundTask
 from fulmarscale.entry.durable.record import CANCEL_TABLE
 from fulmarscale.entry.durable.record import MEMBER_TABLE
 from fulmarscale.entry.durable.rows import Row
@@ -66,18 +67,15 @@
         self._version = 0
         self._is_store_unavailable = False
         """Whether the last request failed; limits log lines to changes."""
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._run, log)
 
     def start(self) -> None:
         """Start following in the background."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop following."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
 
     async def _run(self) -> None:
         needs_full_read = True
@@ -252,17 +250,15 @@
                 is_partitioned=True,
             ),
         )
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._run, log)
 
     def start(self) -> None:
         """Start following as soon as durable jobs exist."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._task.close()
         for follower in self._followers:
             await follower.close()
 
--- a/src/fulmarscale/platform/wire.py
+++ b/src/fulmarscale/platform/wire.py
@@ -14,6 +14,10 @@
 
 import msgspec
 
+from fulmarscale.decoding import BoundedInt
+from fulmarscale.decoding import decode_json
+from fulmarscale.decoding import MAX_INTEGER
+from fulmarscale.decoding import NonNegativeInt
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import QueueName
@@ -38,8 +42,6 @@
 CLOSED_DATA_CENTRE_PREFIX: Final = "evacuate/"
 """Prefix of keys in the operators' table; a closed data centre follows."""
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-
 
 class WireStruct(msgspec.Struct, frozen=True, rename="camel"):
     """Base class of the platform's messages; ignores unknown fields."""
@@ -110,7 +112,7 @@
     """
     long_running: bool = False
     """Whether the job is long-running; not supported."""
-    run_count: int = 0
+    run_count: BoundedInt = 0
     """How many times a recurring job is due; 0 for a job that runs once."""
 
     @property
@@ -147,11 +149,11 @@
     """The runner's data centre."""
     state: str
     capacity: WireResources
-    call_seq: int
+    call_seq: NonNegativeInt
     """Sequence number; increases with each heartbeat of one incarnation."""
     clock_ms: NonNegativeInt
     """The runner's monotonic clock."""
-    born: int
+    born: NonNegativeInt
     """Start of the runner in Unix milliseconds, by its own wall clock.
 
     Together with the runner's id it identifies the incarnation.
@@ -226,14 +228,16 @@
 
     clock_ms: NonNegativeInt
     """The runner's monotonic clock."""
-    born: int
+    born: NonNegativeInt
     """Start of the runner in Unix milliseconds."""
     running: tuple[tuple[msgspec.Raw, ...], ...] = ()
     """Rows of task, run number, checkpoint, percent.
 
     Some rows have a fifth value, which is ignored.
     """
-    ended: tuple[tuple[int, str, int, str, str], ...] = ()
+    ended: tuple[
+        tuple[NonNegativeInt, str, NonNegativeInt, str, str], ...
+    ] = ()
     """Rows of position, task, run number, outcome, checkpoint.
 
     The position increases with each completion.
@@ -247,9 +251,9 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
+    priority: BoundedInt = 0
     """0 is the highest priority."""
-    max_attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)] = 1
     """Number of failed runs of a task after which its job fails."""
     stretch: float = 1.0
     """Factor on a job's critical path in its latency objective."""
@@ -285,7 +289,7 @@
 class WireConfiguration(WireStruct):
     """The complete configuration that operators write."""
 
-    version: int
+    version: NonNegativeInt
     routes: tuple[WireRoute, ...]
     limits: WireLimits = WireLimits()
 
@@ -398,8 +402,11 @@
 
     :raises ValueError: if it is malformed.
     """
-    job_id, occurrence, step, index = text.split(".")
-    return TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
+    job_id, *texts = text.split(".")
+    occurrence, step, index = (int(each) for each in texts)
+    if max(abs(occurrence), abs(step), abs(index)) > MAX_INTEGER:
+        raise ValueError(f"a number is out of range: {text}")
+    return TaskKey(JobId(job_id), occurrence, step, index)
 
 
 def decode_site_config(rows: dict[str, bytes], revision: int) -> SiteConfig:
@@ -417,7 +424,7 @@
     value = rows.get(CONFIGURATION_KEY)
     if value is None:
         return SiteConfig(revision, closed_data_centres=tuple(closed))
-    configuration = msgspec.json.decode(value, type=WireConfiguration)
+    configuration = decode_json(value, WireConfiguration)
     return SiteConfig(
         revision=revision,
         configuration_version=configuration.version,
--- a/src/fulmarscale/runs/driver.py
+++ b/src/fulmarscale/runs/driver.py
@@ -13,13 +13,13 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from fulmarscale.background import BackgroundTasks
 from fulmarscale.errors import InvariantError
 from fulmarscale.events import Event
 from fulmarscale.runs.clock import boottime_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Coroutine
 
     from fulmarscale.logs import EventLog
 
@@ -29,8 +29,7 @@
 
     def __init__(self, log: EventLog) -> None:
         self._log = log
-        self._tasks: set[asyncio.Task[None]] = set()
-        """Background tasks that are running."""
+        self._tasks = BackgroundTasks(log)
         self._failed = asyncio.Event()
 
     @property
@@ -65,18 +64,6 @@
             raise
         self._perform(actions)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run a coroutine in the background until the driver is closed."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _end_tasks(self) -> None:
-        """Cancel all background tasks and wait until they have ended."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
 
 class TickingDriver(Driver):
     """A driver that ticks at the times that its decision logic requests."""
--- a/src/fulmarscale/runs/model.py
+++ b/src/fulmarscale/runs/model.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from fulmarscale.decoding import BoundedInt
+
 JobId = NewType("JobId", str)
 """The identifier of a job, chosen by the caller."""
 
@@ -27,11 +29,11 @@
 class Resources(msgspec.Struct, frozen=True, array_like=True):
     """Amounts of processor time, memory and accelerators."""
 
-    cpu_millicores: int = 0
+    cpu_millicores: BoundedInt = 0
     """Processor time, in thousandths of a core."""
-    memory_mb: int = 0
+    memory_mb: BoundedInt = 0
     """Memory, in megabytes."""
-    accelerators: int = 0
+    accelerators: BoundedInt = 0
     """Whole accelerators."""
 
     def __add__(self, other: Resources) -> Resources:
@@ -119,7 +121,7 @@
 
     target: TargetId
     """The target."""
-    born_ms: int
+    born_ms: BoundedInt
     """When it started, in Unix milliseconds by its own clock."""
 
 
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -21,18 +21,23 @@
 from grpclib.const import Handler
 from grpclib.server import Server
 
+from fulmarscale.background import BackgroundTask
 from fulmarscale.runs.limits import STREAM_TIMEOUT_S
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import EntryMessage
+from fulmarscale.settings import split_address
 from fulmarscale.wire.codec import MessagePackCodec
 from fulmarscale.wire.streams import cancel_tasks
 from fulmarscale.wire.streams import CONNECT_TIMEOUT_S
 from fulmarscale.wire.streams import STREAM_ERRORS
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from grpclib.server import Stream
 
     from fulmarscale.ids import EntryId
+    from fulmarscale.logs import EventLog
 
 Message = TypeVar("Message")
 
@@ -150,15 +155,12 @@
         outgoing: MessageQueue[AgentMessage] = MessageQueue()
         session = self._handler.open_entry(outgoing, first_message.entry)
         self._handler.receive_entry(session, first_message)
-        writer = asyncio.create_task(outgoing.send_all(stream))
-        reader = asyncio.create_task(self._read(stream, session))
         try:
-            await asyncio.wait(
-                (writer, reader), return_when=asyncio.FIRST_COMPLETED
+            await _run_until_one_ends(
+                outgoing.send_all(stream), self._read(stream, session)
             )
         finally:
             self._handler.close_entry(session)
-            await cancel_tasks(writer, reader)
 
     async def _read(
         self, stream: Stream[EntryMessage, AgentMessage], session: int
@@ -197,27 +199,30 @@
     """The stream of an entry to one agent, opened again when it is closed."""
 
     def __init__(
-        self, name: str, address: str, handler: AgentStreamHandler
+        self,
+        name: str,
+        address: str,
+        handler: AgentStreamHandler,
+        log: EventLog,
     ) -> None:
         self._name = name
         self._address = address
         self._handler = handler
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._run, log)
 
     def start(self) -> None:
         """Open the stream, and open it again whenever it is closed."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Close the stream and don't open it again."""
-        if self._task is not None:
-            await cancel_tasks(self._task)
+        await self._task.close()
 
     async def _run(self) -> None:
         retry_s = MIN_RETRY_S
+        host, port = split_address(self._address)
         while True:
-            host, _, port = self._address.rpartition(":")
-            channel = Channel(host, int(port), codec=MessagePackCodec())
+            channel = Channel(host, port, codec=MessagePackCodec())
             try:
                 with suppress(*STREAM_ERRORS):
                     await self._run_session(channel)
@@ -236,12 +241,12 @@
                 await stream.send_request()
             outgoing: MessageQueue[EntryMessage] = MessageQueue()
             session = self._handler.open_agent(outgoing, self._name)
-            writer = asyncio.create_task(outgoing.send_all(stream))
             try:
-                await self._read(stream, session)
+                await _run_until_one_ends(
+                    outgoing.send_all(stream), self._read(stream, session)
+                )
             finally:
                 self._handler.close_agent(session)
-                await cancel_tasks(writer)
 
     async def _read(
         self, stream: Stream[EntryMessage, AgentMessage], session: int
@@ -254,6 +259,21 @@
             self._handler.receive_agent(session, message)
 
 
+async def _run_until_one_ends(*works: Coroutine[None, None, None]) -> None:
+    """Run the two directions of a stream until one ends, then end the other.
+
+    Raises the exception of the one that has failed.
+    """
+    tasks = [asyncio.create_task(work) for work in works]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            if task.done():
+                task.result()
+    finally:
+        await cancel_tasks(*tasks)
+
+
 async def _receive(stream: Stream) -> EntryMessage | None:
     """Return the next message of an entry; none if the stream is closed."""
     try:
--- a/src/fulmarscale/settings.py
+++ b/src/fulmarscale/settings.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from fulmarscale.control.timings import Timings
+from fulmarscale.decoding import decode_json
 from fulmarscale.entry.limits import EntryLimits
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
@@ -213,7 +214,7 @@
     :raises FulmarError: SETTINGS_INVALID, with the JSON path of the error.
     """
     try:
-        settings = msgspec.json.decode(path.read_bytes(), type=settings_type)
+        settings = decode_json(path.read_bytes(), settings_type)
     except OSError as error:
         raise _settings_error(f"{path}: {error.strerror}") from error
     except msgspec.MsgspecError as error:
--- a/src/fulmarscale/wire/codec.py
+++ b/src/fulmarscale/wire/codec.py
@@ -36,4 +36,7 @@
         if decoder is None:
             decoder = msgspec.msgpack.Decoder(message_type)
             self._decoders[message_type] = decoder
-        return decoder.decode(data)
+        try:
+            return decoder.decode(data)
+        except RecursionError as error:
+            raise msgspec.DecodeError("nested too deeply") from error
--- a/src/fulmarscale/wire/streams.py
+++ b/src/fulmarscale/wire/streams.py
@@ -24,6 +24,7 @@
 from grpclib.server import Server
 import msgspec
 
+from fulmarscale.background import BackgroundTask
 from fulmarscale.wire.codec import MessagePackCodec
 from fulmarscale.wire.messages import AgentUplink
 from fulmarscale.wire.messages import Announce
@@ -39,6 +40,7 @@
     from grpclib.server import Stream
 
     from fulmarscale.control.entry_list import Member
+    from fulmarscale.logs import EventLog
 
 AGENT_PATH: Final = "/fulmarscale.Entry/AgentSession"
 """The gRPC method of the streams from agents."""
@@ -221,14 +223,18 @@
     """
 
     def __init__(
-        self, address: str, secret: str, tls: SSLContext | None
+        self,
+        address: str,
+        secret: str,
+        tls: SSLContext | None,
+        log: EventLog,
     ) -> None:
         self._address = address
         self._secret = secret
         self._tls = tls
         self._queue: asyncio.Queue[tuple[Member, PeerEnvelope]]
         self._queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._run, log)
         self._last_used_at = time.monotonic()
 
     @property
@@ -238,12 +244,11 @@
 
     def start(self) -> None:
         """Start connecting in the background."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Close the stream and stop reconnecting."""
-        if self._task is not None:
-            await cancel_tasks(self._task)
+        await self._task.close()
 
     def put(self, sender: Member, envelope: PeerEnvelope) -> None:
         """Queue a message; it is dropped if the queue is full.
@@ -320,6 +325,7 @@
         announce: Announce,
         handler: EntryStreamClientHandler,
         tls: SSLContext | None,
+        log: EventLog,
     ) -> None:
         self._address = address
         self._announce = announce
@@ -328,7 +334,7 @@
         self._queue: asyncio.Queue[FromAgent] = asyncio.Queue(
             MAX_QUEUED_MESSAGES
         )
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._run, log)
         self._is_sending = False
 
     @property
@@ -338,12 +344,11 @@
 
     def start(self) -> None:
         """Start connecting in the background."""
-        self._task = asyncio.create_task(self._run())
+        self._task.start()
 
     async def close(self) -> None:
         """Close the stream and stop reconnecting."""
-        if self._task is not None:
-            await cancel_tasks(self._task)
+        await self._task.close()
 
     def put(self, message: FromAgent) -> None:
         """Queue a message; it is dropped if the queue is full."""
