Start proven jobs of confined queues again without a pause after them

Cause: of 28 starts a second on the confined part some 4 are of jobs that a crash took with it; each had its pause as if it could be the next culprit. Change: a job that has begun and isn't suspected has no probation.

--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -279,7 +279,10 @@
         task.stop_sent = False
         task.is_slowness_recorded = False
         self._last_start_number += 1
-        is_confined = self._fleet.bulkheads.is_confined(job)
+        # A job that has begun and isn't suspected has outlived its probation.
+        needs_probation = (
+            self._fleet.bulkheads.is_confined(job) and not job.may_have_run
+        )
         view.add_start(
             StartRequest(
                 task=task.key,
@@ -291,7 +294,7 @@
                 owner_epoch=job.owner_epoch,
                 queue=job.queue.name,
                 is_exclusive=is_exclusive,
-                probation_s=self._probation_s if is_confined else 0.0,
+                probation_s=self._probation_s if needs_probation else 0.0,
             ),
             now,
         )
