--- a/src/fulmarscale/entry/jobs/bulkheads.py
+++ b/src/fulmarscale/entry/jobs/bulkheads.py
@@ -41,6 +41,16 @@
 and runs are not spread evenly.
 """
 
+GROWTH_SHARE: Final = 0.1
+"""Share of a service's targets by which the confined part grows at a time."""
+
+GROWTH_INTERVAL_S: Final = 1.0
+"""Least time between two times that the confined part grows.
+
+Right after a crash the load of the open queues is low, as it has ended their
+runs too. The part shrinks at once.
+"""
+
 CONFINEMENT_S: Final = 15.0
 """How long a queue stays confined after the last crash by its tasks.
 
@@ -74,6 +84,8 @@
         """Confined queues, with the time of the last crash by each."""
         self._members: dict[ServiceName, list[str]] = {}
         """Names of the agents in the confined part of each service."""
+        self._grown_at: dict[ServiceName, float] = {}
+        """When each of these parts last grew."""
         self._member_names: frozenset[str] = frozenset()
         self._is_reserved = False
         """Whether only the confined queues use the confined parts."""
@@ -113,40 +125,58 @@
         self,
         agents: dict[ServiceName, list[str]],
         open_loads: dict[ServiceName, float],
+        now: float,
     ) -> None:
         """Choose the agents of the confined parts.
 
-        An agent stays a member while it exists, any queue is confined and the
-        open queues don't need its target.
+        They follow from the known crashes alone, which an entry that has just
+        started learns one after the other.
 
         :param agents: the names of each service's agents.
         :param open_loads: the load of each service's open queues, as a share
             of the capacity of its targets.
+        :param now: the entry's time.
         """
         if not self._queues:
             self._members = {}
+            self._grown_at = {}
             self._member_names = frozenset()
             return
         for service, names in agents.items():
-            present = set(names)
-            members = [
-                name
-                for name in self._members.get(service, ())
-                if name in present
-            ]
+            current = len(self._members.get(service, ()))
             size = _confined_size(
-                len(names), len(members), open_loads.get(service, 1.0)
+                len(names), current, open_loads.get(service, 1.0)
             )
+            size = self._limit_growth(service, len(names), size, now)
+            present = set(names)
             ranking = [name for name in self._crashed if name in present]
-            ranking += sorted(names, key=_hash)
-            for name in ranking:
-                if len(members) < size and name not in members:
-                    members.append(name)
-            self._members[service] = members[:size]
+            ranking += sorted(present - self._crashed.keys(), key=_hash)
+            self._members[service] = ranking[:size]
         self._member_names = frozenset(
             name for members in self._members.values() for name in members
         )
 
+    def _limit_growth(
+        self, service: ServiceName, targets: int, size: int, now: float
+    ) -> int:
+        """Return the present size of a part that is to have a size.
+
+        :param service: the service.
+        :param targets: the number of its targets.
+        :param size: the size that the part is to have.
+        :param now: the entry's time.
+        """
+        current = len(self._members.get(service, ()))
+        if size <= current:
+            return size
+        grown_at = self._grown_at.get(service)
+        if grown_at is not None and now - grown_at < GROWTH_INTERVAL_S:
+            return current
+        self._grown_at[service] = now
+        if current == 0:
+            return min(size, ceil(MIN_CONFINED_SHARE * targets))
+        return min(size, current + ceil(GROWTH_SHARE * targets))
+
     def is_confined(self, job: Job) -> bool:
         """Return whether a job's queue is confined."""
         return job.queue.name in self._queues
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -469,7 +469,7 @@
             return
         agents = self._subset.agents_by_service()
         self._fleet.update_open_loads(agents, self._open.waiting.values(), now)
-        bulkheads.update_members(agents, self._fleet.open_loads)
+        bulkheads.update_members(agents, self._fleet.open_loads, now)
         if (bulkheads.queues, bulkheads.members) != former:
             self._open.needs_placement = True
             self._log(
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -46,8 +46,11 @@
 cause them, and take fewer other runs with them.
 """
 
-MIN_UP_SHARE: Final = 1 / 3
-"""Share of the part that counts as up at least, which bounds the pause."""
+MIN_UP_SHARE: Final = 0.6
+"""Share of the part that counts as up at least, which bounds the pause.
+
+With fewer targets up, a longer one would leave them idle.
+"""
 
 MAX_TRIALS: Final = {Partition.OPEN: 1, Partition.CONFINED: 2}
 """Most jobs of an entry that run on trial at once, by partition.
