--- a/features/run.py
+++ b/features/run.py
@@ -63,7 +63,7 @@
             passed += 1
         elif status == "skipped":
             print(f"skipped: {scenario.name}")
-        elif scenario.name in known_red:
+        elif scenario.name.strip() in known_red:
             print(f"known red: {scenario.name}")
         else:
             failed += 1
