--- /dev/null
+++ b/review/stubs/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its runners and callers, for the cases."""
