--- a/review/stubs/runner.py
+++ b/review/stubs/runner.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 import json
 from pathlib import Path
+import random
 import sys
 import time
 from typing import Any
@@ -20,6 +21,7 @@
 from stubs.web import call
 from stubs.web import Reply
 from stubs.web import Request
+from stubs.web import SILENCE
 from stubs.web import WebServer
 
 HOLD_MAX_S = 1.0
@@ -55,6 +57,7 @@
         self._server = WebServer(self._handle)
         self._beats = 0
         self._is_known = False
+        self._late_orders: set[asyncio.Task[None]] = set()
 
     @property
     def _clock_ms(self) -> int:
@@ -137,10 +140,40 @@
         until_ms = min(until_ms, self._clock_ms + int(HOLD_MAX_S * 1000))
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
 
-    async def _handle(self, request: Request) -> Reply:
+    async def _handle(self, request: Request) -> Reply | None:
+        answer_s = self._settings.get("answer_s", 0.0)
+        if answer_s:
+            await asyncio.sleep(random.uniform(0.5, 1.5) * answer_s)
+        body = request.json()
+        if self._is_late(request.path, body):
+            task = asyncio.create_task(self._carry_out_late(request, body))
+            self._late_orders.add(task)
+            return SILENCE
+        return await self._carry_out(request, body)
+
+    def _is_late(self, path: str, body: dict[str, Any]) -> bool:
+        """Return whether an order is left unanswered and carried out late."""
+        prefix = self._settings.get("late_job")
+        if not prefix or self._late_orders or path != "/api/run-start":
+            return False
+        return body["task"].startswith(prefix)
+
+    async def _carry_out_late(
+        self, request: Request, body: dict[str, Any]
+    ) -> None:
+        """Carry out an order later; its lease counts from then."""
+        self._write("unanswered", task=body["task"], run=body["run"])
+        lease_ms = body["untilMs"] - self._clock_ms
+        await asyncio.sleep(self._settings["late_s"])
+        late_body = {**body, "untilMs": self._clock_ms + lease_ms}
+        reply = await self._carry_out(request, late_body)
+        self._write("carried_out_late", status=reply.status)
+
+    async def _carry_out(
+        self, request: Request, body: dict[str, Any]
+    ) -> Reply:
         if request.headers.get("target-instance") != self._settings["id"]:
             return Reply(421)
-        body = request.json()
         if body["fencingToken"] < self._fence:
             self._write(
                 "fenced", path=request.path, token=body["fencingToken"]
--- a/review/stubs/site.py
+++ b/review/stubs/site.py
@@ -150,7 +150,8 @@
         """Start a runner's life on a machine.
 
         :param fields: further settings: `clock_ms`, `first_beat_s`,
-            `labels`.
+            `labels`, `answer_s`; `late_job` and `late_s` for a start order
+            that is carried out late.
         """
         known = self._runners.setdefault(
             machine, {"address": self._free_address()}
