--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from pathlib import Path
 import time
 from typing import Any
@@ -22,6 +23,9 @@
 if TYPE_CHECKING:
     from stubs.site import Site
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is played."""
+
 RUNNERS = 4
 STALL_S = 25.0
 """The takeover begins 8 s after the loss; then 14 s (`finish_s`) and 3 s."""
@@ -82,7 +86,7 @@
             return NOT_RUN
     await asyncio.sleep(2.0)
     fault = LostAnswer(site, "front-1")
-    if site.has_trouble:
+    if HAS_TROUBLE:
         site.store.fault = fault
         site.kill("front-1")
         await asyncio.sleep(2.0)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from pathlib import Path
 import time
 from typing import TYPE_CHECKING
@@ -21,6 +22,9 @@
 if TYPE_CHECKING:
     from stubs.site import Site
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the disruption is played."""
+
 RUNNERS = 6
 UPTIME_MS = 482_113
 """The clock in the page's example of a heartbeat."""
@@ -60,7 +64,7 @@
         return NOT_RUN
     if not await run_job(site, "00000000000000a1"):
         return NOT_RUN
-    if site.has_trouble:
+    if HAS_TROUBLE:
         for machine, agent in zip(machines, agents, strict=True):
             site.kill(machine)
             await asyncio.sleep(1.0)
--- a/review/stubs/runner.py
+++ b/review/stubs/runner.py
@@ -42,7 +42,7 @@
 
     def __init__(self, settings: dict[str, Any]) -> None:
         self._settings = settings
-        self._born = int(time.time() * 1000)
+        self._born = int(time.time() * 1000) - settings["clock_ms"]
         self._started_at = time.monotonic()
         self._fence = 0
         self._lease_until_ms = -1
@@ -57,6 +57,7 @@
         self._server = WebServer(self._handle)
         self._beats = 0
         self._is_known = False
+        self._orders = 0
         self._late_orders: set[asyncio.Task[None]] = set()
 
     @property
@@ -145,6 +146,7 @@
         if answer_s:
             await asyncio.sleep(random.uniform(0.5, 1.5) * answer_s)
         body = request.json()
+        self._orders += 1
         if self._is_late(request.path, body):
             task = asyncio.create_task(self._carry_out_late(request, body))
             self._late_orders.add(task)
@@ -162,7 +164,12 @@
         self, request: Request, body: dict[str, Any]
     ) -> None:
         """Carry out an order later; its lease counts from then."""
-        self._write("unanswered", task=body["task"], run=body["run"])
+        self._write(
+            "unanswered",
+            task=body["task"],
+            run=body["run"],
+            order=self._orders,
+        )
         lease_ms = body["untilMs"] - self._clock_ms
         await asyncio.sleep(self._settings["late_s"])
         late_body = {**body, "untilMs": self._clock_ms + lease_ms}
--- a/review/stubs/site.py
+++ b/review/stubs/site.py
@@ -49,7 +49,6 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.store = Store()
         self.temp = Path(tempfile.mkdtemp(prefix="fulmar-review-"))
         self.events_path = self.temp / "runners.jsonl"
