Log readiness with its inputs, slow decisions and the configuration's age

Logs could not tell why an entry is or isn't ready, how old its configuration is, nor what takes its processor time. READINESS_CHANGED (532), DECISION_SLOW (533, one line a second), site_age_s in JOB_REJECTED and the gauge configuration_age_seconds.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -137,6 +137,8 @@
         """The outcome of each job; none if no job ends."""
         self.stopping = False
         self.fake_configuration = SiteConfig(1, 1, (make_queue("/quick/"),))
+        self.fake_site_age_s = 0.0
+        """Time since the configuration was known to be the newest."""
         self.disconnected: list[str] = []
         """Jobs whose caller has disconnected."""
         self.cancelled_jobs: list[str] = []
@@ -151,6 +153,10 @@
     def site(self) -> SiteConfig:
         return self.fake_configuration
 
+    @property
+    def site_age_s(self) -> float:
+        return self.fake_site_age_s
+
     @property
     def is_stopping(self) -> bool:
         return self.stopping
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -68,7 +68,12 @@
         settings.metrics_port,
     )
     followers = (
-        make_site_follower(store, process.adopt_site_config, log),
+        make_site_follower(
+            store,
+            process.adopt_site_config,
+            log,
+            process.confirm_site_config,
+        ),
         make_agent_follower(store, process.update_agents, log),
         DurableJobFollower(store, process.durable_jobs, log),
     )
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -95,6 +95,10 @@
         self._entry = entry
         self._site = SiteConfig()
         """The newest known configuration of the site."""
+        self._site_confirmed_at = float("-inf")
+        """When the store last showed that there is no newer one."""
+        self._was_ready = False
+        """Whether the entry was ready at the last tick."""
         self._open = OpenJobs()
         self._fleet = Fleet(data_centre)
         self._outbox = Outbox(entry, self._fleet)
@@ -178,6 +182,14 @@
             view.session is not None for view in self._fleet.views
         )
 
+    def site_age_s(self, now: float) -> float:
+        """Return the time since the configuration was known to be the newest.
+
+        :param now: the entry's time.
+        :returns: seconds; infinite if it never was.
+        """
+        return now - self._site_confirmed_at
+
     def tick_pause_s(self, now: float) -> float:
         """Return the time until the next tick is due.
 
@@ -486,10 +498,16 @@
         self._adopt_site(site, "store", now)
         return self._flush(now)
 
+    def confirm_site_config(self, now: float) -> list[DispatchAction]:
+        """Record that the store has no newer configuration."""
+        self._site_confirmed_at = now
+        return []
+
     def tick(self, now: float) -> list[DispatchAction]:
         """Do the periodic work: deadlines, stragglers and stream selection."""
         self._detect_stall(now)
         self._update_overload(now)
+        self._log_readiness(now)
         for view in self._fleet.views:
             if view.assigned and now - view.last_message_at > RUN_EXPIRY_S:
                 self._results.expire_runs(view, now)
@@ -508,6 +526,20 @@
         self._outbox.tick(has_backlog=bool(self._open.waiting), now=now)
         return self._flush(now)
 
+    def _log_readiness(self, now: float) -> None:
+        """Log a change of the readiness, with its inputs."""
+        if self.is_ready == self._was_ready:
+            return
+        self._was_ready = self.is_ready
+        age_s = self.site_age_s(now)
+        self._log(
+            Event.READINESS_CHANGED,
+            ready=self.is_ready,
+            version=self._site.configuration_version,
+            site_age_s=None if age_s == float("inf") else round(age_s, 3),
+            agents=len(self._fleet.connected),
+        )
+
     def _check_new_jobs(self, now: float) -> None:
         """Reject new jobs that can't be on time once capacity is known."""
         forecasts: dict[Partition, Forecast] | None = None
--- a/src/fulmarscale/entry/jobs/job_service.py
+++ b/src/fulmarscale/entry/jobs/job_service.py
@@ -64,6 +64,14 @@
     def site(self) -> SiteConfig:
         """The newest known configuration of the site."""
 
+    @property
+    @abstractmethod
+    def site_age_s(self) -> float:
+        """Time since the configuration was known to be the newest.
+
+        In seconds; infinite if it never was.
+        """
+
     @property
     @abstractmethod
     def is_stopping(self) -> bool:
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -143,6 +143,11 @@
         """The newest known configuration of the site."""
         return self._dispatcher.site
 
+    @property
+    def site_age_s(self) -> float:
+        """Time since the configuration was known to be the newest."""
+        return self._dispatcher.site_age_s(boottime_s())
+
     @property
     def is_stopping(self) -> bool:
         """Whether the entry shuts down and callers should use another one."""
@@ -312,6 +317,10 @@
         """Adopt a site configuration, if it is newer."""
         self._decide(self._dispatcher.adopt_site_config, site)
 
+    def confirm_site_config(self) -> None:
+        """Record that the store has no newer configuration."""
+        self._decide(self._dispatcher.confirm_site_config)
+
     def update_agents(self, agents: tuple[AnnouncedAgent, ...]) -> None:
         """Update the list of announced agents."""
         self._decide(self._dispatcher.update_agents, agents)
@@ -405,6 +414,7 @@
             "jobs": self._dispatcher.open_job_count,
             "agents": connected,
             "configuration_version": self.site.configuration_version,
+            "configuration_age_seconds": self.site_age_s,
         }
 
     def _resolve_callers(self, action: AnswerJob) -> None:
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -186,6 +186,17 @@
     While it is overloaded, new jobs are rejected at once: JOB_ENDED with the
     reason `overloaded`.
     """
+    READINESS_CHANGED = 532
+    """The entry became ready for callers, or is no longer.
+
+    Logged with the inputs: the version and the age of its configuration, and
+    the number of connected agents.
+    """
+    DECISION_SLOW = 533
+    """Decisions took so much processor time that other work was held up.
+
+    At most one line a second, with the slowest of `count` decisions.
+    """
     KEEPING_STARTED = 540
     """The entry begins to hold a lease in the store.
 
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -257,6 +257,12 @@
             return ((b"connection", b"close"),)
         return ()
 
+    @property
+    def _site_age_s(self) -> float | None:
+        """The age of the configuration, for the log; none if not known."""
+        age_s = self._job_service.site_age_s
+        return None if math.isinf(age_s) else round(age_s, 3)
+
     async def _reject(
         self, send: Any, scope: dict[str, Any], status: int, reason: str
     ) -> None:
@@ -267,6 +273,7 @@
             status=status,
             reason=reason,
             version=self._job_service.site.configuration_version,
+            site_age_s=self._site_age_s,
         )
         headers = self._connection_headers()
         if status == UNAVAILABLE:
--- a/src/fulmarscale/platform/table_follower.py
+++ b/src/fulmarscale/platform/table_follower.py
@@ -57,11 +57,14 @@
         on_change: Callable[[Rows, int], None],
         log: EventLog,
         *,
+        on_read: Callable[[], None] | None = None,
         is_partitioned: bool = False,
     ) -> None:
         self._store = store
         self._table = table
         self._on_change = on_change
+        self._on_read = on_read
+        """Called after each read that leaves the copy up to date."""
         self._log = log
         self._is_partitioned = is_partitioned
         self._rows: Rows = {}
@@ -86,6 +89,8 @@
                     needs_full_read = not await self._read_all()
                 else:
                     await self._read_changes()
+                if self._on_read is not None and not needs_full_read:
+                    self._on_read()
                 self._log_recovery()
             except HistoryGoneError:
                 needs_full_read = True
@@ -170,12 +175,15 @@
     store: RowStoreClient,
     on_change: Callable[[SiteConfig], None],
     log: EventLog,
+    on_read: Callable[[], None] | None = None,
 ) -> TableFollower:
     """Create a follower of the site configuration that operators write.
 
     :param store: the platform's store.
     :param on_change: called with each new configuration.
     :param log: the log for rows that can't be decoded.
+    :param on_read: called whenever the store shows that the configuration is
+        the newest one.
     """
 
     def apply_rows(rows: Rows, revision: int) -> None:
@@ -185,7 +193,9 @@
         except msgspec.MsgspecError as error:
             log.write(Event.ROW_UNREADABLE, detail=str(error))
 
-    return TableFollower(store, OPERATOR_TABLE, apply_rows, log)
+    return TableFollower(
+        store, OPERATOR_TABLE, apply_rows, log, on_read=on_read
+    )
 
 
 def make_agent_follower(
--- a/src/fulmarscale/runs/driver.py
+++ b/src/fulmarscale/runs/driver.py
@@ -11,6 +11,7 @@
 import asyncio
 from contextlib import suppress
 from typing import Any
+from typing import Final
 from typing import TYPE_CHECKING
 
 from fulmarscale.background import BackgroundTasks
@@ -24,6 +25,59 @@
     from fulmarscale.logs import EventLog
 
 
+SLOW_DECISION_S: Final = 0.05
+"""Duration of a decision from which it is logged, in seconds.
+
+It is as long as the interval between ticks of a busy process.
+"""
+
+SLOW_DECISION_LOG_INTERVAL_S: Final = 1.0
+"""Shortest interval between log lines about slow decisions, in seconds."""
+
+
+class SlowDecisions:
+    """Logs slow decisions, at most one line a second.
+
+    :param log: the log.
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._logged_at = float("-inf")
+        self._count = 0
+        """Slow decisions since the last line."""
+        self._longest_s = 0.0
+        """The longest of them, in seconds."""
+        self._slowest = ""
+        """The name of its method."""
+
+    def record(self, name: str, started_at: float, ended_at: float) -> None:
+        """Record a decision, and log the slow ones.
+
+        :param name: the name of the method.
+        :param started_at: when it was called, by the process's time.
+        :param ended_at: when it returned.
+        """
+        took_s = ended_at - started_at
+        if took_s < SLOW_DECISION_S:
+            return
+        self._count += 1
+        if took_s > self._longest_s:
+            self._longest_s = took_s
+            self._slowest = name
+        if ended_at - self._logged_at < SLOW_DECISION_LOG_INTERVAL_S:
+            return
+        self._log.write(
+            Event.DECISION_SLOW,
+            slowest=self._slowest,
+            took_s=round(self._longest_s, 3),
+            count=self._count,
+        )
+        self._logged_at = ended_at
+        self._count = 0
+        self._longest_s = 0.0
+
+
 class Driver(ABC):
     """Calls decision logic and carries out its actions."""
 
@@ -31,6 +85,7 @@
         self._log = log
         self._tasks = BackgroundTasks(log)
         self._failed = asyncio.Event()
+        self._slow_decisions = SlowDecisions(log)
 
     @property
     def failed(self) -> asyncio.Event:
@@ -51,8 +106,9 @@
         """
         if self._failed.is_set():
             return
+        started_at = boottime_s()
         try:
-            actions = decide(*inputs, boottime_s())
+            actions = decide(*inputs, started_at)
         except InvariantError as error:
             self._log.write_error(Event.INVARIANT_BROKEN, error)
             self._failed.set()
@@ -62,6 +118,9 @@
             self._log.write_error(Event.UNEXPECTED_ERROR, error)
             self._failed.set()
             raise
+        self._slow_decisions.record(
+            getattr(decide, "__name__", ""), started_at, boottime_s()
+        )
         self._perform(actions)
 
 
