--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -161,6 +161,8 @@
         """Probable causes of the crashes that are not disproved."""
         self._crashes_by_job: dict[JobId, set[TargetIncarnation]] = {}
         """The crashes that ended runs of each job."""
+        self._recurrent: set[JobId] = set()
+        """The jobs with MIN_CRASHES or more of them."""
         self._stored: dict[JobId, StoredCrashes] = {}
         """Crashes under tasks of durable jobs, from their stored records."""
         self._succeeded: dict[TaskKey, float] = {}
@@ -276,7 +278,10 @@
         self._crashes[incarnation] = crash
         for run in crash.runs:
             job_id = run.task.job_id
-            self._crashes_by_job.setdefault(job_id, set()).add(incarnation)
+            crashes = self._crashes_by_job.setdefault(job_id, set())
+            crashes.add(incarnation)
+            if len(crashes) >= MIN_CRASHES:
+                self._recurrent.add(job_id)
 
     def _remove(self, incarnation: TargetIncarnation) -> None:
         """Remove a crash, if it is known."""
@@ -284,10 +289,13 @@
         self._causes.pop(incarnation, None)
         self._outdated.discard(incarnation)
         for run in crash.runs if crash else ():
-            crashes = self._crashes_by_job.get(run.task.job_id, set())
+            job_id = run.task.job_id
+            crashes = self._crashes_by_job.get(job_id, set())
             crashes.discard(incarnation)
+            if len(crashes) < MIN_CRASHES:
+                self._recurrent.discard(job_id)
             if not crashes:
-                self._crashes_by_job.pop(run.task.job_id, None)
+                self._crashes_by_job.pop(job_id, None)
 
     def _forget_suspicions(self, job_id: JobId) -> None:
         """Discard what is cached about a job."""
@@ -446,10 +454,10 @@
             for jobs that are among their suspects.
         """
         innocence: dict[JobId, float] = {}
-        for job_id, crashes in self._crashes_by_job.items():
-            if len(crashes) < MIN_CRASHES:
-                continue
-            for incarnation in crashes - set(revised):
+        for job_id in self._recurrent:
+            for incarnation in self._crashes_by_job[job_id]:
+                if incarnation in revised:
+                    continue
                 causes = self._causes.get(incarnation, NO_CAUSES)
                 weight = causes.by_job.get(job_id, 0.0)
                 innocence[job_id] = innocence.get(job_id, 1.0) * (1.0 - weight)
@@ -465,9 +473,8 @@
         causes = [each for _, each in crashes]
         blamed = {
             run.queue
-            for job_id in (*self._crashes_by_job, *self._stored)
-            if self._may_be_sufficient(job_id)
-            and self.suspicion_of(job_id).is_sufficient
+            for job_id in self._recurrent | self._stored.keys()
+            if self.suspicion_of(job_id).is_sufficient
             for incarnation in self._crashes_by_job.get(job_id, ())
             for run in self._crashes[incarnation].runs
             if run.task.job_id == job_id
@@ -482,11 +489,6 @@
             if queue is not None and queue in blamed
         )
 
-    def _may_be_sufficient(self, job_id: JobId) -> bool:
-        """Return whether a job may have had enough crashes to be given up."""
-        known = self._crashes_by_job.get(job_id, ())
-        return len(known) >= MIN_CRASHES or job_id in self._stored
-
     def _suspicion(
         self,
         job_id: JobId,
