Give a stalled process some turns before it gives up on a peer

Cause: opening a connection takes about four turns of the event loop and may take 0.3 s. A process that is held up for 0.1 s at each turn never opens one, though the store responds at once: the timeout measures this process, not the store. Class: a timeout that is taken for a failure of the other side.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -205,3 +205,11 @@
     Given an ingress that completes all jobs
     When a job is submitted to a route that is added while its body arrives
     Then the response has status 200
+
+  # Guards against a busy process that gives up on a store that responds, and
+  # so keeps an outdated configuration.
+  Scenario: A process whose event loop lags by 0.2 s gets responses of a new server
+    Given a server in a thread of its own that responds at once
+    And an event loop that is held up for 0.2 s at each turn
+    When a call with a timeout of 1 s is made on a new connection
+    Then the call gets a response
--- a/src/fulmarscale/platform/http_client.py
+++ b/src/fulmarscale/platform/http_client.py
@@ -15,6 +15,8 @@
 
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
+from fulmarscale.patience import run_with_timeout
+from fulmarscale.patience import wait_until_done
 
 CONNECT_TIMEOUT_S: Final = 0.3
 """Timeout for opening a connection.
@@ -103,11 +105,8 @@
         loop = asyncio.get_running_loop()
         pending = self._pending = loop.create_future()
         self._transport.write(request)
-        # Not asyncio.timeout, which would cancel a wait whose response is read
-        # in the same turn of the event loop as its deadline.
         try:
-            await asyncio.wait((pending,), timeout=deadline_at - loop.time())
-            if not pending.done():
+            if not await wait_until_done(pending, deadline_at - loop.time()):
                 raise TimeoutError
             return pending.result()
         finally:
@@ -239,11 +238,11 @@
         deadline_at = asyncio.get_running_loop().time() + timeout_s
         try:
             async with (
-                asyncio.timeout_at(deadline_at) as connect_limit,
+                asyncio.timeout_at(deadline_at) as slot_limit,
                 self._slots,
             ):
-                connection = await self._acquire()
-                connect_limit.reschedule(None)
+                slot_limit.reschedule(None)
+                connection = await self._acquire(deadline_at)
                 request = head.encode() + body
                 response = await connection.call(request, deadline_at)
         except TimeoutError as error:
@@ -259,9 +258,10 @@
             self._release(connection)
         return response
 
-    async def _acquire(self) -> HttpConnection:
+    async def _acquire(self, deadline_at: float) -> HttpConnection:
         """Return an idle connection, or open one.
 
+        :param deadline_at: when to give up, by the event loop's time.
         :raises RequestError: if no connection could be opened.
         """
         while self._idle:
@@ -270,11 +270,12 @@
                 return connection
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
+        timeout_s = min(self._connect_timeout_s, deadline_at - loop.time())
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, connection = await loop.create_connection(
-                    HttpConnection, host, int(port)
-                )
+            _, connection = await run_with_timeout(
+                loop.create_connection(HttpConnection, host, int(port)),
+                timeout_s,
+            )
         except (OSError, TimeoutError) as error:
             raise RequestError(
                 repr(error),
