Answer 404 only by a configuration that is known to be the newest

What callers saw (operators' record): 404 for a route that had been acknowledged 17 s before, by an entry that was behind and didn't ask. Cause: an entry answers by its copy whatever its age; nothing bounds it. Class: a stale cache served as the truth. Change: the change feed confirms the copy, each 1.5 s while the store responds; a full read doesn't, as it may be stale, so a feed without a wait follows it. 1.8 s after the last confirmation a request that matches no queue gets 503 with Retry-After. Jobs of known queues are still accepted. A copy that is older than the store's history at once is read again after a pause, not in a loop. Evidence: both new scenarios of features/platform failed before (404 for 503, confirmed 2 times for 0).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -68,6 +68,22 @@
     When the operators' configuration is followed until revision 8
     Then the adopted revisions are 5 and 8
 
+  # Guards against 404 by a configuration that the store may have replaced.
+  Scenario: A route that an outdated configuration lacks is not reported as missing
+    Given an ingress that completes all jobs
+    And its configuration was confirmed 2 s ago
+    When a caller sends a job for an unknown queue
+    Then the response is 503 with Retry-After
+
+  # Guards against a stale read that counts as the newest configuration.
+  Scenario: A configuration is confirmed by the change feed, not by a read
+    Given a store whose change history has expired after revision 5
+    When the operators' configuration is followed until revision 8
+    Then it was confirmed 0 times
+    Given a store that returns revision 3, and no changes after it
+    When the operators' configuration is followed until the first feed
+    Then it was confirmed 1 times
+
   Scenario: A configuration that can't be decoded leaves the last one in effect
     Given a store whose second configuration can't be decoded
     When the operators' configuration is followed until the second one
--- a/features/steps/odd_input_steps.py
+++ b/features/steps/odd_input_steps.py
@@ -270,6 +270,7 @@
         1,
         (Queue(QueueName("q"), "site.example", "/q/", ServiceName("press")),),
     )
+    site_age_s = 0.0
     is_stopping = False
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -233,6 +233,11 @@
         context.job_service.fake_configuration = SiteConfig()
 
 
+@given("its configuration was confirmed {s:g} s ago")
+def set_site_age(context: Context, s: float) -> None:
+    context.job_service.fake_site_age_s = s
+
+
 @when("a caller sends a best-effort job and disconnects")
 def send_and_disconnect(context: Context) -> None:
     body = msgspec.json.encode(JOB)
@@ -386,6 +391,7 @@
 @when("the operators' configuration is followed {extent}")
 def follow_configuration(context: Context, extent: str) -> None:
     context.adopted = []
+    context.confirmed = 0
 
     async def run() -> None:
         store: Any = FakeStore(context.reads, context.feed_results)
@@ -393,7 +399,12 @@
         def record_revision(site: SiteConfig) -> None:
             context.adopted.append(site.revision)
 
-        follower = make_site_follower(store, record_revision, LOG)
+        def record_confirmation() -> None:
+            context.confirmed += 1
+
+        follower = make_site_follower(
+            store, record_revision, LOG, record_confirmation
+        )
         follower.start()
         await store.exhausted.wait()
         await follower.close()
@@ -401,6 +412,17 @@
     asyncio.run(run())
 
 
+@given("a store that returns revision 3, and no changes after it")
+def make_idle_store(context: Context) -> None:
+    context.reads = [make_rows(3)]
+    context.feed_results = [WireRows(3, ())]
+
+
+@then("it was confirmed {count:d} times")
+def check_confirmed(context: Context, count: int) -> None:
+    assert context.confirmed == count, context.confirmed
+
+
 @then("the adopted revisions are {first:d} and {second}")
 def check_adopted(context: Context, first: int, second: str) -> None:
     expected = [first] if second == "nothing else" else [first, int(second)]
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -35,6 +35,13 @@
 DEADLINE_HEADER: Final = b"deadline-ms"
 """Header with the time that a caller waits, in milliseconds."""
 
+MAX_SITE_AGE_S: Final = 1.8
+"""Age of the configuration up to which a route that it lacks doesn't exist.
+
+A change has to be in force within 2 s, and the store confirms the
+configuration every 1.5 s while it responds.
+"""
+
 UNAVAILABLE: Final = 503
 GONE: Final = 410
 
@@ -98,9 +105,7 @@
             return
         queue = site.find_queue(host, scope["path"])
         if queue is None:
-            await self._reject(
-                send, scope, 404, "no queue matches the host and path"
-            )
+            await self._reject_unknown_queue(send, scope)
             return
         name = scope["path"].removeprefix(queue.path_prefix)
         method = scope["method"]
@@ -128,6 +133,22 @@
                 scope, receive, send, queue, JobId(name), body, wait_s
             )
 
+    async def _reject_unknown_queue(
+        self, send: Any, scope: dict[str, Any]
+    ) -> None:
+        """Respond to a request that no queue of the configuration matches.
+
+        While a newer configuration may exist, the caller has to try again.
+        """
+        if self._job_service.site_age_s > MAX_SITE_AGE_S:
+            await self._reject(
+                send, scope, UNAVAILABLE, "the configuration may be outdated"
+            )
+            return
+        await self._reject(
+            send, scope, 404, "no queue matches the host and path"
+        )
+
     async def _query_or_cancel(
         self, scope: dict[str, Any], send: Any, job_id: JobId
     ) -> None:
--- a/src/fulmarscale/platform/table_follower.py
+++ b/src/fulmarscale/platform/table_follower.py
@@ -64,7 +64,7 @@
         self._table = table
         self._on_change = on_change
         self._on_read = on_read
-        """Called after each read that leaves the copy up to date."""
+        """Called whenever the store shows that the copy is up to date."""
         self._log = log
         self._is_partitioned = is_partitioned
         self._rows: Rows = {}
@@ -83,17 +83,24 @@
 
     async def _run(self) -> None:
         needs_full_read = True
+        wait_s = 0.0
         while True:
             try:
                 if needs_full_read:
                     needs_full_read = not await self._read_all()
+                    # A read may be stale; the feed shows at once if it is.
+                    wait_s = 0.0
                 else:
-                    await self._read_changes()
-                if self._on_read is not None and not needs_full_read:
-                    self._on_read()
+                    await self._read_changes(wait_s)
+                    wait_s = FEED_WAIT_S
+                    if self._on_read is not None:
+                        self._on_read()
                 self._log_recovery()
             except HistoryGoneError:
                 needs_full_read = True
+                if wait_s == 0.0:
+                    # The copy that was just read is already too old.
+                    await asyncio.sleep(RETRY_DELAY_S)
             except FulmarError as error:
                 self._log_failure(error)
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -132,9 +139,13 @@
             rows += (await self._store.read(self._table, part)).rows
         return WireRows(first_read.ver, tuple(rows))
 
-    async def _read_changes(self) -> None:
+    async def _read_changes(self, wait_s: float) -> None:
+        """Read the changes since the last read.
+
+        :param wait_s: how long the store may wait for one, in seconds.
+        """
         changes = await self._store.read_changes(
-            self._table, self._version, FEED_WAIT_S
+            self._table, self._version, wait_s
         )
         if changes.ver < self._version:
             return
