Scan for jobs without an owner whenever one may have been removed

Cause: the scan of the records was tied to this entry's own acknowledged write. If the answer to the removal of a lost entry's row was lost, or the job's first write was applied after its owner was gone, no event requested one. Class: a follow-up of a write that is done only if the write is acknowledged. Change: a removal without an answer counts once the row is read or reported as gone; a submission that finds its job stored under an owner without a lease requests a scan.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -56,6 +56,33 @@
     Then the store records job "a" as completed
     And no guarantee for durable jobs is violated
 
+  # Guards against jobs that nobody takes over as one answer was lost.
+  Scenario: A lost owner's jobs are taken over though the answer to its removal is lost
+    Given a simulated site of 3 entries, 8 targets and a store
+    And the answer to the next removal of a lease row is lost
+    When durable job "a" with steps of 3, 4 and 2 tasks of 3000 ms is submitted to entry 0
+    And 1 s pass
+    And entry 0 is killed
+    And 40 s pass
+    Then the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+
+  # Guards against an accepted job whose stored owner is gone.
+  Scenario: A job whose first write is applied after its owner was lost is taken over
+    Given a simulated site of 3 entries, 8 targets and a store
+    When durable job "b" of 2 tasks of 300 ms is submitted to entry 1
+    And 2 s pass
+    And the store fails in mode late for 0.2 s
+    And durable job "a" of 4 tasks of 300 ms is submitted to entry 0
+    And 0.1 s pass
+    And entry 0 is killed and restarts after 0.5 s
+    And 3 s pass
+    And durable job "a" of 4 tasks of 300 ms is submitted to entry 1
+    And 30 s pass
+    Then the caller of job "a" got the outcome stored
+    And the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+
   Scenario: An accepted durable job survives a restart of all entries and agents
     Given a simulated site of 2 entries, 3 targets and a store
     When durable job "a" of 8 tasks of 500 ms is submitted to entry 0
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -108,6 +108,11 @@
     context.run_site.clock.call_in(span_s, restore)
 
 
+@given("the answer to the next removal of a lease row is lost")
+def lose_removal(context: Context) -> None:
+    context.run_site.rows.loses_next_removal = True
+
+
 @when("the store rejects all calls for {span_s:g} s")
 def reject_all(context: Context, span_s: float) -> None:
     set_store_mode(context, StoreMode.REJECTS, span_s)
--- a/features/support/fake_row_store.py
+++ b/features/support/fake_row_store.py
@@ -12,6 +12,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from fulmarscale.entry.durable.record import MEMBER_TABLE
 from fulmarscale.entry.durable.rows import CommitResult
 from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.durable.rows import Row
@@ -60,6 +61,8 @@
         """Number of writes to each row, deletions included."""
         self.mode = StoreMode.HEALTHY
         """How calls are handled now."""
+        self.loses_next_removal = False
+        """Whether the answer to the next removal of a lease row is lost."""
         self.disconnected_entries: set[str] = set()
         """Names of entries whose calls are neither applied nor answered."""
 
@@ -83,6 +86,13 @@
         )
         if mode is StoreMode.LOSES_ANSWERS and self._call_count % 2:
             mode = StoreMode.HEALTHY
+        is_removal = any(
+            write.value is None and write.row_key.table == MEMBER_TABLE
+            for write in writes
+        )
+        if is_removal and self.loses_next_removal:
+            self.loses_next_removal = False
+            mode = StoreMode.LOSES_ANSWERS
         match mode:
             case StoreMode.HEALTHY:
                 self._clock.call_in(
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -269,7 +269,8 @@
         self, members: tuple[MemberRow, ...], now: float
     ) -> list[ManagerAction]:
         """Update the lease rows of all entries."""
-        self._membership.update_rows(members, now)
+        if self._membership.update_rows(members, now):
+            self._needs_scan = True
         return self._take_actions(now)
 
     def apply_cancellation(
@@ -590,6 +591,13 @@
             # This entry stored it, before it lost its lease.
             row = JobRow(job.job_id, record, version)
             self._take_over(row, now)
+        elif (
+            record is not None
+            and record.state is DurableJobState.OPEN
+            and not self._membership.is_live(record.owner)
+        ):
+            # Its first write was applied after the owner was lost.
+            self._needs_scan = True
 
     def _stop_lost_job(
         self, job: DurableJob, reason: str, version: int
--- a/src/fulmarscale/entry/durable/membership.py
+++ b/src/fulmarscale/entry/durable/membership.py
@@ -85,6 +85,8 @@
         """Whether a renewal is in flight."""
         self._removing: set[str] = set()
         """Entries whose rows this entry is removing."""
+        self._unconfirmed: set[str] = set()
+        """Entries for which the answer to a removal was lost."""
         self._others: dict[str, OtherEntry] = {}
         self._inherited_counts: dict[str, int] = {}
         """Pending jobs in former owners' rows, until these are taken over.
@@ -114,13 +116,29 @@
             for other in self._others.values()
         )
 
-    def update_rows(self, members: tuple[MemberRow, ...], now: float) -> None:
+    def is_live(self, owner: EntryId) -> bool:
+        """Return whether an owner of jobs has a lease row, as last read.
+
+        :param owner: the entry and its incarnation.
+        """
+        if owner.name == self._entry.name:
+            return owner == self._entry
+        other = self._others.get(owner.name)
+        return (
+            other is not None and other.member.incarnation == owner.incarnation
+        )
+
+    def update_rows(self, members: tuple[MemberRow, ...], now: float) -> bool:
         """Update the copies of other entries' rows.
 
         :param members: the rows of all entries.
         :param now: the entry's time.
+        :returns: whether a removal by this entry was applied after all, to
+            which the answer was lost.
         """
         listed = {row.name for row in members}
+        is_removed = bool(self._unconfirmed - listed)
+        self._unconfirmed &= listed
         for name in list(self._others):
             if name not in listed:
                 del self._others[name]
@@ -130,6 +148,7 @@
             previous = self._others.get(row.name)
             if previous is None or previous.version < row.version:
                 self._others[row.name] = OtherEntry(row, now)
+        return is_removed
 
     def renew_if_due(
         self, pending: dict[str, int], now: float
@@ -191,17 +210,7 @@
         :returns: whether another entry's expired row was removed.
         """
         if name != self._entry.name:
-            self._removing.discard(name)
-            if answer.status is CommitStatus.APPLIED:
-                removed = self._others.pop(name, None)
-                if removed is not None:
-                    self._add_inherited(removed.member.pending)
-                return True
-            other = self._others.get(name)
-            if other is not None and answer.status is CommitStatus.CONFLICT:
-                # The other entry has renewed its lease in the meantime.
-                other.changed_at = now
-            return False
+            return self._resolve_removal(name, answer, now)
         self._is_writing = False
         if answer.status is CommitStatus.APPLIED:
             self._row_version = answer.version
@@ -214,6 +223,39 @@
         self._sent_at = float("-inf")
         return False
 
+    def _resolve_removal(
+        self, name: str, answer: CommitResult, now: float
+    ) -> bool:
+        """Process the store's answer to the removal of an expired row.
+
+        :param name: the entry whose row was to be removed.
+        :param answer: the answer.
+        :param now: the entry's time.
+        :returns: whether this entry has removed it.
+        """
+        self._removing.discard(name)
+        if answer.status is CommitStatus.APPLIED:
+            self._unconfirmed.discard(name)
+            removed = self._others.pop(name, None)
+            if removed is not None:
+                self._add_inherited(removed.member.pending)
+            return True
+        if answer.status is CommitStatus.UNKNOWN:
+            if name not in self._others:
+                # The row was read as removed before the answer timed out.
+                return True
+            self._unconfirmed.add(name)
+        if answer.status is not CommitStatus.CONFLICT:
+            return False
+        is_gone = not answer.rows
+        other = self._others.get(name)
+        if other is not None and not is_gone:
+            # The other entry has renewed its lease in the meantime.
+            other.changed_at = now
+        is_own_removal = is_gone and name in self._unconfirmed
+        self._unconfirmed.discard(name)
+        return is_own_removal
+
     def _handle_conflict(self, rows: tuple[Row, ...]) -> None:
         """Adopt the version of the row in the store.
 
