Store the fencing token with the agent's row

Cause: a token never falls, a runner's clock starts anew. The agent's next process began at the new clock, was refused and raised its token by one a call. Class: state that must outlive a process, derived from a clock that doesn't. Change: the agent's row holds the token; the next process begins above it, also when it is lost before its first heartbeat. If the row can't be read, refused tokens double. The two new scenarios of features/platform call new functions, so they can't run on the code before. platform and process: 72 passed.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -114,6 +114,19 @@
     When a lease is renewed twice, first with a fencing token of 100
     Then the second renewal carries a fencing token of 5000 or more
 
+  # Guards against agents that their targets refuse for good.
+  Scenario: A restarted agent is accepted by a runner whose clock has started anew
+    Given a runner at time 3000 that has received the fencing token 482114
+    When an agent that has read the fencing token 482114 from its row renews a lease
+    Then the runner accepts renewal 1
+    When an agent whose row could not be read renews a lease 30 times
+    Then the runner accepts renewal 30
+
+  # Guards against the loss of a fencing token with the agent that used it.
+  Scenario: An agent stores its fencing token with its target
+    When an agent writes its row with the fencing token 482114
+    Then an agent that starts again reads the fencing token 482114
+
   Scenario: Responses to start requests are mapped to unknown, rejected and number_too_low
     Given a runner that leaves one start request without a response, then rejects one as "late" and one as "old"
     When three start requests are sent
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -23,6 +23,7 @@
 from fulmarscale.agent.run_target_client import TargetUnreachableError
 from fulmarscale.cli._settings_watcher import SettingsWatcher
 from fulmarscale.entry.durable.record import DurableJobState
+from fulmarscale.entry.durable.rows import Row
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import JobState
@@ -67,6 +68,7 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from fulmarscale.entry.durable.rows import RowKey
     from standins.http_stub import StubRequest
 
 ENTRY = EntryId("e", 1)
@@ -95,6 +97,14 @@
 }
 
 
+TARGET_REPORT = TargetReport(
+    TARGET_INCARNATION,
+    ServiceName("press"),
+    "here",
+    TargetState.READY,
+    Resources(16000),
+)
+
 JOB_SPEC = JobSpec("text", (Step(1, Resources(1600, 64, 0), 0.12),))
 
 
@@ -545,6 +555,96 @@
     context.respond = respond
 
 
+@given(
+    "a runner at time {clock_ms:d} that has received the fencing token"
+    " {token:d}"
+)
+def make_reborn_runner(context: Context, clock_ms: int, token: int) -> None:
+    def respond(request: StubRequest) -> StubResponse:
+        sent = msgspec.json.decode(request.body)["fencingToken"]
+        if sent < token:
+            body: dict[str, Any] = {"clockMs": clock_ms, "reason": "fence"}
+            return StubResponse(409, msgspec.json.encode(body))
+        body = {"clockMs": clock_ms, "born": 77, "running": [], "ended": []}
+        return StubResponse(200, msgspec.json.encode(body))
+
+    context.respond = respond
+
+
+def renew_times(context: Context, token: int, times: int) -> None:
+    """Renew a lease as a new process; records which renewals succeed."""
+
+    async def work(runner: RunnerClient) -> None:
+        context.renewals = []
+        runner.supersede(token)
+        for _ in range(times):
+            try:
+                await runner.renew(TARGET_INCARNATION, 0, 0.0, extend=True)
+                context.renewals.append(True)
+            except TargetUnreachableError:
+                context.renewals.append(False)
+
+    run_with_runner(context, context.respond, work)
+
+
+@when(
+    "an agent that has read the fencing token {token:d} from its row renews a"
+    " lease"
+)
+def renew_with_token(context: Context, token: int) -> None:
+    renew_times(context, token, 1)
+
+
+@when("an agent whose row could not be read renews a lease {times:d} times")
+def renew_without_token(context: Context, times: int) -> None:
+    renew_times(context, 0, times)
+
+
+@then("the runner accepts renewal {number:d}")
+def check_renewal(context: Context, number: int) -> None:
+    assert context.renewals[number - 1], context.renewals
+
+
+@when("an agent writes its row with the fencing token {token:d}")
+def write_token(context: Context, token: int) -> None:
+    rows: list[bytes] = []
+
+    class RowHolder:
+        """A store that holds one row."""
+
+        async def put(self, table: str, key: str, value: bytes) -> int:
+            rows.append(value)
+            return len(rows)
+
+        async def read_row(self, name: RowKey) -> Row | None:
+            return Row(name, rows[-1], len(rows)) if rows else None
+
+    async def run() -> None:
+        store: Any = RowHolder()
+        registrar = AgentRegistrar(store, "a", "127.0.0.1:1", LOG)
+        registrar.update_target(TARGET_REPORT, "127.0.0.1:2", token)
+        registrar.start()
+        while not rows:
+            await asyncio.sleep(0)
+        await registrar.close()
+        # The next process writes its row before its target's heartbeat.
+        following = AgentRegistrar(store, "a", "127.0.0.1:1", LOG)
+        await following.read_previous_row()
+        following.start()
+        while len(rows) < 2:
+            await asyncio.sleep(0)
+        await following.close()
+        last = AgentRegistrar(store, "a", "127.0.0.1:1", LOG)
+        context.restored = await last.read_previous_row()
+
+    asyncio.run(run())
+
+
+@then("an agent that starts again reads the fencing token {token:d}")
+def check_stored_token(context: Context, token: int) -> None:
+    assert context.restored.fencing_token == token, context.restored
+
+
 @given("a runner that accepts every renewal")
 def make_accepting_runner(context: Context) -> None:
     def respond(_: StubRequest) -> StubResponse:
@@ -660,14 +760,9 @@
 
 @given("a store whose row of the agent is {row}")
 def make_row_store(context: Context, row: str) -> None:
-    report = TargetReport(
-        TARGET_INCARNATION,
-        ServiceName("press"),
-        "here",
-        TargetState.READY,
-        Resources(16000),
+    value = msgspec.json.encode(
+        AgentRow("10.0.0.1:7", TARGET_REPORT, "10.0.0.2:8")
     )
-    value = msgspec.json.encode(AgentRow("10.0.0.1:7", report, "10.0.0.2:8"))
     if row == "malformed":
         value = b"{"
     text = base64.b64encode(value).decode()
--- a/src/fulmarscale/cli/site_agent.py
+++ b/src/fulmarscale/cli/site_agent.py
@@ -71,7 +71,9 @@
             runner.update_from_heartbeat(
                 target.incarnation, heartbeat.address, heartbeat.clock_ms
             )
-            registrar.update_target(target, heartbeat.address)
+            registrar.update_target(
+                target, heartbeat.address, runner.fencing_token
+            )
 
     heartbeats = AsgiServer(
         HeartbeatApp(on_heartbeat, log),
@@ -86,6 +88,8 @@
     await process.start(settings.address, settings.stream_port)
     follower.start()
     restored = await registrar.read_previous_row()
+    if restored is not None:
+        runner.supersede(restored.fencing_token)
     if restored is not None and restored.target is not None:
         runner.resume_target(
             restored.target.incarnation, restored.target_address
--- a/src/fulmarscale/platform/agent_registration.py
+++ b/src/fulmarscale/platform/agent_registration.py
@@ -15,6 +15,7 @@
 
 from fulmarscale.background import BackgroundTask
 from fulmarscale.decoding import decode_json
+from fulmarscale.decoding import NonNegativeInt
 from fulmarscale.entry.durable.rows import RowKey
 from fulmarscale.entry.jobs.subset import AnnouncedAgent
 from fulmarscale.errors import FulmarError
@@ -45,6 +46,8 @@
     """The target's latest report; none before its first heartbeat."""
     target_address: str = ""
     """IP:port on which the target accepts requests."""
+    fencing_token: NonNegativeInt = 0
+    """The agent's fencing token at the target; 0 if there is none yet."""
 
     def to_announced_agent(self, name: str) -> AnnouncedAgent:
         """Convert to the properties by which entries select agents.
@@ -103,11 +106,19 @@
             row = await self._store.read_row(
                 RowKey(AGENT_TABLE, "", self._name)
             )
-            return None if row is None else decode_agent_row(row.value)
+            if row is None:
+                return None
+            previous = decode_agent_row(row.value)
         except (FulmarError, msgspec.MsgspecError) as error:
             # The next heartbeat, within a second, has the same information.
             self._log.write(Event.AGENT_ROW_UNKNOWN, detail=str(error))
             return None
+        # Kept until the target's next heartbeat, as this process may be lost
+        # before it.
+        self._row = msgspec.structs.replace(
+            self._row, fencing_token=previous.fencing_token
+        )
+        return previous
 
     def start(self) -> None:
         """Start writing the row in the background."""
@@ -117,13 +128,16 @@
         """Stop writing the row."""
         await self._task.close()
 
-    def update_target(self, report: TargetReport, address: str) -> None:
+    def update_target(
+        self, report: TargetReport, address: str, token: int
+    ) -> None:
         """Set the row's target; writes the row if it changes.
 
         :param report: the target's latest report.
         :param address: IP:port on which the target accepts requests.
+        :param token: the agent's fencing token at the target.
         """
-        row = AgentRow(self._row.address, report, address)
+        row = AgentRow(self._row.address, report, address, token)
         if row != self._row:
             self._row = row
             self._changed.set()
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -17,6 +17,7 @@
 from fulmarscale.agent.run_target_client import RunTargetClient
 from fulmarscale.agent.run_target_client import TargetUnreachableError
 from fulmarscale.decoding import decode_json
+from fulmarscale.decoding import MAX_INTEGER
 from fulmarscale.decoding import NonNegativeInt
 from fulmarscale.events import Event
 from fulmarscale.platform.http_client import CONNECT_TIMEOUT_S
@@ -43,6 +44,9 @@
 MAX_CONNECTIONS: Final = 48
 """Limit of connections, below the 64 that a runner accepts."""
 
+TOKEN_GROWTH: Final = 2
+"""Factor between fencing tokens that are tried while none is known."""
+
 OK: Final = 200
 CONFLICT: Final = 409
 
@@ -76,13 +80,20 @@
         self._fencing_token = 0
         """Sent with each request; the runner rejects decreasing tokens."""
 
+    def supersede(self, token: int) -> None:
+        """Use higher fencing tokens than an earlier process of this agent.
+
+        :param token: the last one of that process; 0 if it isn't known.
+        """
+        if token > 0:
+            self._fencing_token = max(self._fencing_token, token + 1)
+
     def resume_target(
         self, incarnation: TargetIncarnation, address: str
     ) -> None:
         """Use the runner that an earlier process of this agent used.
 
-        The runner's clock becomes known from its first response, which
-        rejects the token 0 if the earlier process had a higher one.
+        The runner's clock becomes known from its first response.
         """
         self._client.set_address(address)
         self._incarnation = incarnation
@@ -94,10 +105,11 @@
 
         The fencing token is the runner's clock at the first heartbeat of its
         incarnation that this process receives. It thus increases across
-        restarts of the agent without a store or the wall clock. A runner's
-        clock starts anew with its incarnation, but the token never falls:
-        requests to the previous incarnation may still arrive at this one, and
-        have to be rejected.
+        restarts of the agent, unless the runner has started again between
+        them, for which the agent's row holds the last token. A runner's clock
+        starts anew with its incarnation, but the token never falls: requests
+        to the previous incarnation may still arrive at this one, and have to
+        be rejected.
         """
         self._client.set_address(address)
         if incarnation == self._incarnation:
@@ -107,6 +119,11 @@
         self._fencing_token = max(self._fencing_token + 1, clock_ms)
         self._update_clock_offset(clock_ms)
 
+    @property
+    def fencing_token(self) -> int:
+        """The token that is sent with each request."""
+        return self._fencing_token
+
     @property
     def timeout(self) -> ResponseTimeout:
         """The timeout of requests to the runner."""
@@ -261,15 +278,25 @@
             return ""
         reason = self._read_reason(response)
         if reason == "fence":
-            # An earlier process of this agent used a higher token.
-            now_ms = round(boottime_s() * 1000 + self._clock_offset_ms)
-            self._fencing_token = max(self._fencing_token + 1, now_ms)
+            self._raise_fencing_token()
         if reason == "late":
             # The lease in the request had expired by the runner's clock: the
             # estimate of that clock was too low.
             self._log.write(Event.TARGET_CLOCK_REREAD)
         return reason
 
+    def _raise_fencing_token(self) -> None:
+        """Raise the token, as an earlier process of this agent had a higher.
+
+        It is at most the runner's time, unless that process had used it with
+        an earlier incarnation of the runner. Then it isn't known, and is
+        approached in growing steps.
+        """
+        now_ms = round(boottime_s() * 1000 + self._clock_offset_ms)
+        if now_ms <= self._fencing_token:
+            now_ms = min(TOKEN_GROWTH * self._fencing_token, MAX_INTEGER)
+        self._fencing_token = max(self._fencing_token + 1, now_ms)
+
     def _log_failure(
         self, operation: str, task: TaskKey, number: int, detail: str
     ) -> None:
