Refuse durable jobs whose record no row can hold

Cause: nothing compares a record with the store's limit of a row. Change: a job is refused if its record with one completion for each task would exceed 65,536 bytes; that is true, as no attempt can have stored it. Remains: failed runs add completions beyond that, so a record of a large job with many failures may still outgrow its row.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -83,6 +83,17 @@
     And the store records job "a" as completed
     And no guarantee for durable jobs is violated
 
+  # Guards against a job whose record no row can hold, which blocks others.
+  Scenario: A durable job whose record would not fit into a row is refused
+    Given a simulated site of 2 entries, 3 targets and a store
+    When durable job "large" of 3000 tasks of 50 ms is submitted to entry 0
+    And 2 s pass
+    Then the caller of job "large" got the outcome refused
+    When durable job "large" of 8 tasks of 300 ms is submitted to entry 0
+    And 4 s pass
+    Then the store records job "large" as completed
+    And no guarantee for durable jobs is violated
+
   Scenario: An accepted durable job survives a restart of all entries and agents
     Given a simulated site of 2 entries, 3 targets and a store
     When durable job "a" of 8 tasks of 500 ms is submitted to entry 0
--- a/features/support/fake_row_store.py
+++ b/features/support/fake_row_store.py
@@ -25,6 +25,9 @@
 CALL_DURATION_S: Final = 0.006
 """Round trip of a call while the store is healthy."""
 
+ROW_BYTES: Final = 65_536
+"""The longest value of a row; writes of longer ones are never applied."""
+
 CALL_TIMEOUT_S: Final = 1.0
 """Time after which a caller treats an unanswered commit as unknown."""
 
@@ -93,6 +96,8 @@
         if is_removal and self.loses_next_removal:
             self.loses_next_removal = False
             mode = StoreMode.LOSES_ANSWERS
+        if any(len(write.value or b"") > ROW_BYTES for write in writes):
+            mode = StoreMode.UNRESPONSIVE
         match mode:
             case StoreMode.HEALTHY:
                 self._clock.call_in(
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -31,6 +31,7 @@
 from fulmarscale.entry.durable.record import DurableJobRecord
 from fulmarscale.entry.durable.record import DurableJobState
 from fulmarscale.entry.durable.record import encode_row
+from fulmarscale.entry.durable.record import fits_row
 from fulmarscale.entry.durable.record import JobRow
 from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import RecordedCompletion
@@ -154,7 +155,11 @@
             if existing.stored_record is not None:
                 self._answer_submitters(job_id, StorageOutcome.STORED)
             return self._take_actions(now)
+        record = DurableJobRecord(self._entry, queue, spec)
         rejection = self._rejection(now)
+        if not fits_row(record):
+            # No attempt to store it can have succeeded.
+            rejection = StorageOutcome.REFUSED
         if rejection is not None:
             self._log(
                 Event.JOB_NOT_KEPT,
@@ -162,10 +167,10 @@
                 is_owner=self._is_owner,
                 is_store_sound=self._is_store_available,
                 open_jobs=self.open_jobs,
+                fits_row=fits_row(record),
             )
             self._answer_submitters(job_id, rejection)
             return self._take_actions(now)
-        record = DurableJobRecord(self._entry, queue, spec)
         job = DurableJob(job_id, record, 0, now)
         self._jobs[job_id] = job
         self._write_queue.enqueue(job)
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -39,6 +39,16 @@
 (`writesPerS`).
 """
 
+MAX_ROW_BYTES: Final = 65_536
+"""The longest value of a row on the platform (`rowBytes`)."""
+
+COMPLETION_BYTES: Final = 40
+"""Most bytes by which a completion makes a job's record longer.
+
+A target's id has 12 bytes; its start, the position and the task's number are
+integers of up to 9 bytes.
+"""
+
 
 class DurableJobState(Enum):
     """The state of a durable job."""
@@ -186,6 +196,16 @@
     return msgspec.msgpack.encode(value)
 
 
+def fits_row(record: DurableJobRecord) -> bool:
+    """Return whether a new job's record fits into a row until its end.
+
+    It grows with each completion. Runs that fail are not counted.
+    """
+    tasks = sum(step.count for step in record.spec.steps)
+    size = len(encode_row(record)) + COMPLETION_BYTES * tasks
+    return size <= MAX_ROW_BYTES
+
+
 def decode_record(value: bytes) -> DurableJobRecord | None:
     """Decode the value of a job's row; none if it is malformed."""
     return _decode(value, DurableJobRecord)
