Record a crash that a reset connection comes before

Cause: a crash was recorded only if the renewal that marked the target as unavailable was refused. A process that ends resets its connections before its port is closed, so that this renewal often was reset, and the refused ones after it were not looked at. Class: a race between two signs of one event, of which only the first counts. Change: any refused renewal while the target has runs records the crash, once for each of its incarnations.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -35,6 +35,17 @@
     And the store records job "bad" as failed
     And no guarantee for durable jobs is violated
 
+  # Guards against crashes that are taken for lost connections.
+  Scenario: A task is given up though the targets that it crashes reset connections first
+    Given a simulated site of 2 entries, 8 targets and a store
+    And targets that crash reset connections for 0.1 s before they refuse them
+    And task 0 of job "bad" crashes each target that starts it
+    When durable job "bad" of 4 tasks of 300 ms is submitted to entry 0
+    And 20 s pass
+    Then task 0 of job "bad" was started at most 3 times
+    And the store records job "bad" as failed
+    And no guarantee for durable jobs is violated
+
   # Guards against a count of crashes that only processes in memory hold.
   Scenario: The crashes of a durable task count after a loss of all machines
     Given a simulated site of 2 entries, 8 targets and a store
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -60,6 +60,14 @@
     context.run_site.make_task_crash_targets(job, index)
 
 
+@given(
+    "targets that crash reset connections for {s:g} s before they refuse them"
+)
+def set_reset_time(context: Context, s: float) -> None:
+    for target in context.run_site.targets:
+        target.resets_for_s = s
+
+
 @then('task {index:d} of job "{job}" was started at most {most:d} times')
 def check_starts(context: Context, index: int, job: str, most: int) -> None:
     starts = context.run_site.starts_of(job, index)
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -216,10 +216,11 @@
         if self._failed_renewals < MAX_FAILED_RENEWALS:
             self._poll_after(0.0)
             return
-        is_refused = not self.target.is_up and not self.target.is_dark
         self.perform(
             self.guard.mark_target_unavailable(
-                "no answer", self._clock.now, is_refused=is_refused
+                "no answer",
+                self._clock.now,
+                is_refused=self.target.refuses_connections,
             )
         )
         self._poll_after(UNREACHABLE_RETRY_S)
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -163,6 +163,11 @@
         self.is_up = True
         self.is_dark = False
         """Whether it is down because its machine has no power."""
+        self.resets_for_s = 0.0
+        """How long connections are reset after a crash, before its port is
+        closed."""
+        self._down_since = float("-inf")
+        """When it last went down."""
         self.crashing_tasks: set[tuple[str, int]] = set()
         """Jobs and indexes of the tasks that crash the target."""
         self.crash_times: dict[Any, set[float]] = {}
@@ -215,9 +220,18 @@
             return
         self.is_up = False
         self.is_dark = is_dark
+        self._down_since = self._clock.now
         self._finish_all(RunOutcome.LAPSED)
         self._clock.call_in(down_s, self._start_again)
 
+    @property
+    def refuses_connections(self) -> bool:
+        """Whether its machine is up and its port is closed."""
+        is_port_closed = (
+            self._clock.now - self._down_since >= self.resets_for_s
+        )
+        return not self.is_up and not self.is_dark and is_port_closed
+
     def report(self) -> TargetReport:
         """Return the report that a heartbeat carries."""
         return TargetReport(
@@ -553,10 +567,11 @@
             )
 
         def handle_failure() -> None:
-            is_refused = not self.target.is_up and not self.target.is_dark
             self.perform(
                 self.guard.mark_target_unavailable(
-                    "no answer", self._clock.now, is_refused=is_refused
+                    "no answer",
+                    self._clock.now,
+                    is_refused=self.target.refuses_connections,
                 )
             )
             renew()
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -382,8 +382,10 @@
             self._is_target_available = False
             self._notify_all()
             self._log(Event.TARGET_UNREACHABLE, reason=reason)
-            if is_refused:
-                self._record_crash(now)
+        if is_refused:
+            # A process that ends resets its connections before its port is
+            # closed, so the first failure may not show the crash.
+            self._record_crash(now)
         return self._collect_actions(now)
 
     def _record_crash(self, now: float) -> None:
@@ -394,7 +396,7 @@
         target = self._target
         if target is None or target.state is not TargetState.READY:
             return
-        if not self._runs:
+        if not self._runs or self._crashes.has_crashed(target.incarnation):
             return
         crash = self._crashes.record_crash(
             target.incarnation, self._runs.values(), now
