--- a/src/fulmarscale/cli/crashes.py
+++ b/src/fulmarscale/cli/crashes.py
@@ -16,7 +16,7 @@
 from fulmarscale.cli._client import print_table
 from fulmarscale.cli._common import ExitCode
 from fulmarscale.decoding import decode_json
-from fulmarscale.entry.jobs.crash_history import CrashReport
+from fulmarscale.entry.jobs.crash_report import CrashReport
 from fulmarscale.platform.asgi import CRASHES_PATH
 
 TIMEOUT_S: Final = 5.0
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -156,10 +156,11 @@
                 self._answer_submitters(job_id, StorageOutcome.STORED)
             return self._take_actions(now)
         record = DurableJobRecord(self._entry, queue, spec)
-        rejection = self._rejection(now)
-        if not fits_row(record):
-            # No attempt to store it can have succeeded.
-            rejection = StorageOutcome.REFUSED
+        is_storable = fits_row(record)
+        # No attempt to store a record that is too long can have succeeded.
+        rejection = (
+            self._rejection(now) if is_storable else StorageOutcome.REFUSED
+        )
         if rejection is not None:
             self._log(
                 Event.JOB_NOT_KEPT,
@@ -167,7 +168,7 @@
                 is_owner=self._is_owner,
                 is_store_sound=self._is_store_available,
                 open_jobs=self.open_jobs,
-                fits_row=fits_row(record),
+                is_storable=is_storable,
             )
             self._answer_submitters(job_id, rejection)
             return self._take_actions(now)
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -45,8 +45,8 @@
 COMPLETION_BYTES: Final = 40
 """Most bytes by which a completion makes a job's record longer.
 
-A target's id has 12 bytes; its start, the position and the task's number are
-integers of up to 9 bytes.
+The target's id takes about 12 bytes; its start, the position and the task's
+number are integers of up to 9 bytes.
 """
 
 
--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -17,6 +17,11 @@
 from fulmarscale.entry.jobs.crash_attribution import find_causes
 from fulmarscale.entry.jobs.crash_attribution import find_frequent_causes
 from fulmarscale.entry.jobs.crash_attribution import KnownCrash
+from fulmarscale.entry.jobs.crash_report import CrashReport
+from fulmarscale.entry.jobs.suspicion import MAX_CRASHES
+from fulmarscale.entry.jobs.suspicion import MIN_CRASHES
+from fulmarscale.entry.jobs.suspicion import NO_SUSPICION
+from fulmarscale.entry.jobs.suspicion import Suspicion
 from fulmarscale.runs.crashes import CrashState
 from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import TaskKey
@@ -43,15 +48,6 @@
 RECURRENT_LEVEL: Final = 0.1
 """The same for a job with MIN_CRASHES under one of its tasks."""
 
-GIVE_UP_LEVEL: Final = 0.9
-"""Suspicion from which a job is given up after MIN_CRASHES."""
-
-MIN_CRASHES: Final = 2
-"""Crashes under a task after which it may be given up."""
-
-MAX_CRASHES: Final = 3
-"""Crashes under a task after which it is given up in any case."""
-
 MAX_REVISED_CRASHES: Final = 24
 """Number of the newest crashes whose causes are revised with each new one.
 
@@ -72,34 +68,6 @@
 """
 
 
-class Suspicion(msgspec.Struct):
-    """What the known crashes say about one job."""
-
-    innocence: float = 1.0
-    """Probability that the job has caused none of the crashes."""
-    counts: dict[TaskKey, int] = {}
-    """Number of crashes under each of its tasks."""
-    last_at: float = float("-inf")
-    """When the last of these crashes was."""
-
-    @property
-    def level(self) -> float:
-        """Probability that the job has caused one of the crashes."""
-        return 1.0 - self.innocence
-
-    @property
-    def max_count(self) -> int:
-        """The most crashes under one task."""
-        return max(self.counts.values(), default=0)
-
-    @property
-    def is_sufficient(self) -> bool:
-        """Whether the job is given up for these crashes."""
-        if self.max_count >= MAX_CRASHES:
-            return True
-        return self.max_count >= MIN_CRASHES and self.level >= GIVE_UP_LEVEL
-
-
 class StoredCrashes(msgspec.Struct, frozen=True):
     """The crashes under a durable job's tasks by its stored record."""
 
@@ -120,35 +88,6 @@
     """When the target crashed, by the entry's time."""
 
 
-class CrashReport(msgspec.Struct, frozen=True):
-    """A crash and its most suspected job, for operators."""
-
-    age_s: float
-    """Time since the crash, in seconds."""
-    agent: str
-    """The agent of the target."""
-    target: str
-    """The target."""
-    state: str
-    """How certain the crash is: a value of `CrashState`."""
-    queue: str
-    """The queue of the most suspected job; empty if there is none."""
-    task: str
-    """That job's youngest task on the target; empty if there is none."""
-    probability: float
-    """The probability that the job has caused the crash."""
-    crashes: int
-    """The most crashes under one of the job's tasks."""
-    is_given_up: bool
-    """Whether the job is given up for its crashes."""
-    is_confined: bool
-    """Whether the queue is confined to a part of the targets."""
-    runs: int
-    """Number of runs that the crash ended."""
-
-
-NO_SUSPICION: Final = Suspicion()
-
 NO_CAUSES: Final = CrashCauses({}, {})
 
 
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -49,7 +49,7 @@
     from fulmarscale.entry.jobs.admission import Forecast
     from fulmarscale.entry.jobs.agent_view import AgentView
     from fulmarscale.entry.jobs.bulkheads import Partition
-    from fulmarscale.entry.jobs.crash_history import CrashReport
+    from fulmarscale.entry.jobs.crash_report import CrashReport
     from fulmarscale.entry.jobs.subset import AnnouncedAgent
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.crashes import TargetCrash
