Don't take tasks of a former owner for runs that took no time

Cause: the tasks that a job's former owner completed were restored with a duration of 0. A completion inherited after the takeover counted as a run since the start of the machine's clock. Class: a zero that stands for unknown. Change: the duration is unknown unless this entry has requested the run.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -83,6 +83,20 @@
     And the store records job "a" as completed
     And no guarantee for durable jobs is violated
 
+  # Guards against runs that are moved for ever, as tasks which the former owner
+  # completed count as having taken no time.
+  Scenario: A job of which some tasks were done is completed after a takeover
+    Given a simulated site of 2 entries, 4 targets and a store
+    When durable job "a" of 4 tasks of 2000 ms is submitted to entry 0
+    And 1 s pass
+    And target 0 crashes and restarts after 1 s
+    And 1.8 s pass
+    And entry 0 is killed and restarts after 0.5 s
+    And 20 s pass
+    Then task 0 of job "a" was started at most 3 times
+    And the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+
   # Guards against a job whose record no row can hold, which blocks others.
   Scenario: A durable job whose record would not fit into a row is refused
     Given a simulated site of 2 entries, 3 targets and a store
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -67,8 +67,8 @@
         """The last reported progress of the current run."""
         self.progress_at = 0.0
         """When the progress last rose."""
-        self.ran_s = 0.0
-        """The duration of the successful run."""
+        self.ran_s: float | None = None
+        """The duration of the successful run; none if it wasn't measured."""
         self.is_slowness_recorded = False
         """Whether the slowness of the current run has been recorded."""
         self.stop_sent = False
--- a/src/fulmarscale/entry/jobs/run_monitor.py
+++ b/src/fulmarscale/entry/jobs/run_monitor.py
@@ -76,6 +76,9 @@
         :param task: the task, still assigned.
         :param now: the entry's time.
         """
+        if task.assigned_at == 0.0:
+            # A former owner of the job requested the run.
+            return
         ran_s = now - task.assigned_at
         expected_s = self._expected_s(job, task)
         if not task.is_slowness_recorded:
