Find durable jobs that are stored while ownership changes hands

What callers saw: an accepted job may be shown as running for ever (LOST). A removal without an answer that only a scan shows as applied was dropped. An entry that lost its lease forgot its unanswered first writes. One that was applied after its next lease made it the owner of a job that it didn't know, and other entries answer resubmissions as stored. Change: such a scan is followed by another one; first writes without an answer are repeated under the next lease, which resolves them.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -83,6 +83,25 @@
     And the store records job "a" as completed
     And no guarantee for durable jobs is violated
 
+  # Guards against a job that is stored between the reads of a scan.
+  Scenario: A removal that only a scan shows as applied is followed by another scan
+    Given an entry whose removal of a lost entry's lease row got no answer
+    When a scan that began before the removal shows that the row is gone
+    Then the entry scans the records again
+
+  # Guards against an accepted job whose owner doesn't know that it owns it.
+  Scenario: A job whose first write is applied after its owner's lease was renewed runs
+    Given a simulated site of 2 entries, 8 targets and a store
+    And the next write of a job's record is applied 9 s late
+    When durable job "a" of 4 tasks of 300 ms is submitted to entry 0
+    And entry 0 cannot reach the store for 6.6 s
+    And 10 s pass
+    And durable job "a" of 4 tasks of 300 ms is submitted to entry 1
+    And 20 s pass
+    Then the caller of job "a" got the outcome stored
+    And the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+
   # Guards against runs that are moved for ever, as tasks which the former owner
   # completed count as having taken no time.
   Scenario: A job of which some tasks were done is completed after a takeover
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -15,8 +15,16 @@
 from features.support.durable_site import is_idle
 from features.support.fake_row_store import StoreMode
 from features.support.run_site import QUEUE
+from fulmarscale.entry.durable.actions import CommitMember
+from fulmarscale.entry.durable.actions import ScanRecords
 from fulmarscale.entry.durable.actions import StorageOutcome
+from fulmarscale.entry.durable.manager import DurableJobManager
+from fulmarscale.entry.durable.record import MemberRecord
+from fulmarscale.entry.durable.record import MemberRow
 from fulmarscale.entry.durable.record import RECORD_TABLE
+from fulmarscale.entry.durable.rows import CommitResult
+from fulmarscale.entry.durable.rows import CommitStatus
+from fulmarscale.ids import EntryId
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -113,6 +121,41 @@
     context.run_site.rows.loses_next_removal = True
 
 
+@given("the next write of a job's record is applied {late_s:g} s late")
+def delay_record(context: Context, late_s: float) -> None:
+    context.run_site.rows.next_record_delay_s = late_s
+
+
+@given("an entry whose removal of a lost entry's lease row got no answer")
+def remove_without_answer(context: Context) -> None:
+    manager = DurableJobManager(EntryId("e1", 1))
+    manager.activate(0.0)
+    manager.update_members((MemberRow("e0", MemberRecord(1), 5),), 0.0)
+    removed = set()
+    for second in range(10):
+        for action in manager.tick({}, float(second)):
+            if not isinstance(action, CommitMember):
+                continue
+            is_own = action.name == "e1"
+            status = CommitStatus.APPLIED if is_own else CommitStatus.UNKNOWN
+            answer = CommitResult(status, second + 6)
+            manager.resolve_member_write(action.name, answer, float(second))
+            removed.add(action.name)
+    assert "e0" in removed, removed
+    context.manager = manager
+
+
+@when("a scan that began before the removal shows that the row is gone")
+def finish_scan(context: Context) -> None:
+    context.actions = context.manager.process_scan((), (), 10.0)
+
+
+@then("the entry scans the records again")
+def check_scan(context: Context) -> None:
+    scans = [a for a in context.actions if isinstance(a, ScanRecords)]
+    assert scans, context.actions
+
+
 @when("the store rejects all calls for {span_s:g} s")
 def reject_all(context: Context, span_s: float) -> None:
     set_store_mode(context, StoreMode.REJECTS, span_s)
--- a/features/support/fake_row_store.py
+++ b/features/support/fake_row_store.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.durable.record import MEMBER_TABLE
+from fulmarscale.entry.durable.record import RECORD_TABLE
 from fulmarscale.entry.durable.rows import CommitResult
 from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.durable.rows import Row
@@ -66,6 +67,11 @@
         """How calls are handled now."""
         self.loses_next_removal = False
         """Whether the answer to the next removal of a lease row is lost."""
+        self.next_record_delay_s = 0.0
+        """How late the next write of a job's record is applied.
+
+        It gets no answer. 0 for no delay.
+        """
         self.disconnected_entries: set[str] = set()
         """Names of entries whose calls are neither applied nor answered."""
 
@@ -96,6 +102,14 @@
         if is_removal and self.loses_next_removal:
             self.loses_next_removal = False
             mode = StoreMode.LOSES_ANSWERS
+        is_record = any(
+            write.row_key.table == RECORD_TABLE for write in writes
+        )
+        late_s = 2.0
+        if is_record and self.next_record_delay_s:
+            late_s = self.next_record_delay_s
+            self.next_record_delay_s = 0.0
+            mode = StoreMode.APPLIES_LATE
         if any(len(write.value or b"") > ROW_BYTES for write in writes):
             mode = StoreMode.UNRESPONSIVE
         match mode:
@@ -117,7 +131,7 @@
                 )
                 self._clock.call_in(CALL_TIMEOUT_S, lambda: on_answer(unknown))
             case StoreMode.APPLIES_LATE:
-                self._clock.call_in(2.0, lambda: self._apply(writes))
+                self._clock.call_in(late_s, lambda: self._apply(writes))
                 self._clock.call_in(CALL_TIMEOUT_S, lambda: on_answer(unknown))
 
     def is_readable(self, caller: str) -> bool:
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -89,6 +89,11 @@
         self._membership = Membership(entry)
         self._write_queue = WriteQueue()
         self._jobs: dict[JobId, DurableJob] = {}
+        self._unresolved: dict[JobId, DurableJob] = {}
+        """Jobs whose first write was pending when the lease was lost.
+
+        It may still be applied, so it is repeated under the next lease.
+        """
         self._own_pending: dict[str, int] = {}
         """Own jobs of which no task has started, by queue."""
         self._is_active = False
@@ -346,7 +351,9 @@
         :param now: the entry's time.
         """
         self._is_scanning = False
-        self._membership.update_rows(members, now)
+        if self._membership.update_rows(members, now):
+            # A job may have been stored since its shard was read.
+            self._needs_scan = True
         live_owners = {(row.name, row.member.incarnation) for row in members}
         taken = 0
         for row in records:
@@ -424,6 +431,7 @@
             self._is_owner = True
             self._needs_scan = True
             self._log(Event.OWNERSHIP_GAINED)
+            self._repeat_first_writes(now)
         if holds_lease or not self._is_owner:
             return
         self._is_owner = False
@@ -433,9 +441,24 @@
                 self._actions.append(StopJob(job.job_id))
             self._answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
             self._answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
+            if job.is_new:
+                self._unresolved[job.job_id] = job
         self._jobs.clear()
         self._write_queue.clear()
 
+    def _repeat_first_writes(self, now: float) -> None:
+        """Write the jobs whose first write was not resolved.
+
+        If it is applied later, no entry learns that this one owns the job.
+        """
+        for job_id, job in self._unresolved.items():
+            if job_id in self._jobs:
+                continue
+            self._jobs[job_id] = job
+            job.mark_dirty(now, is_urgent=True)
+            self._write_queue.enqueue(job)
+        self._unresolved.clear()
+
     def _take_over(self, row: JobRow, now: float) -> None:
         record = msgspec.structs.replace(
             row.record,
