Apply cancellations that are read before the answer to an owner's write

Cause: an owner dropped a cancellation that the change feed reported before the store's answer to its own first write, or to its takeover of the job. The feed reports a row once, so the job then started, until its next write met a conflict. A slow store makes the gap as long as the call's time-out. Change: the cancellation is remembered with the job until that answer.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -102,6 +102,12 @@
     And the store records job "a" as completed
     And no guarantee for durable jobs is violated
 
+  # Guards against a cancelled job that runs, as the cancellation was read early.
+  Scenario: A cancellation that is read before the answer to the first write counts
+    Given an entry whose first write of a job is not answered yet
+    When another entry's cancellation of the job is read before the answer
+    Then the job is cancelled and never started
+
   # Guards against runs that are moved for ever, as tasks which the former owner
   # completed count as having taken no time.
   Scenario: A job of which some tasks were done is completed after a takeover
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -15,16 +15,23 @@
 from features.support.durable_site import is_idle
 from features.support.fake_row_store import StoreMode
 from features.support.run_site import QUEUE
+from features.support.run_site import TASK
+from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.actions import CommitMember
 from fulmarscale.entry.durable.actions import ScanRecords
+from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
 from fulmarscale.entry.durable.manager import DurableJobManager
+from fulmarscale.entry.durable.record import DurableJobState
 from fulmarscale.entry.durable.record import MemberRecord
 from fulmarscale.entry.durable.record import MemberRow
 from fulmarscale.entry.durable.record import RECORD_TABLE
 from fulmarscale.entry.durable.rows import CommitResult
 from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.ids import EntryId
+from fulmarscale.runs.model import JobId
+from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import Step
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -156,6 +163,40 @@
     assert scans, context.actions
 
 
+@given("an entry whose first write of a job is not answered yet")
+def submit_without_answer(context: Context) -> None:
+    manager = DurableJobManager(EntryId("e1", 1))
+    manager.activate(0.0)
+    manager.tick({}, 0.0)
+    applied = CommitResult(CommitStatus.APPLIED, 6)
+    manager.resolve_member_write("e1", applied, 0.0)
+    manager.tick({}, 0.1)
+    spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+    actions = manager.submit_durable(JobId("a"), QUEUE, spec, 0.2)
+    commits = [a for a in actions if isinstance(a, CommitBatch)]
+    context.manager, context.commit = manager, commits[0]
+
+
+@when("another entry's cancellation of the job is read before the answer")
+def cancel_before_answer(context: Context) -> None:
+    manager, commit = context.manager, context.commit
+    context.actions = manager.apply_cancellation(JobId("a"), 8, 0.3)
+    context.actions += manager.resolve_batch(
+        commit.shard,
+        commit.attempt_number,
+        CommitResult(CommitStatus.APPLIED, 7),
+        0.4,
+    )
+
+
+@then("the job is cancelled and never started")
+def check_not_started(context: Context) -> None:
+    starts = [a for a in context.actions if isinstance(a, StartJob)]
+    assert not starts, starts
+    state = context.manager.stored_state(JobId("a"))
+    assert state is DurableJobState.CANCELLED, state
+
+
 @when("the store rejects all calls for {span_s:g} s")
 def reject_all(context: Context, span_s: float) -> None:
     set_store_mode(context, StoreMode.REJECTS, span_s)
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -285,7 +285,7 @@
         """Apply the cancellations that other entries have stored."""
         for row in rows:
             job_id = JobId(row.row_key.key)
-            if self._manager.stored_state(job_id) is None:
+            if not self._manager.has_job(job_id):
                 continue
             self._decide(self._manager.apply_cancellation, job_id, row.version)
             if row.row_key.key not in self._removing_cancel_rows:
--- a/src/fulmarscale/entry/durable/durable_job.py
+++ b/src/fulmarscale/entry/durable/durable_job.py
@@ -44,6 +44,11 @@
         """The record that the row is known to hold; none if not known yet."""
         self.version = version
         """The row's version; 0 if there is none yet."""
+        self.cancelled_version = 0
+        """The row's version with a cancellation by another entry; 0 if none.
+
+        Set while the job is not known to be stored as this entry's own.
+        """
         self.is_dirty = True
         """Whether the row has to be written."""
         self.is_urgent = True
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -126,6 +126,10 @@
             self._log(Event.KEEPING_STARTED)
         return self._take_actions(now)
 
+    def has_job(self, job_id: JobId) -> bool:
+        """Return whether this entry owns a job or is about to."""
+        return job_id in self._jobs
+
     def stored_state(self, job_id: JobId) -> DurableJobState | None:
         """Return the stored state of a job.
 
@@ -294,7 +298,13 @@
         :param now: the entry's time.
         """
         job = self._jobs.get(job_id)
-        if job is not None and job.is_open and version > job.version:
+        if job is None or not job.is_open or version <= job.version:
+            return self._take_actions(now)
+        if job.stored_record is None:
+            # The answer to the write that makes the job this entry's own is
+            # still to come.
+            job.cancelled_version = max(job.cancelled_version, version)
+        else:
             self._apply_cancellation(job, version, now)
         return self._take_actions(now)
 
@@ -531,7 +541,9 @@
         job.stored_record = item.record
         self._acknowledge(item.pending_acks, job)
         owner_epoch = item.record.owner_epoch
-        if previous is None and job.is_open:
+        if job.is_open and job.cancelled_version > version:
+            self._apply_cancellation(job, job.cancelled_version, now)
+        elif previous is None and job.is_open:
             self._actions.append(StartJob(job.job_id, item.record))
         elif previous is not None and owner_epoch != previous.owner_epoch:
             self._actions.append(ChangeOwnerEpoch(job.job_id, owner_epoch))
