Keep the runs that reached a restarted target before its agent knew

Cause: requests name a target by its id, which it keeps over a restart. An agent polls an idle target once a second, so that a start reached the next incarnation while the agent still knew the former one. Its next list showed another incarnation, all runs counted as lapsed with the former one, and the entry started the tasks elsewhere at once. The run that went on was only stopped as an orphan after the next heartbeat; short ones were done by then. Besides, a position that the former incarnation had forgotten was sent with each renewal, and made the next one forget completions that nobody had read. Change: runs that the new incarnation lists, or that are not confirmed, go on; the others end as before. A list that was asked for before an incarnation was adopted is ignored. Leases computed with the former clock count as the longest that a target grants. A position is sent only until it is forgotten.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -108,6 +108,19 @@
     When another entry's cancellation of the job is read before the answer
     Then the job is cancelled and never started
 
+  # Guards against the loss of a completion in the next incarnation of a target.
+  Scenario: Tasks that run on a restarted target before its agent knows are counted once
+    Given a simulated site of 2 entries, 3 targets and a store
+    When durable job "a" of 24 tasks of 100 ms is submitted to entry 0
+    And 6 s pass
+    And target 0 crashes and restarts after 0.05 s
+    And 0.1 s pass
+    And durable job "b" of 24 tasks of 2 ms is submitted to entry 0
+    And 6 s pass
+    Then the store records job "b" as completed
+    And 48 runs were started
+    And no guarantee for durable jobs is violated
+
   # Guards against runs that are moved for ever, as tasks which the former owner
   # completed count as having taken no time.
   Scenario: A job of which some tasks were done is completed after a takeover
--- a/features/runs.feature
+++ b/features/runs.feature
@@ -184,6 +184,25 @@
     And 8 s pass
     Then no target ran more than 5 tasks at once in its second incarnation
 
+  # Guards against a second run of a task whose first one goes on in the next
+  # incarnation of its target.
+  Scenario Outline: A start that reaches a restarted target before its agent knows runs once
+    Given a simulated site of 1 entries and 3 targets of 16 cores
+    When <idle> s pass
+    And target 0 crashes and restarts after <down> s
+    And <delay> s pass
+    And job "a" of 24 tasks of <work> ms is submitted to entry 0
+    And 4 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 0
+    And 24 runs were started
+
+    Examples:
+      | idle | down | delay | work |
+      | 3.1  | 0.05 | 0.1   | 300  |
+      | 3.1  | 0.2  | 0.21  | 300  |
+      | 3.3  | 0.05 | 0.06  | 1800 |
+
   Scenario: A target on which every run fails costs no job
     Given a simulated site of 1 entries and 4 targets of 16 cores
     And every run on simulated target 0 fails
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -13,6 +13,7 @@
 from heapq import heappush
 from typing import Any
 from typing import Final
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -26,6 +27,7 @@
 from fulmarscale.agent.run_actions import StartRun
 from fulmarscale.agent.run_actions import StopRun
 from fulmarscale.agent.run_guard import RunGuard
+from fulmarscale.agent.run_process import IDLE_POLL_S
 from fulmarscale.agent.run_process import RENEW_WAIT_S
 from fulmarscale.agent.run_process import UNACKNOWLEDGED_POLL_S
 from fulmarscale.entry.jobs.actions import AnswerJob
@@ -51,6 +53,9 @@
 from fulmarscale.runs.site_config import Queue
 from fulmarscale.runs.site_config import SiteConfig
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 HOP_DELAY_S: Final = 0.001
 """One-way delay between any two processes."""
 
@@ -255,7 +260,11 @@
         """
         if token < self.highest_token:
             return StartResponse.REJECTED
-        if action.incarnation != self.incarnation or until <= self._clock.now:
+        if (
+            # Requests name the target, and not its incarnation.
+            action.incarnation.target != self.incarnation.target
+            or until <= self._clock.now
+        ):
             return StartResponse.REJECTED
         if action.number <= self.forbidden_numbers.get(action.task, 0):
             return StartResponse.NUMBER_TOO_LOW
@@ -491,6 +500,8 @@
             lambda now: self.perform(self.guard.tick(now)),
             self.guard.tick_pause_s,
         )
+        self._poll_idle_target: Callable[[], None] | None = None
+        """Ends the wait before the next poll of an idle target."""
         self._renew_lease()
         self._schedule_heartbeat(0, first_heartbeat_s)
 
@@ -502,6 +513,7 @@
                     self._site.deliver_to_entry(self, action)
                 case StartRun():
                     self._start(action)
+                    self._poll_now()
                 case StopRun():
                     self._stop(action)
                 case ListRuns():
@@ -522,6 +534,7 @@
                         self.target.report(), number, self._clock.now
                     )
                 )
+                self._poll_now()
             self._schedule_heartbeat(number + 1)
 
         self._clock.call_in(
@@ -559,10 +572,11 @@
                     RENEW_TIMEOUT_S, lambda: self.call_or_defer(handle_failure)
                 )
                 return
+            wait_s = 0.0 if self.guard.is_idle else RENEW_WAIT_S
             self._wait_for_completion(
                 requested_at,
-                requested_at + RENEW_WAIT_S,
-                renew,
+                requested_at + wait_s,
+                lambda: self._renew_when_due(renew),
                 handle_failure,
             )
 
@@ -578,6 +592,26 @@
 
         self._clock.call_in(TICK_S, lambda: self.call_or_defer(renew))
 
+    def _renew_when_due(self, renew: Callable[[], None]) -> None:
+        """Renew at once, or after IDLE_POLL_S while the target is idle."""
+        if not self.guard.is_idle:
+            renew()
+            return
+
+        def poll() -> None:
+            if self._poll_idle_target is poll:
+                self._poll_idle_target = None
+                renew()
+
+        self._poll_idle_target = poll
+        self._clock.call_in(IDLE_POLL_S, lambda: self.call_or_defer(poll))
+
+    def _poll_now(self) -> None:
+        """Poll an idle target without waiting any longer."""
+        poll = self._poll_idle_target
+        if poll is not None:
+            self._clock.call_in(0.0, lambda: self.call_or_defer(poll))
+
     def _wait_for_completion(
         self,
         requested_at: float,
--- a/src/fulmarscale/agent/completions.py
+++ b/src/fulmarscale/agent/completions.py
@@ -11,6 +11,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarscale.agent.run import ListedCompletion
     from fulmarscale.runs.messages import CompletionAck
     from fulmarscale.runs.messages import DurableCompletion
 
@@ -34,16 +37,23 @@
         """Completions by their position in the target's list."""
         self._pending_since: dict[int, float] = {}
         """When each of them was recorded, by its position."""
+        self._forgotten_position = 0
+        """Up to where the target has forgotten its list."""
         self._newest_position = 0
         """The highest position that the target has listed."""
         self._requires_lease_expiry = False
 
     @property
     def forgettable_position(self) -> int:
-        """The newest position in its list that the target may forget."""
-        return (
+        """The newest position in its list that the target may forget.
+
+        It is 0 if there is nothing left to forget: another incarnation of the
+        target may receive the request, and must not forget its own list.
+        """
+        position = (
             min(self._pending) - 1 if self._pending else self._newest_position
         )
+        return position if position > self._forgotten_position else 0
 
     @property
     def completions(self) -> tuple[DurableCompletion, ...]:
@@ -68,6 +78,15 @@
         self._newest_position = max(self._newest_position, position)
         return is_new
 
+    def record_list(self, listed: Iterable[ListedCompletion]) -> None:
+        """Record what the target still lists.
+
+        :param listed: its list of completions.
+        """
+        position = self.forgettable_position
+        if not any(item.position <= position for item in listed):
+            self._forgotten_position = max(self._forgotten_position, position)
+
     def add_completion(
         self, completion: DurableCompletion, now: float
     ) -> None:
@@ -115,6 +134,7 @@
         """Remove everything, for another incarnation of the target."""
         self.release_all()
         self._newest_position = 0
+        self._forgotten_position = 0
 
     def _release(self, position: int) -> None:
         del self._pending[position]
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -17,6 +17,8 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from fulmarscale.agent.completions import UnacknowledgedCompletions
 from fulmarscale.agent.crash_recorder import CrashRecorder
 from fulmarscale.agent.entry_session import choose_preferred
@@ -41,6 +43,7 @@
 from fulmarscale.runs.limits import LAPSE_MARGIN_S
 from fulmarscale.runs.limits import LEASE_S
 from fulmarscale.runs.limits import MAX_ECHO_AGE_S
+from fulmarscale.runs.limits import MAX_LEASE_S
 from fulmarscale.runs.limits import TARGET_CLOCK_FACTOR
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import DurableCompletion
@@ -70,6 +73,7 @@
     from fulmarscale.runs.messages import StartRequest
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import QueueName
+    from fulmarscale.runs.model import TargetId
     from fulmarscale.runs.model import TargetReport
 
 STORED_OUTCOMES: Final = (RunOutcome.DONE, RunOutcome.FAILED)
@@ -94,6 +98,9 @@
 An entry's newest echo is kept for as long.
 """
 
+UNKNOWN_SEQUENCE: Final = -1
+"""Sequence number before the first heartbeat, lower than that of any."""
+
 EXPIRY_INTERVAL_S: Final = 1.0
 """Interval between removals of expired reports, echoes and run numbers."""
 
@@ -116,6 +123,12 @@
         self._target_sequence = 0
         """The sequence number of the newest heartbeat of this incarnation."""
         self._is_target_available = False
+        self._is_target_described = False
+        """Whether the report is of the target's present incarnation."""
+        self._incarnation_since = float("-inf")
+        """When the present incarnation was adopted."""
+        self._ignored_heartbeat: tuple[TargetReport, int] | None = None
+        """The last heartbeat of another incarnation than the present one."""
         self._listed_clock_ms = 0
         """The target's time of its newest list of runs."""
         self._lease_expires_at = float("-inf")
@@ -357,7 +370,8 @@
             return self._collect_actions(now)
         if current is not None and self._is_target_available:
             # The current incarnation responds; a heartbeat of an earlier one
-            # can arrive late.
+            # can arrive late. The list of runs shows whether it is a new one.
+            self._ignored_heartbeat = (report, sequence)
             self._log(
                 Event.HEARTBEAT_IGNORED,
                 target=report.incarnation.target,
@@ -435,16 +449,10 @@
         ):
             return self._collect_actions(now)
         if listed.incarnation != target.incarnation:
-            # The target restarted under the same id. Its capacity is unknown
-            # until its next heartbeat, so nothing starts there before.
-            self._end_incarnation(now)
-            self._target = None
-            self._log(
-                Event.TARGET_REBORN,
-                target=listed.incarnation.target,
-                born_ms=listed.incarnation.born_ms,
-            )
-            return self._collect_actions(now)
+            if renewal_sent_at < self._incarnation_since:
+                # A response of a former incarnation that was read late.
+                return self._collect_actions(now)
+            self._follow_restart(target, listed, renewal_sent_at, now)
         if listed.clock_ms < self._listed_clock_ms:
             # Responses on different connections overtake each other.
             return self._collect_actions(now)
@@ -462,6 +470,7 @@
         for completion in listed.completions:
             if self._completions.record_position(completion.position):
                 self._handle_completion(completion, now)
+        self._completions.record_list(listed.completions)
         self._update_running(listed, renewal_sent_at, now)
         return self._collect_actions(now)
 
@@ -474,7 +483,7 @@
         now: float,
     ) -> list[RunAction]:
         """Resolve a start request by the target's response."""
-        run = self._find_run(incarnation, task, number)
+        run = self._find_run(incarnation.target, task, number)
         if run is None:
             return self._collect_actions(now)
         run.start_resolved_at = now
@@ -509,8 +518,8 @@
         A run whose start was not confirmed has no end that the target would
         report, so the list of runs has to show that it doesn't run.
         """
-        run = self._find_run(incarnation, task, number)
-        if run is not None:
+        run = self._find_run(incarnation.target, task, number)
+        if run is not None and self._is_current(incarnation):
             run.is_stop_pending = False
             run.stop_acknowledged_at = min(run.stop_acknowledged_at, now)
             if not run.is_confirmed:
@@ -525,8 +534,8 @@
         now: float,
     ) -> list[RunAction]:
         """Record that a stop request failed; it is sent again soon."""
-        run = self._find_run(incarnation, task, number)
-        if run is not None:
+        run = self._find_run(incarnation.target, task, number)
+        if run is not None and self._is_current(incarnation):
             run.is_stop_pending = False
         return self._collect_actions(now)
 
@@ -612,9 +621,10 @@
                 target=report.incarnation.target,
                 state=report.state.value,
             )
-        if report != self._target:
+        if report != self._target or not self._is_target_described:
             self._notify_all()
         self._target = report
+        self._is_target_described = True
 
     @property
     def _target_state(self) -> TargetState | None:
@@ -626,7 +636,9 @@
         """Adopt another incarnation of the target once the former ended."""
         self._end_incarnation(now)
         self._target = report
+        self._is_target_described = True
         self._target_sequence = sequence
+        self._incarnation_since = now
         self._next_incarnation = None
         self._notify_all()
         self._log(
@@ -636,15 +648,89 @@
             state=report.state.value,
         )
 
+    def _follow_restart(
+        self,
+        former: TargetReport,
+        listed: RunList,
+        renewal_sent_at: float,
+        now: float,
+    ) -> None:
+        """Adopt an incarnation that has restarted under the target's id.
+
+        Runs whose start requests reached it go on. Its capacity is unknown
+        until its first heartbeat, so nothing starts there before.
+
+        :param former: the report of the former incarnation.
+        :param listed: the new incarnation's list of runs.
+        :param renewal_sent_at: when the renewal was sent.
+        :param now: the agent's time.
+        """
+        self._end_former_runs(listed, renewal_sent_at, now)
+        self._clear_incarnation()
+        self._target = msgspec.structs.replace(
+            former, incarnation=listed.incarnation
+        )
+        self._is_target_described = False
+        self._target_sequence = UNKNOWN_SEQUENCE
+        self._incarnation_since = now
+        # Until it was known, leases were computed with the former clock.
+        expires_at = now + MAX_LEASE_S * TARGET_CLOCK_FACTOR + LAPSE_MARGIN_S
+        self._lease_expires_at = max(self._lease_expires_at, expires_at)
+        self._log(
+            Event.TARGET_REBORN,
+            target=listed.incarnation.target,
+            born_ms=listed.incarnation.born_ms,
+            runs=len(self._runs),
+        )
+        for heartbeat in (self._ignored_heartbeat, self._next_incarnation):
+            if heartbeat is None:
+                continue
+            report, sequence = heartbeat
+            if self._is_current(report.incarnation):
+                self._target_sequence = sequence
+                self._update_target(report)
+        self._ignored_heartbeat = None
+        self._next_incarnation = None
+
+    def _end_former_runs(
+        self, listed: RunList, renewal_sent_at: float, now: float
+    ) -> None:
+        """Finish the runs of an incarnation that has ended.
+
+        A run whose start is not confirmed may still begin on the new one.
+
+        :param listed: the new incarnation's list of runs.
+        :param renewal_sent_at: when the renewal was sent.
+        :param now: the agent's time.
+        """
+        outcome = self._outcome_without_target
+        present = {(item.task, item.number) for item in listed.running}
+        present |= {(item.task, item.number) for item in listed.completions}
+        for run in list(self._runs.values()):
+            # Acknowledgements of the former incarnation don't hold any more.
+            run.stop_acknowledged_at = float("inf")
+            run.is_stop_pending = False
+            is_former = run.start_resolved_at < renewal_sent_at
+            if (
+                run.is_confirmed
+                and is_former
+                and (run.task, run.number) not in present
+            ):
+                self._finish_run(run, outcome, now)
+
     def _end_incarnation(self, now: float) -> None:
-        """Discard all state of an incarnation of the target that has ended."""
+        """Finish the runs of an incarnation of the target that has ended."""
         outcome = self._outcome_without_target
         for run in list(self._runs.values()):
             self._finish_run(run, outcome, now)
+        self._run_numbers.clear()
+        self._clear_incarnation()
+
+    def _clear_incarnation(self) -> None:
+        """Discard what is known of an incarnation that has ended."""
         if self._target is not None:
             self._crashes.confirm(self._target.incarnation)
         self._orphans.clear()
-        self._run_numbers.clear()
         self._is_target_available = False
         self._listed_clock_ms = 0
         self._completions.reset()
@@ -729,6 +815,7 @@
         if (
             target is None
             or not self._is_target_available
+            or not self._is_target_described
             or self._completions.requires_lease_expiry
         ):
             return RefusalReason.NO_TARGET
@@ -1025,15 +1112,28 @@
             session.reports.append(report)
 
     def _find_run(
-        self, incarnation: TargetIncarnation, task: TaskKey, number: int
+        self, target_id: TargetId, task: TaskKey, number: int
     ) -> Run | None:
+        """Return the run that a request to a target was for.
+
+        Requests name the target and not its incarnation, so that one may
+        have reached another incarnation than it was sent to.
+        """
         run = self._runs.get(task)
         if run is None or run.number != number:
             return None
-        if self._target is None or self._target.incarnation != incarnation:
+        if (
+            self._target is None
+            or self._target.incarnation.target != target_id
+        ):
             return None
         return run
 
+    def _is_current(self, incarnation: TargetIncarnation) -> bool:
+        """Return whether an incarnation is the target's present one."""
+        target = self._target
+        return target is not None and target.incarnation == incarnation
+
     def _expire_records(self, now: float) -> None:
         """Remove expired reports, echoes and run numbers."""
         if now - self._last_expiry_at < EXPIRY_INTERVAL_S:
@@ -1127,6 +1227,7 @@
         site = self._site_config
         is_behind = self._must_send_site_config(session, now)
         has_crashes = self._must_send_crashes(session, now)
+        is_usable = self._is_target_available and self._is_target_described
         others = sum(
             other.backlog
             for other in self._sessions.values()
@@ -1137,7 +1238,7 @@
             token=AgentToken(self._incarnation, now),
             data_centre=self._data_centre,
             last_sequence=session.received_sequence,
-            target=self._target if self._is_target_available else None,
+            target=self._target if is_usable else None,
             used=self.used,
             reports=tuple(session.reports),
             completions=completions,
--- a/src/fulmarscale/runs/limits.py
+++ b/src/fulmarscale/runs/limits.py
@@ -88,10 +88,10 @@
 """
 
 LEASE_S: Final = 0.7
-"""Duration of a lease: how long a target continues runs without its agent.
+"""Duration of a lease: how long a target continues runs without its agent."""
 
-The platform shortens leases over 1 s.
-"""
+MAX_LEASE_S: Final = 1.0
+"""Longest lease that a target grants; it shortens longer ones."""
 
 TARGET_CLOCK_FACTOR: Final = 1.02
 """Factor by which a lease may last longer because of the target's clock.
