Begin no job whose caller has left before its request was read

Cause, by logs: the connection is reset while the request lies unread at a busy entry. The caller sends the job to another entry: by Deadline-Ms of the two requests 28 to 140 ms after the first one (19 jobs), so sooner than resendMs. The first entry then reads the request and starts its tasks, and learns of the reset 0.1 s later, as the event loop reports that after the data. Change: before a best-effort job is taken, the connection is looked at (MSG_PEEK), which shows what has arrived and was not processed. A job whose caller has left is logged (CALLER_LEFT) and not begun. Same class: a request that is sent behind another one on a connection stopped the reading of it, so that the loss of the connection was never seen and the first job ran on. Such connections are read on, and the loss is reported to the request being handled.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -53,6 +53,26 @@
     When a caller sends a best-effort job and disconnects
     Then the job service was notified that the caller disconnected
 
+  # Guards against a job that two entries run, as the first one reads the
+  # request after its caller has sent it to the other one.
+  Scenario Outline: A request that is read after its caller has left starts nothing
+    Given an ingress on loopback that never responds
+    When a caller submits a job and <action> before the entry reads it
+    Then <count> jobs were submitted
+
+    Examples:
+      | action                | count |
+      | stays                 | 1     |
+      | closes the connection | 0     |
+      | resets the connection | 0     |
+
+  # Guards against a job that runs on, as another request waits behind it.
+  Scenario: The loss of a connection with a second request withdraws the first
+    Given an ingress on loopback that never responds
+    When a caller submits two jobs at once and leaves
+    Then 1 jobs were submitted
+    And the caller of the first job was withdrawn
+
   Scenario: The longest matching path prefix selects the queue
     Given queues with the path prefixes "/a/" and "/a/b/"
     Then the path "/a/b/0011" is routed to the queue "/a/b/"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -153,6 +153,8 @@
         """Jobs whose caller has disconnected."""
         self.cancelled_jobs: list[str] = []
         """Best-effort jobs that a caller has cancelled."""
+        self.submitted: list[str] = []
+        """Best-effort jobs that were submitted."""
         self.fake_durable_jobs = FakeDurableJobs()
 
     @property
@@ -176,6 +178,7 @@
         return True
 
     def submit(self, job_id: Any, *_: Any) -> Any:
+        self.submitted.append(job_id)
         future: asyncio.Future[AnswerJob] = asyncio.Future()
         if self.outcome is not None:
             future.set_result(AnswerJob(job_id, self.outcome, 1.0))
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -175,6 +175,8 @@
     For some seconds after a crash, the other queues don't use these. Without
     queues, the confinement ends.
     """
+    CALLER_LEFT = 527
+    """The caller had left before its best-effort job was taken."""
     STOOD_STILL = 530
     """The process was paused for `pause_s` seconds.
 
--- a/src/fulmarscale/http_server.py
+++ b/src/fulmarscale/http_server.py
@@ -10,6 +10,8 @@
 
 import uvicorn
 
+from fulmarscale.http_connection import ObservableConnection
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -63,7 +65,7 @@
                 host=host,
                 port=port,
                 loop="asyncio",
-                http="httptools",
+                http=ObservableConnection,
                 interface="asgi3",
                 lifespan="off",
                 access_log=False,
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -18,6 +18,7 @@
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
+from fulmarscale.http_connection import has_client_left
 from fulmarscale.platform.asgi import DisconnectedError
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
@@ -225,7 +226,8 @@
     ) -> None:
         """Submit a job and respond with its outcome.
 
-        A best-effort job is cancelled once all its callers have disconnected.
+        A best-effort job is cancelled once all its callers have disconnected,
+        and not begun if its caller has left before the request was read.
         A durable one is stored before the response.
         """
         try:
@@ -248,6 +250,11 @@
             )
             await self._respond_outcome(send, answer)
             return
+        if has_client_left(scope):
+            # It may have sent the job to another entry by now.
+            self._log.write(Event.CALLER_LEFT, job=job_id, queue=queue.name)
+            await _wait_for_disconnect(receive)
+            return
         future = self._job_service.submit(job_id, queue, spec, wait_s)
         disconnect = asyncio.create_task(_wait_for_disconnect(receive))
         await asyncio.wait(
