Begin a lease when it is decided on, not when it is sent

An agent that is suspended in between granted up to that much more than it reckoned with, after which runs count as ended. Change: the time of the decision goes with the request. A start that is sent too late is rejected by the target.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -147,6 +147,13 @@
     When an agent writes its row with the fencing token 482114
     Then an agent that starts again reads the fencing token 482114
 
+  # Guards against runs that outlive an agent which was suspended before it sent
+  # their lease.
+  Scenario: A lease begins when it is decided on and not when it is sent
+    Given a runner at time 100 that has received the fencing token 0
+    When a start and a renewal are sent 0.5 s after their decision
+    Then their leases end within 0.6 s of the runner's time 100
+
   Scenario: Responses to start requests are mapped to unknown, rejected and number_too_low
     Given a runner that leaves one start request without a response, then rejects one as "late" and one as "old"
     When three start requests are sent
--- a/features/steps/odd_input_steps.py
+++ b/features/steps/odd_input_steps.py
@@ -27,6 +27,7 @@
 from fulmarscale.platform.runner import RunnerClient
 from fulmarscale.platform.store import RowStoreClient
 from fulmarscale.platform.table_follower import make_agent_follower
+from fulmarscale.runs.clock import boottime_s
 from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import ServiceName
@@ -247,7 +248,7 @@
         runner.resume_target(TARGET_INCARNATION, stub.address)
         context.error = None
         try:
-            await runner.renew(TARGET_INCARNATION, 0, 0.0, extend=True)
+            await runner.renew(TARGET_INCARNATION, 0, 0.0, boottime_s())
         except TargetUnreachableError as error:
             context.error = error
         finally:
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -48,6 +48,7 @@
 from fulmarscale.platform.table_follower import make_site_follower
 from fulmarscale.platform.wire import WireRow
 from fulmarscale.platform.wire import WireRows
+from fulmarscale.runs.clock import boottime_s
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import Resources
@@ -582,7 +583,7 @@
         runner.supersede(token)
         for _ in range(times):
             try:
-                await runner.renew(TARGET_INCARNATION, 0, 0.0, extend=True)
+                await runner.renew(TARGET_INCARNATION, 0, 0.0, boottime_s())
                 context.renewals.append(True)
             except TargetUnreachableError:
                 context.renewals.append(False)
@@ -667,7 +668,7 @@
         for born_ms, clock_ms in ((78, 5000), (79, 20)):
             incarnation = TargetIncarnation(target, born_ms)
             runner.update_from_heartbeat(incarnation, address, clock_ms)
-            await runner.renew(incarnation, 0, 0.0, extend=True)
+            await runner.renew(incarnation, 0, 0.0, boottime_s())
 
     run_with_runner(context, context.respond, work)
 
@@ -677,7 +678,7 @@
     async def work(runner: RunnerClient) -> None:
         for _ in range(2):
             try:
-                await runner.renew(TARGET_INCARNATION, 0, 0.0, extend=True)
+                await runner.renew(TARGET_INCARNATION, 0, 0.0, boottime_s())
             except TargetUnreachableError:
                 continue
 
@@ -699,6 +700,24 @@
     assert second > first >= 5000, (first, second)
 
 
+@when("a start and a renewal are sent {late_s:g} s after their decision")
+def send_late(context: Context, late_s: float) -> None:
+    async def work(runner: RunnerClient) -> None:
+        decided_at = boottime_s() - late_s
+        await runner.start(TARGET_INCARNATION, TASK, 1, "text", decided_at)
+        await runner.renew(TARGET_INCARNATION, 0, 0.0, decided_at)
+
+    run_with_runner(context, context.respond, work)
+
+
+@then("their leases end within {most_s:g} s of the runner's time {clock_ms:d}")
+def check_lease_ends(context: Context, most_s: float, clock_ms: int) -> None:
+    bodies = [msgspec.json.decode(r.body) for r in context.stub.requests]
+    leases_s = [(body["untilMs"] - clock_ms) / 1000 for body in bodies]
+    assert len(leases_s) == 2, leases_s
+    assert 0.0 < max(leases_s) <= most_s, leases_s
+
+
 @given(
     "a runner that leaves one start request without a response, then rejects"
     ' one as "late" and one as "old"'
@@ -723,7 +742,7 @@
     async def work(runner: RunnerClient) -> None:
         for number in range(3):
             answer = await runner.start(
-                TARGET_INCARNATION, TASK, number + 1, "text"
+                TARGET_INCARNATION, TASK, number + 1, "text", boottime_s()
             )
             context.start_results.append(answer.value)
 
@@ -815,7 +834,7 @@
         runner.resume_target(TARGET_INCARNATION, context.stub.address)
         for _ in range(2):
             try:
-                await runner.renew(TARGET_INCARNATION, 0, 0.0, extend=True)
+                await runner.renew(TARGET_INCARNATION, 0, 0.0, boottime_s())
             except TargetUnreachableError:
                 continue
         await runner.close()
--- a/src/fulmarscale/agent/run_actions.py
+++ b/src/fulmarscale/agent/run_actions.py
@@ -31,6 +31,8 @@
     """The run's number."""
     payload: str
     """Passed to the target without being parsed."""
+    leased_at: float
+    """When the lease that it grants begins, by the agent's time."""
 
 
 class StopRun(RunAction):
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -866,7 +866,9 @@
         # A start extends the lease of all runs, as a renewal does.
         self.record_renewal(now)
         self._actions.append(
-            StartRun(target.incarnation, request.task, number, request.payload)
+            StartRun(
+                target.incarnation, request.task, number, request.payload, now
+            )
         )
 
     def _withdraw(
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -216,7 +216,7 @@
                     target.incarnation,
                     self._guard.forgettable_position,
                     self._renew_wait_s(renewal_sent_at),
-                    extend=extend,
+                    renewal_sent_at if extend else None,
                 )
             except TargetUnreachableError as error:
                 await self._handle_failed_renewal(error)
@@ -261,7 +261,7 @@
                 incarnation,
                 self._guard.forgettable_position,
                 0.0,
-                extend=False,
+                None,
             )
         except TargetUnreachableError:
             # The pending renewal, or the next one, has the list as well.
@@ -303,7 +303,11 @@
     async def _start(self, action: StartRun) -> None:
         sent_at = boottime_s()
         response = await self._target.start(
-            action.incarnation, action.task, action.number, action.payload
+            action.incarnation,
+            action.task,
+            action.number,
+            action.payload,
+            action.leased_at,
         )
         self._start_durations.observe(boottime_s() - sent_at)
         self._decide(
--- a/src/fulmarscale/agent/run_target_client.py
+++ b/src/fulmarscale/agent/run_target_client.py
@@ -49,8 +49,16 @@
         task: TaskKey,
         number: int,
         payload: str,
+        leased_at: float,
     ) -> StartResponse:
-        """Send a start request, which also extends the lease of all runs."""
+        """Send a start request, which also extends the lease of all runs.
+
+        :param incarnation: the incarnation that has to start it.
+        :param task: the task.
+        :param number: the run's number.
+        :param payload: passed to the target without being parsed.
+        :param leased_at: when the lease begins, by the agent's time.
+        """
 
     @abstractmethod
     async def stop(
@@ -67,8 +75,7 @@
         incarnation: TargetIncarnation,
         forgettable_position: int,
         wait_s: float,
-        *,
-        extend: bool,
+        leased_at: float | None,
     ) -> RunList:
         """List all runs, wait for completions and extend the lease.
 
@@ -76,7 +83,8 @@
         :param forgettable_position: the newest completion that the target may
             forget.
         :param wait_s: how long the target may wait for a completion.
-        :param extend: whether to extend the lease.
+        :param leased_at: when the extended lease begins, by the agent's time;
+            none to leave the lease as it is.
         :raises TargetUnreachableError: if it gave no usable response.
         """
 
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -139,13 +139,14 @@
         task: TaskKey,
         number: int,
         payload: str,
+        leased_at: float,
     ) -> StartResponse:
         """Start a run."""
         body = WireStartRequest(
             task=format_task(task),
             run=number,
             spec=payload,
-            until_ms=self._lease_end_ms(),
+            until_ms=self._lease_end_ms(leased_at),
             fencing_token=self._fencing_token,
         )
         try:
@@ -189,16 +190,18 @@
         incarnation: TargetIncarnation,
         forgettable_position: int,
         wait_s: float,
-        *,
-        extend: bool,
+        leased_at: float | None,
     ) -> RunList:
         """Return all runs, waiting for completions; may extend the lease."""
-        is_extended = extend and self._is_clock_known
         body = WireRenewRequest(
             fencing_token=self._fencing_token,
             last_seen=forgettable_position,
             wait_ms=round(wait_s * 1000),
-            until_ms=self._lease_end_ms() if is_extended else msgspec.UNSET,
+            until_ms=(
+                msgspec.UNSET
+                if leased_at is None or not self._is_clock_known
+                else self._lease_end_ms(leased_at)
+            ),
         )
         try:
             response = await self._call("/api/hold", incarnation, body, wait_s)
@@ -249,10 +252,14 @@
     def _is_clock_known(self) -> bool:
         return self._clock_offset_ms > float("-inf")
 
-    def _lease_end_ms(self) -> int:
-        """Return when a lease granted now expires, by the runner's clock."""
-        now_ms = boottime_s() * 1000 + self._clock_offset_ms
-        return round(now_ms + LEASE_S * 1000)
+    def _lease_end_ms(self, leased_at: float) -> int:
+        """Return when a lease expires, by the runner's clock.
+
+        :param leased_at: when it begins, by the agent's time. The request
+            may be sent later, as the agent may be suspended before.
+        """
+        begin_ms = leased_at * 1000 + self._clock_offset_ms
+        return round(begin_ms + LEASE_S * 1000)
 
     def _update_clock_offset(self, clock_ms: int) -> None:
         """Record a sample of the runner's clock that has just arrived."""
