Restart no task whose start a lost agent's target may still carry out

Cause: the longest lease bounds a run that has begun. A start without a response may begin later, until its agent has shown the target a higher token. Change: agents report a run's start as soon as the target confirms it. When an agent is silent, an entry only takes runs for ended that have begun; the other tasks wait until the agent is connected again, which asks for the target's list with a higher token, or for 15 s. A best-effort job that ends meanwhile ends as failed (1006), so that its caller doesn't send it again. An agent raises its token as soon as a list shows that its target has restarted. The scenario of abandoned runs waits 0.3 s in place of 0.05 s before the cut: its run has to be confirmed by then to be abandoned; its checks are the same.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -249,7 +249,7 @@
   Scenario: A restarted owner never counts the completion of an abandoned run
     Given a simulated site of 1 entries, 2 targets and a store
     When durable job "a" of 1 tasks of 400 ms is submitted to entry 0
-    And 0.05 s pass
+    And 0.3 s pass
     And targets 0 to 0 become unreachable from entry 0
     And 1.6 s pass
     Then 2 runs were started
--- a/features/runs.feature
+++ b/features/runs.feature
@@ -66,6 +66,29 @@
     And no target ever exceeded its capacity
     And job "a" is completed at entry 0
 
+  # Guards against a second run while a target may still carry out the start of
+  # the first one.
+  Scenario: A start that is executed after its agent was lost runs beside no other
+    Given a simulated site of 1 entries and 2 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 2.2 s late
+    When job "a" of 12 tasks of 1800 ms is submitted to entry 0
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 3 s
+    And 9 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 0
+
+  # Guards against a caller that sends a job again which may still begin.
+  Scenario: A job of which a start may still be executed ends as failed
+    Given a simulated site of 1 entries and 2 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 2.2 s late
+    When job "a" of 12 tasks of 1800 ms is submitted to entry 0
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 9 s
+    And 1.5 s pass
+    And entry 0 abandons all jobs
+    Then job "a" is failed at entry 0
+
   Scenario: A start request after the last renewal extends the time until the lease ends
     Given a simulated site of 1 entries and 2 targets of 16 cores
     When simulated target 0 stops sending responses
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -248,8 +248,12 @@
         token = self.fencing_token
         if target.is_unresponsive or self._is_unanswered():
             self.lost_starts.append((action.task, self._clock.now))
+            born = target.incarnation
 
             def deliver_late() -> None:
+                if target.incarnation != born:
+                    # The process that had received it has ended.
+                    return
                 # The worst case: the lease counts from the arrival.
                 target.start(action, self._clock.now + LEASE_S, token)
 
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -85,6 +85,9 @@
 STOP_DURATION_S: Final = 0.03
 """Time that a target needs to stop a run."""
 
+TOKEN_STRIDE: Final = 1_000_000
+"""Distance between the first fencing tokens of successive agents."""
+
 SERVICE: Final = ServiceName("press")
 """The service that all targets offer."""
 
@@ -478,7 +481,7 @@
 
     :param site: the site that the agent belongs to.
     :param target: the target beside the agent.
-    :param incarnation: incarnation of this process; also its fencing token.
+    :param incarnation: incarnation of this process.
     :param first_heartbeat_s: delay of the first heartbeat of the target.
     """
 
@@ -493,7 +496,10 @@
         self._site = site
         self._clock = site.clock
         self.target = target
-        self.fencing_token = incarnation
+        self.fencing_token = incarnation * TOKEN_STRIDE
+        """Sent with each request; rises with the target's incarnation."""
+        self._token_target: TargetIncarnation | None = None
+        """The target's incarnation for which the token was raised last."""
         self.guard = RunGuard(f"agent-{target.name}", "here", incarnation)
         self._start_timer(
             self._clock,
@@ -507,6 +513,13 @@
 
     def perform(self, actions: list[Any]) -> None:
         """Perform actions of the run guard."""
+        known_target = self.guard.target
+        if (
+            known_target is not None
+            and known_target.incarnation != self._token_target
+        ):
+            self._token_target = known_target.incarnation
+            self.fencing_token += 1
         for action in actions:
             match action:
                 case SendMessage():
@@ -686,8 +699,12 @@
         if self.target.start_delays_s:
             late_s = self.target.start_delays_s.pop(0)
             token = self.fencing_token
+            born = self.target.incarnation
 
             def deliver_late() -> None:
+                if self.target.incarnation != born:
+                    # The process that had received it has ended.
+                    return
                 granted_at = (
                     self._clock.now
                     if self.target.is_lease_from_arrival
--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -126,6 +126,16 @@
         """Whether a stop request was sent and not resolved yet."""
         self.stop_acknowledged_at = float("inf")
 
+    @property
+    def begun_at(self) -> float:
+        """When the target last showed that the run has begun.
+
+        Minus infinity if it has not.
+        """
+        if self.percent_reported_at > float("-inf") or not self.is_confirmed:
+            return self.percent_reported_at
+        return self.start_resolved_at
+
     @property
     def is_durable(self) -> bool:
         """Whether the run is of a durable job, whose outcome gets stored."""
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -1270,9 +1270,9 @@
         self, entry: EntryId, now: float
     ) -> tuple[RunProgress, ...]:
         return tuple(
-            RunProgress(run.task, run.percent, now - run.percent_reported_at)
+            RunProgress(run.task, run.percent, now - run.begun_at)
             for run in self._runs.values()
-            if run.entry == entry and run.percent_reported_at > float("-inf")
+            if run.entry == entry and run.begun_at > float("-inf")
         )
 
     def _log(self, event: Event, **fields: Any) -> None:
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -9,6 +9,7 @@
 from fulmarscale.entry.jobs.estimates import Slowness
 from fulmarscale.runs.limits import ECHO_GAP_S
 from fulmarscale.runs.limits import IDLE_PING_S
+from fulmarscale.runs.limits import LATE_START_S
 from fulmarscale.runs.limits import MAX_STATE_AGE_S
 from fulmarscale.runs.limits import PROBE_TIMEOUT_S
 from fulmarscale.runs.model import Resources
@@ -70,6 +71,8 @@
         """Demand waiting at other entries, in thousandths of a core."""
         self.assigned: dict[TaskKey, int] = {}
         """Numbers of the start requests whose runs may not have ended."""
+        self._begun: set[TaskKey] = set()
+        """Those of the tasks whose runs are known to have begun."""
         self.starts: list[StartRequest] = []
         """Start requests for the next message."""
         self.stops: list[TaskKey] = []
@@ -290,6 +293,39 @@
         self._free -= request.demand
         self.mark_dirty()
 
+    def record_begun(self, task: TaskKey) -> None:
+        """Record that the run of a task has begun."""
+        if task in self.assigned:
+            self._begun.add(task)
+
+    def may_begin(self, task: TaskKey, now: float) -> bool:
+        """Return whether a requested run may still begin without its agent.
+
+        A target may carry out a start request late. Its agent rules that out
+        once it is connected again: the target then rejects the request.
+
+        :param task: the task of the run.
+        :param now: the entry's time.
+        """
+        if task not in self.assigned or task in self._begun:
+            return False
+        return now - self.last_message_at <= LATE_START_S
+
+    def is_lost(self, now: float) -> bool:
+        """Return whether the agent may be down.
+
+        :param now: the entry's time.
+        """
+        return (
+            self.session is None
+            or now - self.last_message_at > MAX_STATE_AGE_S
+        )
+
+    def release(self, task: TaskKey) -> None:
+        """Remove a task whose run has ended."""
+        del self.assigned[task]
+        self._begun.discard(task)
+
     def add_acks(self, acks: tuple[CompletionAck, ...]) -> None:
         """Queue acknowledgements of completions for the next message."""
         self.acks += acks
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -446,6 +446,7 @@
         if message.site is not None:
             self._adopt_site(message.site, view.name, now)
         for progress in message.progress:
+            view.record_begun(progress.task)
             job = self._open.jobs.get(progress.task.job_id)
             task = None if job is None else job.find(progress.task)
             if job is None or task is None:
@@ -643,9 +644,24 @@
     ) -> None:
         """Close a job without a result."""
         outcome = JobOutcome.NOT_RUN
+        code = ResultCode.OK
         if job.is_started:
             outcome = JobOutcome.UNFINISHED
-        self._close_job(job, outcome, now, reason, wait_s)
+        if self._may_begin_late(job, now):
+            # Its caller must not send it again.
+            outcome = JobOutcome.FAILED
+            code = ResultCode.AGENT_LOST
+        self._close_job(job, outcome, now, reason, wait_s, code=code)
+
+    def _may_begin_late(self, job: Job, now: float) -> bool:
+        """Return whether a run of a job may begin after its agent was lost."""
+        for task in job.assigned:
+            view = self._fleet.find(task.agent)
+            if view is None or not view.is_lost(now):
+                continue
+            if view.may_begin(task.key, now):
+                return True
+        return False
 
     def _close_job(
         self,
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -94,7 +94,7 @@
         if view.assigned.get(report.task) != report.request_number:
             # A run of an earlier start request, abandoned in the meantime.
             return
-        del view.assigned[report.task]
+        view.release(report.task)
         job = self._open.jobs.get(report.task.job_id)
         task = None if job is None else job.find(report.task)
         if job is None or task is None:
@@ -140,7 +140,7 @@
             is_own and view.assigned.get(key) == completion.request_number
         )
         if is_assigned:
-            del view.assigned[key]
+            view.release(key)
         if job is None or task is None:
             self._act(StoreCompletion(view.name, completion, False))
             return
@@ -216,17 +216,23 @@
         )
 
     def expire_runs(self, view: AgentView, now: float) -> None:
-        """Treat all runs of an agent as ended after RUN_EXPIRY_S of silence.
+        """Treat an agent's runs as ended after RUN_EXPIRY_S of silence.
 
-        The agent has stopped them, or their leases have run out.
+        The agent has stopped them, or their leases have run out. Those that
+        may not have begun are kept until the agent is connected again.
         """
+        ended = [key for key in view.assigned if not view.may_begin(key, now)]
+        if not ended:
+            return
         self._log(
             Event.AGENT_SILENT,
             agent=view.name,
             silent_s=round(now - view.last_message_at, 3),
-            runs=len(view.assigned),
+            runs=len(ended),
+            kept=len(view.assigned) - len(ended),
         )
-        for key in sorted(view.assigned):
+        for key in sorted(ended):
+            view.release(key)
             job = self._open.jobs.get(key.job_id)
             task = None if job is None else job.find(key)
             if job is None or task is None or task.agent != view.name:
@@ -235,7 +241,6 @@
                 job.may_have_run = True
                 self._open.set_phase(job, task, TaskPhase.WAITING)
                 self._advance_owner_epoch(job)
-        view.assigned.clear()
 
     def _record_success(
         self, view: AgentView, job: Job, task: Task, now: float
--- a/src/fulmarscale/errors.py
+++ b/src/fulmarscale/errors.py
@@ -45,7 +45,7 @@
     TASK_STOPPED = 1005
     """The running task was stopped by a cancellation."""
     AGENT_LOST = 1006
-    """The agent that had the task restarted, or none reports the task.
+    """The agent that had the task restarted, is gone, or doesn't report it.
 
     The task may have run.
     """
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -215,9 +215,21 @@
         try:
             run_list = decode_json(response.body, WireRunList)
             self._update_clock_offset(run_list.clock_ms)
-            return _decode_run_list(incarnation, run_list)
+            decoded = _decode_run_list(incarnation, run_list)
         except (msgspec.MsgspecError, ValueError) as error:
             raise TargetUnreachableError(str(error)) from error
+        if decoded.incarnation != incarnation:
+            self._follow_restart(decoded.incarnation)
+        return decoded
+
+    def _follow_restart(self, incarnation: TargetIncarnation) -> None:
+        """Raise the token for an incarnation that only its list shows yet.
+
+        It rejects requests to the former one from then on.
+        """
+        if incarnation != self._incarnation:
+            self._incarnation = incarnation
+            self._fencing_token += 1
 
     async def _call(
         self,
--- a/src/fulmarscale/runs/limits.py
+++ b/src/fulmarscale/runs/limits.py
@@ -102,6 +102,13 @@
 LAPSE_MARGIN_S: Final = 0.1
 """How long a target may take to end all runs when its lease lapses."""
 
+LATE_START_S: Final = 15.0
+"""How late a target may carry out a start request without a response.
+
+Until then an agent has to rule it out. The platform gives no bound; requests
+were seen to be carried out up to 12 s late.
+"""
+
 RUN_EXPIRY_S: Final = (
     ECHO_TIMEOUT_S + LEASE_S * TARGET_CLOCK_FACTOR + LAPSE_MARGIN_S
 )
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -189,7 +189,7 @@
     reports: tuple[RunReport, ...] = ()
     """Outcomes of the entry's runs."""
     progress: tuple[RunProgress, ...] = ()
-    """Progress of the entry's runs."""
+    """Progress of the entry's runs that have begun."""
     site_revision: int = 0
     """The revision of the site configuration that the agent has."""
     site: SiteConfig | None = None
