Log why each task is started again, and play short faults that overlap

The record of TWICE names no job: entries logged a run that ended without a result, but not one whose agent was silent. RUN_CUT_SHORT now covers both and has the time since the run's request.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -405,6 +405,11 @@
     Then no simulated site violated an invariant
     And every simulated site completed jobs after the faults ended
 
+  Scenario: Short faults that overlap never cause two runs of a task at once
+    When short faults with seeds 1 to 24 overlap on small simulated sites
+    Then no simulated site violated an invariant
+    And every simulated site completed jobs after the faults ended
+
   Scenario Outline: Random faults on a small site never cause two runs of a task at once
     When random faults with seeds <first> to <last> are injected into small simulated sites
     Then no simulated site violated an invariant
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from features.support.run_chaos import play_large_site_seed
+from features.support.run_chaos import play_overlap_seed
 from features.support.run_chaos import play_seed
 from features.support.run_site import EntryNode
 from features.support.run_site import QUEUE
@@ -384,6 +385,16 @@
     print(f"{runs} runs, {done} jobs completed")
 
 
+@when(
+    "short faults with seeds {first:d} to {last:d} overlap on small simulated"
+    " sites"
+)
+def run_overlapping_faults(context: Context, first: int, last: int) -> None:
+    seeds = range(first, last + 1)
+    with ProcessPoolExecutor(WORKERS) as pool:
+        context.chaos_results = list(pool.map(play_overlap_seed, seeds))
+
+
 @when(
     "random faults with seeds {first:d} to {last:d} are injected into large"
     " simulated sites"
--- a/features/support/run_chaos.py
+++ b/features/support/run_chaos.py
@@ -61,6 +61,9 @@
     :param targets: number of targets.
     """
 
+    fault_share = 0.25
+    """Share of faults among the events."""
+
     def __init__(self, seed: int, targets: int = SMALL_SITE_TARGETS) -> None:
         self._random = Random(seed)
         self._site = RunSite(3, targets)
@@ -75,7 +78,7 @@
         clock = self._site.clock
         ends_at = clock.now + FAULT_PHASE_S
         while clock.now < ends_at:
-            if self._random.random() < 0.75:
+            if self._random.random() < 1.0 - self.fault_share:
                 self._submit()
             else:
                 self._inject_fault()
@@ -145,13 +148,16 @@
     def _agents(self) -> list[AgentNode]:
         return self._site.agents
 
+    def _draw_duration_s(self) -> float:
+        return self._random.uniform(0.1, 3.0)
+
     def _inject_fault(self) -> None:
         """Inject a random fault; does nothing where it does not apply."""
         site = self._site
         clock = site.clock
         entry = self._random.choice(site.entries)
         agent = self._random.choice(site.agents)
-        duration_s = self._random.uniform(0.1, 3.0)
+        duration_s = self._draw_duration_s()
         faults = ["freeze", "thaw", "streams", "cut", "crash", "late", "agent"]
         if self._is_large:
             faults += ["dark", "rush"]
@@ -188,6 +194,24 @@
                 pass
 
 
+class OverlapRun(ChaosRun):
+    """Plays many short faults, so that several are in effect at once.
+
+    Targets restart before their agents notice, and processes are paused for
+    about as long as leases and retries of callers take.
+    """
+
+    fault_share = 0.5
+
+    def _draw_duration_s(self) -> float:
+        return self._random.choice((0.03, 0.2, 0.5, 0.8, 1.4, 2.2))
+
+
+def play_overlap_seed(seed: int) -> SeedResult:
+    """Play one seed with many short faults on a small site."""
+    return _judge(seed, OverlapRun(seed))
+
+
 def play_large_site_seed(seed: int) -> SeedResult:
     """Play one seed on a site with more agents than an entry uses."""
     return play_seed(seed, LARGE_SITE_TARGETS)
@@ -199,7 +223,11 @@
     :param seed: seed of all random choices.
     :param targets: number of targets.
     """
-    chaos_run = ChaosRun(seed, targets)
+    return _judge(seed, ChaosRun(seed, targets))
+
+
+def _judge(seed: int, chaos_run: ChaosRun) -> SeedResult:
+    """Play a run and check its history."""
     site = chaos_run.play()
     completed_probes = chaos_run.count_completed_probes()
     violations = [
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,10 @@
     from fulmarscale.runs.messages import RunReport
 
 
+AGENT_SILENT_END: Final = "agent_silent"
+"""The end of a run in the log if its agent has been silent for too long."""
+
+
 class JobCloser(Protocol):
     """Closes a job and reports its outcome."""
 
@@ -109,16 +114,7 @@
             case RunOutcome.NOT_STARTED:
                 self._record_refusal(view, job, task, report, now)
             case _:
-                job.may_have_run = True
-                self._log(
-                    Event.RUN_CUT_SHORT,
-                    job=job.job_id,
-                    step=task.key.step,
-                    task=task.key.index,
-                    agent=view.name,
-                    end=report.outcome.value,
-                )
-                self._open.set_phase(job, task, TaskPhase.WAITING)
+                self._queue_again(job, task, report.outcome.value, now)
                 if report.outcome is RunOutcome.CRASHED:
                     self._store_crashes(job)
 
@@ -238,10 +234,29 @@
             if job is None or task is None or task.agent != view.name:
                 continue
             if task.phase is TaskPhase.ASSIGNED:
-                job.may_have_run = True
-                self._open.set_phase(job, task, TaskPhase.WAITING)
+                self._queue_again(job, task, AGENT_SILENT_END, now)
                 self._advance_owner_epoch(job)
 
+    def _queue_again(self, job: Job, task: Task, end: str, now: float) -> None:
+        """Queue a task again whose run has ended without a result.
+
+        :param job: the job.
+        :param task: the task.
+        :param end: how the run has ended, for the log.
+        :param now: the entry's time.
+        """
+        job.may_have_run = True
+        self._log(
+            Event.RUN_CUT_SHORT,
+            job=job.job_id,
+            step=task.key.step,
+            task=task.key.index,
+            agent=task.agent,
+            end=end,
+            age_s=round(now - task.assigned_at, 3),
+        )
+        self._open.set_phase(job, task, TaskPhase.WAITING)
+
     def _record_success(
         self, view: AgentView, job: Job, task: Task, now: float
     ) -> None:
