--- a/features/durable.feature
+++ b/features/durable.feature
@@ -121,6 +121,17 @@
     And 48 runs were started
     And no guarantee for durable jobs is violated
 
+  # Guards against tasks that wait for ever for a target that is gone.
+  Scenario: A job is completed though an agent comes back without its target
+    Given a simulated site of 2 entries, 3 targets and a store
+    When durable job "a" of 12 tasks of 3000 ms is submitted to entry 0
+    And 0.03 s pass
+    And target 0 crashes and restarts after 100 s
+    And agent 0 is killed and restarts after 0.5 s
+    And 30 s pass
+    Then the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+
   # Guards against runs that are moved for ever, as tasks which the former owner
   # completed count as having taken no time.
   Scenario: A job of which some tasks were done is completed after a takeover
--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -39,6 +39,7 @@
         "must_send",
         "number",
         "offered_at",
+        "opened_at",
         "received_sequence",
         "reports",
         "sent_at",
@@ -49,6 +50,7 @@
     def __init__(self, number: int, entry: EntryId, now: float) -> None:
         self.number = number
         self.entry = entry
+        self.opened_at = now
         self.expected: set[ExpectedRun] = set()
         """Unresolved runs that the entry requested on earlier streams."""
         self.has_durable_jobs = True
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -41,6 +41,7 @@
 from fulmarscale.runs.limits import IDLE_PING_S
 from fulmarscale.runs.limits import IDLE_TICK_S
 from fulmarscale.runs.limits import LAPSE_MARGIN_S
+from fulmarscale.runs.limits import LATE_START_S
 from fulmarscale.runs.limits import LEASE_S
 from fulmarscale.runs.limits import MAX_ECHO_AGE_S
 from fulmarscale.runs.limits import MAX_LEASE_S
@@ -738,15 +739,17 @@
             session.sent_positions.clear()
         self._notify_all()
 
-    def _resolve_expected(self) -> None:
+    def _resolve_expected(self, now: float) -> None:
         """Resolve the runs that entries requested on an earlier stream.
 
         Only once the target's list of runs was received: a former incarnation
-        of this agent may have started runs that this one has no record of.
+        of this agent may have started runs that this one has no record of. If
+        no target responds, none of them can begin after LATE_START_S.
         """
-        if not self._is_target_available:
-            return
         for session in self._sessions.values():
+            is_known = self._is_target_available
+            if not is_known and now - session.opened_at <= LATE_START_S:
+                continue
             # Sorted, so that a simulation with the same seed repeats exactly.
             for expected in sorted(session.expected, key=_request_number):
                 if expected.task not in self._orphans:
@@ -1177,7 +1180,7 @@
             session.has_changes = True
 
     def _collect_actions(self, now: float) -> list[RunAction]:
-        self._resolve_expected()
+        self._resolve_expected(now)
         self._update_preferred(now)
         self._entries_with_runs = {run.entry for run in self._runs.values()}
         for session in self._sessions.values():
