--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -747,8 +747,8 @@
         no target responds, none of them can begin after LATE_START_S.
         """
         for session in self._sessions.values():
-            is_known = self._is_target_available
-            if not is_known and now - session.opened_at <= LATE_START_S:
+            has_waited = now - session.opened_at > LATE_START_S
+            if not self._is_target_available and not has_waited:
                 continue
             # Sorted, so that a simulation with the same seed repeats exactly.
             for expected in sorted(session.expected, key=_request_number):
--- a/src/fulmarscale/runs/limits.py
+++ b/src/fulmarscale/runs/limits.py
@@ -103,10 +103,9 @@
 """How long a target may take to end all runs when its lease lapses."""
 
 LATE_START_S: Final = 15.0
-"""How late a target may carry out a start request without a response.
+"""How late a target may carry out a start request that got no response.
 
-Until then an agent has to rule it out. The platform gives no bound; requests
-were seen to be carried out up to 12 s late.
+Until then a task is not started elsewhere unless its agent has ruled it out.
 """
 
 RUN_EXPIRY_S: Final = (
