Make the stand-ins of overlapping faults keep to what streams and targets do

Change: a stream that was cut is opened again after it, a start to a target that is down gets no response.

--- a/features/support/run_chaos.py
+++ b/features/support/run_chaos.py
@@ -124,6 +124,11 @@
             lambda: other.submit(job, tasks, work_ms),
         )
 
+    def _end_cut(self, entry_name: str, target_name: str) -> None:
+        """End a cut between an entry and an agent."""
+        pair = (entry_name, target_name)
+        self._site.disconnected_pairs.discard(pair)
+
     def _disconnect_most(self, entry: EntryNode, duration_s: float) -> None:
         """Disconnect an entry from most of the agents that it uses."""
         names = {agent.guard.name: agent.target.name for agent in self._agents}
@@ -180,9 +185,7 @@
                 # Messages between an entry and an agent are lost.
                 pair = (entry.name, agent.target.name)
                 site.disconnected_pairs.add(pair)
-                clock.call_in(
-                    duration_s, lambda: site.disconnected_pairs.discard(pair)
-                )
+                clock.call_in(duration_s, lambda: self._end_cut(*pair))
             case "crash" if agent.target.is_up:
                 agent.target.crash(duration_s)
             case "late":
@@ -209,6 +212,20 @@
         for target in self._site.targets:
             target.is_lease_from_arrival = True
 
+    def _end_cut(self, entry_name: str, target_name: str) -> None:
+        """End a cut; a stream that has lost messages is opened again."""
+        super()._end_cut(entry_name, target_name)
+        site = self._site
+        for entry in site.entries:
+            for agent in list(entry.sessions.values()):
+                names = (entry.name, agent.target.name)
+                if names != (entry_name, target_name):
+                    continue
+                site.disconnect(entry, agent)
+                site.clock.call_in(
+                    0.2, lambda e=entry, a=agent: site.connect(e, a)
+                )
+
     def _draw_duration_s(self) -> float:
         return self._random.choice((0.03, 0.2, 0.5, 0.8, 1.4, 2.2))
 
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -723,7 +723,17 @@
 
         token = self.fencing_token
 
+        def handle_response_later(response: StartResponse) -> None:
+            self._clock.call_in(
+                HOP_DELAY_S,
+                lambda: self.call_or_defer(lambda: handle_response(response)),
+            )
+
         def deliver() -> None:
+            if not self.target.is_up:
+                # It has gone down since the request was sent.
+                handle_response_later(StartResponse.UNKNOWN)
+                return
             start_response = self.target.start(action, until, token)
             after_s = HOP_DELAY_S
             if self.target.is_unresponsive:
