Give each log event an importance, which sets its level

All lines but those of an exception were written at level info, so that an operator who keeps warnings of an entry's log sees neither RUN_CUT_SHORT nor STORE_LOST. Each event now has an importance beside its number: routine, change, warning or error. The first two stay at info. RUN_FAILED is a warning, as its task runs again; START_REFUSED, JOB_HOPELESS, JOB_NOT_KEPT and JOB_REJECTED are routine, as they come with each job under load.

docs/EVENTS.md has a column for it, which the test of the table compares.

--- a/features/logs.feature
+++ b/features/logs.feature
@@ -32,3 +32,15 @@
       | a pipe nobody reads   | some  |
       | a pipe without reader | no    |
       | a closed descriptor   | no    |
+
+  Scenario Outline: The level of a line is that of its event
+    Given a log on a pipe of 4096 bytes
+    When a line of <event> is logged
+    Then its level is <level>
+
+    Examples:
+      | event            | level   |
+      | JOB_ENDED        | info    |
+      | AGENT_CONNECTED  | info    |
+      | RUN_CUT_SHORT    | warning |
+      | UNEXPECTED_ERROR | error   |
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -197,3 +197,14 @@
         assert 0 < found < len(context.events), found
     else:
         assert found == (0 if count == "no" else int(count)), found
+
+
+@when("a line of {event} is logged")
+def log_line(context: Context, event: str) -> None:
+    log_burst(context, [Event[event]])
+    read_once(context, READ_BYTES)
+
+
+@then("its level is {level}")
+def check_level(context: Context, level: str) -> None:
+    assert [line["level"] for line in read_lines(context)] == [level]
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -109,6 +109,11 @@
 @then("docs/EVENTS.md lists every event")
 def check_events(context: Context) -> None:
     check_table("EVENTS.md", Event)
+    text = (ROOT / "docs" / "EVENTS.md").read_text()
+    row = r"^\| \d+ \| (\w+) \| (\w+) \|"
+    listed = set(re.findall(row, text, re.MULTILINE))
+    expected = {(event.name, event.importance.value) for event in Event}
+    assert listed == expected, listed ^ expected
 
 
 @then("every result code and event is used")
--- a/src/fulmarscale/logs.py
+++ b/src/fulmarscale/logs.py
@@ -118,9 +118,19 @@
         :param fields: fields of the line; never a key or a payload.
         """
         self._counts[event] += 1
-        self._logger.info(event.name, number=event.value, **fields)
+        self._logger.log(
+            event.importance.level,
+            event.name,
+            number=event.value,
+            **fields,
+        )
 
     def write_error(self, event: Event, error: BaseException) -> None:
         """Log an event with the traceback of an exception."""
         self._counts[event] += 1
-        self._logger.error(event.name, number=event.value, exc_info=error)
+        self._logger.log(
+            event.importance.level,
+            event.name,
+            number=event.value,
+            exc_info=error,
+        )
