Keep the lines of a log that its pipe doesn't take at once

NonBlockingStream dropped each line that couldn't be written at once, whatever it said, and raised when its reader was gone. LINES_DROPPED is an event with number, program, process, level, time and the count of lines by event.

--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -32,7 +32,7 @@
 
 
 def open_log(context: Context, descriptor: int) -> None:
-    context.stream = NonBlockingStream(descriptor)
+    context.stream = NonBlockingStream(descriptor, "fulmar-entry", "entry-1")
     configure_logs(context.stream)
     context.log = EventLog("fulmar-entry", "entry-1")
     structlog.reset_defaults()
--- a/src/fulmarscale/cli/site_agent.py
+++ b/src/fulmarscale/cli/site_agent.py
@@ -34,6 +34,9 @@
 
     from fulmarscale.platform.heartbeats import Heartbeat
 
+PROGRAM: Final = "fulmar-agent"
+"""The program's name in its log."""
+
 STDOUT_FD: Final = 1
 """File descriptor of the standard output."""
 
@@ -48,7 +51,7 @@
     :param settings: its present content.
     """
     stop = make_stop_event()
-    log = EventLog("fulmar-agent", settings.name)
+    log = EventLog(PROGRAM, settings.name)
     store = RowStoreClient(settings.store_address)
 
     def apply_settings(changed: SiteAgentSettings) -> None:
@@ -120,8 +123,13 @@
     if check_settings:
         click.echo("the settings are valid")
         return
-    configure_logs(NonBlockingStream(STDOUT_FD))
-    sys.exit(asyncio.run(run(settings_path, settings)))
+    stream = NonBlockingStream(STDOUT_FD, PROGRAM, settings.name)
+    configure_logs(stream)
+    try:
+        exit_code = asyncio.run(run(settings_path, settings))
+    finally:
+        stream.close()
+    sys.exit(exit_code)
 
 
 if __name__ == "__main__":
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -34,6 +34,9 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+PROGRAM: Final = "fulmar-entry"
+"""The program's name in its log."""
+
 STDOUT_FD: Final = 1
 """File descriptor of the standard output."""
 
@@ -45,7 +48,7 @@
     :param settings: its present content.
     """
     stop = make_stop_event()
-    log = EventLog("fulmar-entry", settings.name)
+    log = EventLog(PROGRAM, settings.name)
     store = RowStoreClient(settings.store_address)
 
     def apply_settings(changed: SiteEntrySettings) -> None:
@@ -106,8 +109,13 @@
     if check_settings:
         click.echo("the settings are valid")
         return
-    configure_logs(NonBlockingStream(STDOUT_FD))
-    sys.exit(asyncio.run(run(settings_path, settings)))
+    stream = NonBlockingStream(STDOUT_FD, PROGRAM, settings.name)
+    configure_logs(stream)
+    try:
+        exit_code = asyncio.run(run(settings_path, settings))
+    finally:
+        stream.close()
+    sys.exit(exit_code)
 
 
 if __name__ == "__main__":
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -53,6 +53,11 @@
     """The process ends."""
     STOP_REQUESTED = 102, Importance.CHANGE
     """A graceful shutdown began; work in progress is finished first."""
+    LINES_DROPPED = 103, Importance.WARNING
+    """Lines were dropped, as the output of the log took none for too long.
+
+    `events` has their number by event.
+    """
     LEASE_GAINED = 200, Importance.CHANGE
     """The entry's lease was confirmed; it may accept and start work."""
     LEASE_LOST = 201, Importance.WARNING
