Log at the entry why a task is started again

An entry's log is what operators keep, and RUN_CUT_SHORT there had only the agent's verdict: `lapsed` stood for a target that had restarted, a lease that ran out beside a silent target, and an agent that had restarted and knew nothing of the run. A report of a run that isn't done now carries what its agent knew: the cause, whether the start was confirmed and the age of the target's last list of runs. RUN_CUT_SHORT has them, with the numbers of the request and the run. TASK_RESTARTED, a warning, is written with each start request of a task that has had a run, or may have had one.

Reports of agents without the field are read, and one field more than known is ignored; a test has both.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -418,3 +418,24 @@
     Examples:
       | first | last |
       | 1     | 24   |
+
+  Scenario Outline: The log of an entry tells why it starts a task again
+    Given a simulated site of 1 entries and 3 targets of 16 cores
+    When job "a" of 12 tasks of 1000 ms is submitted to entry 0
+    And 0.5 s pass
+    And <fault>
+    And 12 s pass
+    Then the log of entry 0 names all second runs, after <end> by <cause>
+
+    Examples:
+      | fault                                      | end          | cause            |
+      | target 0 crashes and restarts after 0.05 s | crashed      | target_restarted |
+      | target 0 crashes and restarts after 0 s    | lapsed       | target_restarted |
+      | target 0 crashes and restarts after 20 s   | crashed      | lease_expired    |
+      | simulated target 0 stops sending responses | lapsed       | lease_expired    |
+      | agent 0 is killed and restarts after 0.2 s | lapsed       | run_unknown      |
+      | agent 0 is killed and restarts after 9 s   | agent_silent | no report        |
+      | entry 0 is paused for 4 s                  | stopped      | entry_gone       |
+
+  Scenario: Entries and agents of other versions read a report of a run
+    Then a report without its last field, or with one more, is read
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 import os
 import subprocess
@@ -24,12 +25,19 @@
 from fulmarscale.entry.jobs.capacity_prober import CapacityProber
 from fulmarscale.entry.jobs.fleet import Fleet
 from fulmarscale.entry.jobs.job import Job
+from fulmarscale.events import Event
+from fulmarscale.runs.messages import RunEnd
+from fulmarscale.runs.messages import RunReport
+from fulmarscale.runs.model import EndCause
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import Resources
+from fulmarscale.runs.model import RunOutcome
 from fulmarscale.runs.model import Step
 from fulmarscale.runs.model import TargetState
+from fulmarscale.runs.model import TaskKey
 from fulmarscale.runs.site_config import SiteConfig
+from fulmarscale.wire.codec import MessagePackCodec
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -700,3 +708,49 @@
     first, second = context.histories
     assert first == second
     assert first.count(b"\n") > 100, first
+
+
+@then(
+    "the log of entry {number:d} names all second runs, after {end} by {cause}"
+)
+def check_restarts(
+    context: Context, number: int, end: str, cause: str
+) -> None:
+    site = context.run_site
+    starts = Counter(run.task for run in site.history)
+    second = {
+        (task.step, task.index) for task, count in starts.items() if count > 1
+    }
+    assert second
+    ends = {}
+    restarted = set()
+    for line in site.entries[number].logs:
+        key = (line.fields.get("step"), line.fields.get("task"))
+        if line.event is Event.RUN_CUT_SHORT:
+            ends[key] = line.fields
+            found = line.fields["end"], line.fields.get("cause", "no report")
+            assert found == (end, cause), found
+        if line.event is Event.TASK_RESTARTED:
+            restarted.add(key)
+            assert line.fields["former_end"] == end
+            assert line.fields["former_agent"] == ends[key]["agent"]
+            assert line.fields["request"] > 0
+            assert line.fields["since_s"] >= 0.0
+    assert restarted == second, (restarted, second)
+
+
+@then("a report without its last field, or with one more, is read")
+def check_report_versions(context: Context) -> None:
+    codec = MessagePackCodec()
+    report = RunReport(
+        TaskKey(JobId("a"), 0, 0, 0),
+        1,
+        1,
+        RunOutcome.LAPSED,
+        end=RunEnd(EndCause.TARGET_RESTARTED, True, 0.25),
+    )
+    fields = msgspec.msgpack.decode(codec.encode(report, RunReport))
+    former = codec.decode(codec.encode(fields[:-1], list), RunReport)
+    assert former == msgspec.structs.replace(report, end=None)
+    later = codec.decode(codec.encode([*fields, "more"], list), RunReport)
+    assert later == report
--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from fulmarscale.ids import EntryId
     from fulmarscale.runs.messages import StartRequest
+    from fulmarscale.runs.model import EndCause
 
 
 class RunPhase(Enum):
@@ -91,6 +92,7 @@
         "requested_at",
         "start_resolved_at",
         "stop_acknowledged_at",
+        "stop_cause",
         "stop_sent_at",
         "task",
     )
@@ -121,6 +123,8 @@
         """When the target reported that percentage."""
         self.start_resolved_at = float("inf")
         """When the start request was resolved, even if no response came."""
+        self.stop_cause: EndCause | None = None
+        """Why the run is being stopped; none if it isn't."""
         self.stop_sent_at = float("-inf")
         self.is_stop_pending = False
         """Whether a stop request was sent and not resolved yet."""
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -49,8 +49,10 @@
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import DurableCompletion
 from fulmarscale.runs.messages import QueueLoad
+from fulmarscale.runs.messages import RunEnd
 from fulmarscale.runs.messages import RunProgress
 from fulmarscale.runs.messages import RunReport
+from fulmarscale.runs.model import EndCause
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import RunOutcome
@@ -132,6 +134,8 @@
         """The last heartbeat of another incarnation than the present one."""
         self._listed_clock_ms = 0
         """The target's time of its newest list of runs."""
+        self._listed_at = float("-inf")
+        """When the newest list of runs was received."""
         self._lease_expires_at = float("-inf")
         """When all runs have ended for certain if the lease isn't extended."""
         self._completions = UnacknowledgedCompletions()
@@ -458,6 +462,7 @@
             # Responses on different connections overtake each other.
             return self._collect_actions(now)
         self._listed_clock_ms = listed.clock_ms
+        self._listed_at = now
         if not self._is_target_available:
             self._is_target_available = True
             self._notify_all()
@@ -499,11 +504,15 @@
                     task=str(task),
                     run=number,
                 )
-                self._stop(run, now)
+                self._stop(run, EndCause.START_UNCONFIRMED, now)
             case _:
                 self._crashes.remove_rejected_run(task, now)
                 self._finish_run(
-                    run, RunOutcome.NOT_STARTED, now, RefusalReason.REJECTED
+                    run,
+                    RunOutcome.NOT_STARTED,
+                    EndCause.LISTED,
+                    now,
+                    RefusalReason.REJECTED,
                 )
         return self._collect_actions(now)
 
@@ -569,6 +578,9 @@
         self._expire_records(now)
         return self._collect_actions(now)
 
+    def _list_age_s(self, now: float) -> float | None:
+        return _round_age_s(now - self._listed_at)
+
     def _echo_age_s(self, entry: EntryId, now: float) -> float:
         return now - self._echoes.get(entry, float("-inf"))
 
@@ -717,13 +729,13 @@
                 and is_former
                 and (run.task, run.number) not in present
             ):
-                self._finish_run(run, outcome, now)
+                self._finish_run(run, outcome, EndCause.TARGET_RESTARTED, now)
 
     def _end_incarnation(self, now: float) -> None:
         """Finish the runs of an incarnation of the target that has ended."""
         outcome = self._outcome_without_target
         for run in list(self._runs.values()):
-            self._finish_run(run, outcome, now)
+            self._finish_run(run, outcome, EndCause.TARGET_REPLACED, now)
         self._run_numbers.clear()
         self._clear_incarnation()
 
@@ -754,10 +766,10 @@
             for expected in sorted(session.expected, key=_request_number):
                 if expected.task not in self._orphans:
                     session.expected.discard(expected)
-                    self._resolve_expected_run(session, expected)
+                    self._resolve_expected_run(session, expected, now)
 
     def _resolve_expected_run(
-        self, session: EntrySession, expected: ExpectedRun
+        self, session: EntrySession, expected: ExpectedRun, now: float
     ) -> None:
         run = self._runs.get(expected.task)
         current_request = (
@@ -781,7 +793,13 @@
             return
         session.reports.append(
             RunReport(
-                expected.task, expected.request_number, 0, RunOutcome.LAPSED
+                expected.task,
+                expected.request_number,
+                0,
+                RunOutcome.LAPSED,
+                end=RunEnd(
+                    EndCause.RUN_UNKNOWN, list_age_s=self._list_age_s(now)
+                ),
             )
         )
 
@@ -879,7 +897,7 @@
     ) -> None:
         run = self._runs.get(task)
         if run is not None and run.entry == session.entry:
-            self._stop(run, now)
+            self._stop(run, EndCause.WITHDRAWN, now)
 
     def _stop_runs_of(self, entry: EntryId, now: float) -> None:
         for run in self._runs.values():
@@ -890,12 +908,13 @@
                     run=run.number,
                     entry=entry.name,
                 )
-                self._stop(run, now)
+                self._stop(run, EndCause.ENTRY_GONE, now)
 
-    def _stop(self, run: Run, now: float) -> None:
+    def _stop(self, run: Run, cause: EndCause, now: float) -> None:
         if run.phase is RunPhase.STOPPING:
             return
         run.phase = RunPhase.STOPPING
+        run.stop_cause = cause
         self._send_stop(run, now)
 
     def _send_stop(self, run: Run, now: float) -> None:
@@ -927,7 +946,7 @@
         if must_be_stored and (run is None or run.is_durable):
             self._record_completion(listed, run, now)
         if run is not None:
-            self._finish_run(run, listed.outcome, now)
+            self._finish_run(run, listed.outcome, EndCause.LISTED, now)
 
     def _record_completion(
         self, listed: ListedCompletion, run: Run | None, now: float
@@ -1061,16 +1080,21 @@
             run.phase is RunPhase.RUNNING
             and run.start_resolved_at < renewal_sent_at
         ):
-            self._finish_run(run, RunOutcome.LAPSED, now)
+            self._finish_run(run, RunOutcome.LAPSED, EndCause.NOT_LISTED, now)
         if run.phase is not RunPhase.STOPPING:
             return
         if run.stop_acknowledged_at > renewal_sent_at:
             return
         if run.is_confirmed:
-            self._finish_run(run, RunOutcome.STOPPED, now)
+            self._finish_run(run, RunOutcome.STOPPED, EndCause.NOT_LISTED, now)
         elif run.start_resolved_at < renewal_sent_at:
-            reason = RefusalReason.UNCONFIRMED
-            self._finish_run(run, RunOutcome.NOT_STARTED, now, reason)
+            self._finish_run(
+                run,
+                RunOutcome.NOT_STARTED,
+                EndCause.NOT_LISTED,
+                now,
+                RefusalReason.UNCONFIRMED,
+            )
 
     def _end_expired(self, now: float) -> None:
         """Finish all runs once their lease has expired for certain."""
@@ -1085,7 +1109,7 @@
                 queue=run.queue,
                 end=outcome.value,
             )
-            self._finish_run(run, outcome, now)
+            self._finish_run(run, outcome, EndCause.LEASE_EXPIRED, now)
 
     @property
     def _outcome_without_target(self) -> RunOutcome:
@@ -1100,16 +1124,30 @@
         self,
         run: Run,
         outcome: RunOutcome,
+        cause: EndCause,
         now: float,
         refusal: RefusalReason | None = None,
     ) -> None:
+        """Remove a run that has ended or never began, and report it.
+
+        :param run: the run.
+        :param outcome: its outcome.
+        :param cause: how its end was concluded.
+        :param now: the agent's time.
+        :param refusal: why it did not begin; none if it did.
+        """
         del self._runs[run.task]
         self._mark_changed()
         if run.is_durable and outcome in STORED_OUTCOMES:
             # The entry is sent the recorded completion instead of a report.
             return
+        if outcome is RunOutcome.STOPPED and run.stop_cause is not None:
+            cause = run.stop_cause
+        end = None
+        if outcome is not RunOutcome.DONE:
+            end = RunEnd(cause, run.is_confirmed, self._list_age_s(now))
         report = RunReport(
-            run.task, run.request_number, run.number, outcome, refusal
+            run.task, run.request_number, run.number, outcome, refusal, end
         )
         self._reports[run.task] = (report, now)
         session = self._sessions.get(run.entry.name)
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from statistics import median
 from typing import Final
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from fulmarscale.runs.model import TaskKey
@@ -33,6 +34,17 @@
     """A run of it has succeeded."""
 
 
+class FormerRun(NamedTuple):
+    """A run of a task that ended without a result that counts as done."""
+
+    agent: str
+    """The agent's name."""
+    end: str
+    """How it ended, for the log."""
+    ended_at: float
+    """When the entry concluded that it had ended."""
+
+
 class Task:
     """A task of a job of the users' platform, with its current run's state."""
 
@@ -41,6 +53,7 @@
         "assigned_at",
         "failed_on",
         "failures",
+        "former_run",
         "is_slowness_recorded",
         "key",
         "percent",
@@ -59,6 +72,8 @@
         """The agent of the current run; of the last one while it waits."""
         self.assigned_at = 0.0
         """When the current run was requested; 0 before the first request."""
+        self.former_run: FormerRun | None = None
+        """The last run that ended or may have begun; none if none has."""
         self.failures = 0
         """The number of failed runs."""
         self.failed_on: set[str] = set()
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -283,6 +283,19 @@
         task.stop_sent = False
         task.is_slowness_recorded = False
         self._last_start_number += 1
+        former = task.former_run
+        if former is not None:
+            self._log(
+                Event.TASK_RESTARTED,
+                job=job.job_id,
+                step=task.key.step,
+                task=task.key.index,
+                agent=view.name,
+                request=self._last_start_number,
+                former_agent=former.agent,
+                former_end=former.end,
+                since_s=round(now - former.ended_at, 3),
+            )
         view.add_start(
             StartRequest(
                 task=task.key,
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import Final
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -9,6 +10,7 @@
 from fulmarscale.entry.jobs.actions import AdvanceOwnerEpoch
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import StoreCompletion
+from fulmarscale.entry.jobs.job import FormerRun
 from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
@@ -36,6 +38,21 @@
 """The end of a run in the log if its agent has been silent for too long."""
 
 
+def _describe_end(report: RunReport | None) -> dict[str, Any]:
+    """Return what an agent knew of the end of a run, as fields of a line."""
+    if report is None:
+        return {}
+    fields: dict[str, Any] = {
+        "request": report.request_number,
+        "run": report.number,
+    }
+    if report.end is not None:
+        fields["cause"] = report.end.cause.value
+        fields["confirmed"] = report.end.is_confirmed
+        fields["list_age_s"] = report.end.list_age_s
+    return fields
+
+
 class JobCloser(Protocol):
     """Closes a job and reports its outcome."""
 
@@ -114,7 +131,7 @@
             case RunOutcome.NOT_STARTED:
                 self._record_refusal(view, job, task, report, now)
             case _:
-                self._queue_again(job, task, report.outcome.value, now)
+                self._queue_again(job, task, report.outcome.value, now, report)
                 if report.outcome is RunOutcome.CRASHED:
                     self._store_crashes(job)
 
@@ -237,15 +254,24 @@
                 self._queue_again(job, task, AGENT_SILENT_END, now)
                 self._advance_owner_epoch(job)
 
-    def _queue_again(self, job: Job, task: Task, end: str, now: float) -> None:
+    def _queue_again(
+        self,
+        job: Job,
+        task: Task,
+        end: str,
+        now: float,
+        report: RunReport | None = None,
+    ) -> None:
         """Queue a task again whose run has ended without a result.
 
         :param job: the job.
         :param task: the task.
         :param end: how the run has ended, for the log.
         :param now: the entry's time.
+        :param report: the agent's report of the end; none if it sent none.
         """
         job.may_have_run = True
+        task.former_run = FormerRun(task.agent, end, now)
         self._log(
             Event.RUN_CUT_SHORT,
             job=job.job_id,
@@ -254,6 +280,7 @@
             agent=task.agent,
             end=end,
             age_s=round(now - task.assigned_at, 3),
+            **_describe_end(report),
         )
         self._open.set_phase(job, task, TaskPhase.WAITING)
 
@@ -275,6 +302,7 @@
         self, view: AgentView, job: Job, task: Task, now: float
     ) -> None:
         job.may_have_run = True
+        task.former_run = FormerRun(view.name, RunOutcome.FAILED.value, now)
         task.failures += 1
         task.failed_on.add(view.name)
         self._open.set_phase(job, task, TaskPhase.WAITING)
@@ -301,6 +329,8 @@
     ) -> None:
         self._open.set_phase(job, task, TaskPhase.WAITING)
         view.refused_at = now
+        if report.refusal is RefusalReason.UNCONFIRMED:
+            task.former_run = FormerRun(view.name, report.refusal.value, now)
         if report.refusal is not RefusalReason.NO_ROOM:
             self._log(
                 Event.RUN_NOT_STARTED,
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -218,6 +218,13 @@
     """
     CALLER_LEFT = 527, Importance.WARNING
     """The caller had left before its best-effort job was taken."""
+    TASK_RESTARTED = 528, Importance.WARNING
+    """The entry requests a start of a task that has had a run.
+
+    Logged with the agent and the end of that run and the time since. Each
+    request of such a task is logged, so that one that an agent refuses is
+    followed by another.
+    """
     STOOD_STILL = 530, Importance.WARNING
     """The process was paused for `pause_s` seconds.
 
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -7,6 +7,7 @@
 
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.crashes import TargetCrash
+from fulmarscale.runs.model import EndCause
 from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import Resources
@@ -49,6 +50,17 @@
     """Time after the start in which no other job's task may start there."""
 
 
+class RunEnd(MessagePart):
+    """What an agent knew when it concluded that a run has ended."""
+
+    cause: EndCause
+    """How it came to that conclusion."""
+    is_confirmed: bool | None = None
+    """Whether the target had confirmed the start; none if not known."""
+    list_age_s: float | None = None
+    """Age of the target's newest list of runs; none if there was none."""
+
+
 class RunReport(MessagePart):
     """The outcome of a run."""
 
@@ -62,6 +74,8 @@
     """The outcome."""
     refusal: RefusalReason | None = None
     """Why the run did not start; none if it started."""
+    end: RunEnd | None = None
+    """How a run ended whose task is started again; none if not known."""
 
 
 class RunProgress(MessagePart):
--- a/src/fulmarscale/runs/model.py
+++ b/src/fulmarscale/runs/model.py
@@ -163,6 +163,29 @@
     """The run did not start and never will by this request."""
 
 
+class EndCause(Enum):
+    """How an agent concluded that a run has ended, or why it stopped it."""
+
+    LISTED = "listed"
+    """The target listed its end."""
+    NOT_LISTED = "not_listed"
+    """The target no longer listed it as running."""
+    LEASE_EXPIRED = "lease_expired"
+    """Its lease expired while the target did not respond."""
+    TARGET_RESTARTED = "target_restarted"
+    """A list of runs showed that the target had restarted."""
+    TARGET_REPLACED = "target_replaced"
+    """The agent adopted another incarnation from its heartbeat."""
+    RUN_UNKNOWN = "run_unknown"
+    """The agent has no record of it, as after its own restart."""
+    WITHDRAWN = "withdrawn"
+    """The entry had it stopped."""
+    ENTRY_GONE = "entry_gone"
+    """The agent stopped it, as it took the entry for gone."""
+    START_UNCONFIRMED = "start_unconfirmed"
+    """The agent stopped it, as the target had not confirmed its start."""
+
+
 class RefusalReason(Enum):
     """Why an agent did not start a run."""
 
