Probe only agents on which waiting jobs may be placed, and each once

What callers would see: an entry whose processor is taken by messages reads requests late; that this happened isn't shown. While jobs of a confined queue waited, an entry and the agents of the other queues answered each other as fast as the network let them. Cause: an entry probes agents that don't know of its backlog, and it took an agent for told if the backlog that it was sent was not zero. Agents of the other part were sent zero, and so probed again as soon as they had answered. The same held on any site for tasks that demand only memory, as a backlog counts processor time. Change: a round goes to agents on which a waiting job may be placed, by service and part, and a backlog with jobs is never zero. So a probe always reports a backlog, and an agent is probed again only if its state is older than MAX_STATE_AGE_S or the backlog was withdrawn since: with orders, an echo or at a tick. A tick withdraws a backlog by part. Tried and not kept: to send fresh agents the backlog without a probe, or to probe an agent at most once in 30 or 50 ms.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -79,6 +79,19 @@
     And no task was started more than 3 times by crashes
     And no task ever had two runs at once
 
+  # Guards against entries and agents that answer each other without pause while
+  # jobs of a confined queue wait.
+  Scenario: The agents of other queues are not probed for a confined queue's jobs
+    Given a simulated site of 2 entries and 8 targets of 16 cores
+    And task 0 of job "bad" crashes each target that starts it
+    When job "bad" of 4 tasks of 300 ms is submitted to entry 0
+    And 4 s pass
+    And job "wide" of 90 tasks of 2000 ms is submitted to entry 0
+    And 1.5 s pass while messages to agents are recorded
+    Then fewer than 90 tasks of job "wide" have started
+    And no agent outside the part of the confined queue was probed
+    And messages that carry no orders keep the limits of echoes and probes
+
   # Guards against runs on a crashed target counting as failures of the target.
   Scenario: A target is not quarantined for the runs that its crash ended
     Given a simulated site of 1 entries and 2 targets of 16 cores
--- a/features/runs.feature
+++ b/features/runs.feature
@@ -266,6 +266,15 @@
     Then job "a" is completed at entry 0
     And the response to job "a" took at most 0.23 s
 
+  # Guards against entries and agents that answer each other without pause while
+  # tasks wait that demand no processor time.
+  Scenario: Agents are not probed without pause for tasks that demand only memory
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    When job "a" of 12 tasks of 2000 ms that demand only memory is submitted to entry 0
+    And 1.5 s pass while messages to agents are recorded
+    Then fewer than 12 tasks of job "a" have started
+    And messages that carry no orders keep the limits of echoes and probes
+
   Scenario: Agents that became unreachable on idle streams are not used for a job
     Given a simulated site of 1 entries and 6 targets of 16 cores
     When 5 s pass
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -18,6 +18,7 @@
 from features.support.run_site import TASK
 from fulmarscale.cli.crashes import main as list_crashes
 from fulmarscale.entry.jobs.crash_history import CrashHistory
+from fulmarscale.events import Event
 from fulmarscale.http_server import AsgiServer
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.asgi import CRASHES_PATH
@@ -149,6 +150,26 @@
         )
 
 
+@then("no agent outside the part of the confined queue was probed")
+def check_probed(context: Context) -> None:
+    site = context.run_site
+    confined = {
+        agent
+        for entry in site.entries
+        for log in entry.logs
+        if log.event is Event.QUEUES_CONFINED
+        for agent in log.fields["agents"]
+    }
+    assert 0 < len(confined) < len(site.agents), confined
+    probes = Counter(
+        pair
+        for pair, messages in context.messages.items()
+        for message in messages
+        if message.is_probe and pair[1] not in confined
+    )
+    assert not probes, probes
+
+
 def find_target_of(context: Context, job: str) -> FakeTarget:
     """Return the target that runs a task of a job."""
     for target in context.run_site.targets:
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -26,6 +26,8 @@
 from fulmarscale.entry.jobs.fleet import Fleet
 from fulmarscale.entry.jobs.job import Job
 from fulmarscale.events import Event
+from fulmarscale.runs.limits import ECHO_GAP_S
+from fulmarscale.runs.limits import MAX_STATE_AGE_S
 from fulmarscale.runs.messages import RunEnd
 from fulmarscale.runs.messages import RunReport
 from fulmarscale.runs.model import EndCause
@@ -263,6 +265,17 @@
         entry.submit(f"job{count}", 1, 200, required_label=f"none-{count}")
 
 
+@when(
+    'job "{job}" of {tasks:d} tasks of {work_ms:d} ms that demand only memory'
+    " is submitted to entry {number:d}"
+)
+def submit_memory_only(
+    context: Context, job: str, tasks: int, work_ms: int, number: int
+) -> None:
+    demand = Resources(0, 30_000, 0)
+    context.run_site.entries[number].submit(job, tasks, work_ms, demand=demand)
+
+
 @given("a capacity prober without agents that has probed {times:d} times")
 def probe_without_agents(context: Context, times: int) -> None:
     context.prober = CapacityProber(Fleet("here"))
@@ -647,6 +660,43 @@
     return received
 
 
+@when("{span_s:g} s pass while messages to agents are recorded")
+def record_messages(context: Context, span_s: float) -> None:
+    site = context.run_site
+    deliver = site.deliver_to_agent
+    context.messages = {}
+    context.recorded_s = span_s
+
+    def record(entry: EntryNode, action: SendEntryMessage) -> None:
+        pair = (entry.name, entry.sessions[action.session].guard.name)
+        context.messages.setdefault(pair, []).append(action.message)
+        deliver(entry, action)
+
+    site.deliver_to_agent = record
+    site.advance(span_s)
+    site.deliver_to_agent = deliver
+
+
+@then('fewer than {most:d} tasks of job "{job}" have started')
+def check_started(context: Context, most: int, job: str) -> None:
+    site = context.run_site
+    started = {r.task for r in site.history if r.task.job_id == job}
+    assert 0 < len(started) < most, len(started)
+    assert not any(JobId(job) in entry.answers for entry in site.entries)
+
+
+@then("messages that carry no orders keep the limits of echoes and probes")
+def check_message_rates(context: Context) -> None:
+    # An echo answers a token that is newer by ECHO_GAP_S, a probe replaces a
+    # state older than MAX_STATE_AGE_S; one of each may fall on the edge.
+    most = 2 + context.recorded_s * (1 / ECHO_GAP_S + 1 / MAX_STATE_AGE_S)
+    counts = {
+        pair: sum(not (m.starts or m.stops or m.acks) for m in messages)
+        for pair, messages in context.messages.items()
+    }
+    assert max(counts.values()) <= most, (most, counts)
+
+
 @when("{span_s:g} s pass while messages are counted")
 def count_while_waiting(context: Context, span_s: float) -> None:
     site = context.run_site
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -879,6 +879,7 @@
         declared_ms: int | None = None,
         max_tasks_per_target: int = 0,
         required_label: str = "",
+        demand: Resources = TASK,
     ) -> None:
         """Submit a job of one step.
 
@@ -890,6 +891,7 @@
         :param declared_ms: work that the job declares; the true work if none.
         :param max_tasks_per_target: limit on tasks per target; 0 for no limit.
         :param required_label: label that a target must have; empty for none.
+        :param demand: demand of each task.
         """
         self.submitted_at[job_id] = self._clock.now
         self.objectives_s[job_id] = (
@@ -898,7 +900,7 @@
         declared_s = (declared_ms or work_ms) / 1000
         step = Step(
             tasks,
-            TASK,
+            demand,
             declared_s,
             required_label=required_label,
             max_tasks_per_target=max_tasks_per_target,
--- a/src/fulmarscale/entry/jobs/capacity_prober.py
+++ b/src/fulmarscale/entry/jobs/capacity_prober.py
@@ -3,6 +3,10 @@
 An agent without runs of an entry sends it nothing for seconds, so its free
 capacity is unknown meanwhile. It is probed when a task needs capacity, which
 takes a round trip of 2 ms.
+
+An agent is probed again only once its state is older than MAX_STATE_AGE_S or
+the report of a backlog was withdrawn: while any task waits for its target, it
+reports freed capacity by itself.
 """
 
 from __future__ import annotations
@@ -91,16 +95,19 @@
     ) -> list[AgentView]:
         """Return the agents to probe, those with most free capacity first.
 
-        Agents with recent messages are included until the backlog has been
-        reported to them: they report freed capacity only to entries whose
-        tasks wait.
+        Waiting jobs may be placed on all of them. Agents with recent messages
+        are included until the backlog has been reported to them: they report
+        freed capacity only to entries whose tasks wait.
         """
         candidates = [
             view
-            for service in sorted({job.queue.service for job in waiting})
+            for service, parts in self._fleet.parts_of(waiting).items()
             for view in self._fleet.serving(service)
             if view.probed_at is None
             and (view.needs_probe(now) or not view.has_reported_backlog)
+            and not parts.isdisjoint(
+                self._fleet.bulkheads.partitions_on(view.name)
+            )
         ]
         return sorted(
             candidates, key=lambda view: (-view.free.cpu_millicores, view.name)
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -524,7 +524,7 @@
         )
         self._subset.resize(used_millicores, now)
         self._sync_streams(now)
-        self._outbox.tick(has_backlog=bool(self._open.waiting), now=now)
+        self._outbox.tick(self._open.waiting.values(), now)
         return self._flush(now)
 
     def _log_readiness(self, now: float) -> None:
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -23,6 +23,7 @@
     from collections.abc import Collection
     from collections.abc import Iterable
 
+    from fulmarscale.entry.jobs.bulkheads import Partition
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.runs.model import ServiceName
@@ -236,6 +237,16 @@
             if view.serves(service, self._closed_data_centres)
         ]
 
+    def parts_of(
+        self, jobs: Iterable[Job]
+    ) -> dict[ServiceName, set[Partition]]:
+        """Return the parts in which tasks of jobs may run, by service."""
+        parts: dict[ServiceName, set[Partition]] = {}
+        for job in jobs:
+            partition = self.bulkheads.partition_of(job)
+            parts.setdefault(job.queue.service, set()).add(partition)
+        return parts
+
     def usable(self, job: Job, now: float) -> list[AgentView]:
         """Return the agents on which tasks of a job may be placed now.
 
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -25,14 +25,16 @@
     """The jobs of an entry that wait for the same targets."""
 
     millicores: int
-    """Their waiting demand, in thousandths of a core."""
+    """Their waiting demand, in thousandths of a core; 0 only without jobs."""
     slack_s: float
     """The time until the earliest latest start, in seconds."""
 
 
 def _backlog(waiting: Collection[Job], now: float) -> Backlog:
     slack_s = min((job.latest_start_at - now for job in waiting), default=0.0)
-    return Backlog(sum(map(waiting_demand, waiting)), slack_s)
+    millicores = sum(map(waiting_demand, waiting))
+    # Tasks may demand only memory, and agents take 0 for no backlog.
+    return Backlog(max(millicores, min(1, len(waiting))), slack_s)
 
 
 class Outbox:
@@ -77,15 +79,20 @@
             self._site, self._site_adopted_at, agent_revision, now
         )
 
-    def tick(self, *, has_backlog: bool, now: float) -> None:
+    def tick(self, waiting: Collection[Job], now: float) -> None:
         """Schedule keep-alives, echoes and site configurations that are due.
 
-        :param has_backlog: whether tasks wait for free capacity.
+        :param waiting: jobs with tasks that wait for free capacity.
         :param now: the entry's time.
         """
+        bulkheads = self._fleet.bulkheads
+        parts = {bulkheads.partition_of(job) for job in waiting}
         for view in self._fleet.connected:
             # An agent stops offering capacity once the backlog is cleared.
-            is_backlog_cleared = view.has_reported_backlog and not has_backlog
+            is_backlog_cleared = (
+                view.has_reported_backlog
+                and parts.isdisjoint(bulkheads.partitions_on(view.name))
+            )
             is_due = view.is_due(now) or self._must_propagate(view, now)
             if is_backlog_cleared or is_due:
                 view.mark_dirty()
