Play a restart that no agent notices on real processes

Change: a scenario whose entry and agents are processes of their own. The runners are in the test's event loop, so that one restarts under its id right after a poll while idle, and a job is submitted at once. The stand-in of the store answers the feed of changes, that of HTTP servers waits for responses and ends its connections when it is closed.

--- /dev/null
+++ b/features/steps/process_site_steps.py
@@ -0,0 +1,108 @@
+"""Steps that use a site whose entries and agents are processes."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Final
+from typing import TYPE_CHECKING
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support.process_site import make_job
+from features.support.process_site import ProcessSite
+from features.support.process_site import wait_for
+
+if TYPE_CHECKING:
+    from behave.runner import Context
+
+    from standins.runner import RunRecord
+
+JOB: Final = "00000000000000d1"
+
+NOTED_WITHIN_S: Final = 1.0
+"""How long after its response a job's ends may be acknowledged."""
+
+LIMIT_S: Final = 18.0
+
+
+@given("a site of {entries:d} entry processes and {agents:d} agent processes")
+def make_site(context: Context, entries: int, agents: int) -> None:
+    context.site = ProcessSite(Path(context.folder), entries, agents)
+
+
+@when(
+    "runner {number:d} restarts between two polls, with its first heartbeat"
+    " after {beat_s:g} s"
+)
+def choose_restart(context: Context, number: int, beat_s: float) -> None:
+    context.number = number
+    context.first_heartbeat_s = beat_s
+
+
+@when("a job of {tasks:d} tasks of {work_ms:d} ms is submitted at once")
+def choose_job(context: Context, tasks: int, work_ms: int) -> None:
+    context.tasks = tasks
+    context.work_ms = work_ms
+
+
+@when("runner {number:d} stays up")
+def play_up(context: Context, number: int) -> None:
+    play(context, number, goes_down=False)
+
+
+@when("runner {number:d} goes down when a run ended")
+def play_down(context: Context, number: int) -> None:
+    play(context, number, goes_down=True)
+
+
+def play(context: Context, number: int, *, goes_down: bool) -> None:
+    """Restart an idle runner, submit a job, and wait for its response."""
+    site = context.site
+
+    async def run() -> None:
+        async with asyncio.timeout(LIMIT_S), site:
+            await site.settle()
+            runner = site.runners[number]
+            polls = runner.idle_polls
+            await wait_for(lambda: runner.idle_polls > polls + 1)
+            runner.restart(context.first_heartbeat_s)
+            job = asyncio.create_task(
+                site.submit(
+                    site.entries[0],
+                    JOB,
+                    make_job(context.tasks, context.work_ms),
+                    8.0,
+                )
+            )
+            await wait_for(lambda: any(run.outcome for run in runs()))
+            if goes_down:
+                await runner.stop()
+            context.status = await job
+            await asyncio.sleep(NOTED_WITHIN_S)
+
+        context.runs = runs()
+
+    def runs() -> list[RunRecord]:
+        runner = site.runners[number]
+        return [run for run in runner.runs if run.task.startswith(JOB)]
+
+    asyncio.run(run())
+
+
+@then("runner {number:d} began runs of the job after its restart")
+def check_began(context: Context, number: int) -> None:
+    assert any(run.born > 1 for run in context.runs), context.runs
+
+
+@then("no task had two runs at the same time")
+def check_no_overlap(context: Context) -> None:
+    overlaps = context.site.overlaps()
+    assert not overlaps, overlaps
+
+
+@then("the job was completed")
+def check_completed(context: Context) -> None:
+    assert context.status == 200, context.status
--- a/standins/http_stub.py
+++ b/standins/http_stub.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from contextlib import suppress
+from inspect import isawaitable
 from typing import NamedTuple
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
 
 
 class StubRequest(NamedTuple):
@@ -31,6 +30,12 @@
     """Whether the server closes the connection afterwards."""
 
 
+Responder = Callable[
+    [StubRequest], StubResponse | Awaitable[StubResponse | None] | None
+]
+"""Returns the response to a request, which may be awaitable."""
+
+
 class HttpStub:
     """HTTP/1.1 server whose responses come from a function.
 
@@ -38,11 +43,11 @@
         without a response until the client closes the connection.
     """
 
-    def __init__(
-        self, respond: Callable[[StubRequest], StubResponse | None]
-    ) -> None:
+    def __init__(self, respond: Responder) -> None:
         self._respond = respond
         self._server: asyncio.Server | None = None
+        self._handlers: set[asyncio.Task[None]] = set()
+        """The task of each open connection."""
         self.requests: list[StubRequest] = []
         """All received requests, in order."""
         self.connections = 0
@@ -55,23 +60,38 @@
         host, port = self._server.sockets[0].getsockname()
         return f"{host}:{port}"
 
-    async def start(self) -> None:
-        """Listen on a free port of loopback."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port of loopback; by default, on a free one."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
 
     async def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
+        self.abort_connections()
+        await asyncio.gather(*self._handlers, return_exceptions=True)
+
+    def abort_connections(self) -> None:
+        """Close all connections at once, as a process that ends does."""
+        for handler in self._handlers:
+            handler.cancel()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        with suppress(asyncio.IncompleteReadError, ConnectionError):
-            while await self._serve_request(reader, writer):
-                pass
-        writer.close()
+        handler = asyncio.current_task()
+        assert handler is not None
+        self._handlers.add(handler)
+        try:
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while await self._serve_request(reader, writer):
+                    pass
+        finally:
+            self._handlers.discard(handler)
+            writer.close()
 
     async def _serve_request(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -86,6 +106,8 @@
         request = StubRequest(method, target, headers, body)
         self.requests.append(request)
         response = self._respond(request)
+        if isawaitable(response):
+            response = await response
         if response is None:
             await reader.read()
             return False
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -1,15 +1,18 @@
 """Stand-in for the platform's store of rows, over its HTTP protocol.
 
-Serves transactions, range reads and lists of parts from memory. Tests inject
-faults: see `StoreFault`.
+Serves transactions, range reads, lists of parts and changes from memory. Tests
+inject faults: see `StoreFault`.
 """
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
 from enum import Enum
 from typing import Any
 from typing import Final
 from typing import NamedTuple
+from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
@@ -19,6 +22,9 @@
 from standins.http_stub import StubRequest
 from standins.http_stub import StubResponse
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
 PAGE_ROWS: Final = 500
 """Maximal number of rows in one response to a read."""
 
@@ -61,6 +67,10 @@
         self._rows: dict[RowName, StoredRow] = {}
         self._store_version = 0
         """Number of writes so far; each gives its rows this version."""
+        self._removed: dict[RowName, int] = {}
+        """The store's version when a row was removed."""
+        self._changed = asyncio.Event()
+        """Set at the next write, and replaced then."""
         self.fault = StoreFault.NONE
         """The fault in force."""
         self.transactions = 0
@@ -86,15 +96,16 @@
         :param key: the key, in the part with the empty name.
         :param value: the value in base64.
         """
-        self._store_version += 1
         name = RowName(table, "", key)
-        self._rows[name] = StoredRow(value, self._store_version)
+        self._write([(name, value)], [])
 
     def keys(self, table: str) -> list[str]:
         """Return the keys of a table in order."""
         return [name.key for name in sorted(self._rows) if name.table == table]
 
-    def _respond_to(self, request: StubRequest) -> StubResponse | None:
+    def _respond_to(
+        self, request: StubRequest
+    ) -> StubResponse | Awaitable[StubResponse] | None:
         if self.fault is StoreFault.BUSY:
             return StubResponse(503)
         if self.fault is StoreFault.SILENT:
@@ -115,6 +126,8 @@
                 answer = self._read_range(query)
             case "/api/rows-parts":
                 answer = self._list_parts(query)
+            case "/api/rows-feed":
+                return self._wait_for_changes(query)
             case _:
                 answer = StubResponse(404)
         is_answer_lost = self.fault is StoreFault.LOSES_ANSWERS
@@ -137,13 +150,45 @@
                 if name in self._rows
             ]
             return _respond(412, rows=rows, ver=self._store_version)
-        self._store_version += 1
         self.transactions += 1
+        self._write(written, removed)
+        return _respond(200, ver=self._store_version)
+
+    def _write(
+        self, written: list[tuple[RowName, str]], removed: list[RowName]
+    ) -> None:
+        self._store_version += 1
         for name, value in written:
             self._rows[name] = StoredRow(value, self._store_version)
+            self._removed.pop(name, None)
         for name in removed:
-            self._rows.pop(name, None)
-        return _respond(200, ver=self._store_version)
+            if self._rows.pop(name, None) is not None:
+                self._removed[name] = self._store_version
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _wait_for_changes(self, query: dict[str, str]) -> StubResponse:
+        table, after = query["table"], int(query["after"])
+        rows = self._list_changes(table, after)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(int(query["waitMs"]) / 1000):
+                while not rows:
+                    await self._changed.wait()
+                    rows = self._list_changes(table, after)
+        return _respond(200, rows=rows, ver=self._store_version)
+
+    def _list_changes(self, table: str, after: int) -> list[dict[str, Any]]:
+        rows = [
+            self._encode_row(name)
+            for name, row in self._rows.items()
+            if name.table == table and row.ver > after
+        ]
+        rows += [
+            {**name._asdict(), "ver": ver, "removed": True}
+            for name, ver in self._removed.items()
+            if name.table == table and ver > after
+        ]
+        return sorted(rows, key=lambda row: row["ver"])
 
     def _read_range(self, query: dict[str, str]) -> StubResponse:
         names = [
