--- /dev/null
+++ b/features/process_chaos.feature
@@ -0,0 +1,8 @@
+Feature: Random faults on entries and agents as processes
+
+  # Guards against two runs of a task under faults that overlap.
+  Scenario: Overlapping faults of processes, runners and connections start no task twice
+    Given 3 entry processes, 6 agent processes and 4 callers
+    When random faults with seed 7 are played for 8 s
+    Then at least 10 jobs were completed or stored
+    And no start broke a guarantee
