Show a start carried out late by a runner out of reach, as known red

What is seen: two runs of a task at once. The agent is up all the time. Cause: RunGuard._end_expired ends all runs once the lease has expired for certain, also those whose start got no response. The lease bounds a run that has begun; says so at the entry, for lost agents, and not here.

--- a/features/steps/process_site_steps.py
+++ b/features/steps/process_site_steps.py
@@ -92,6 +92,45 @@
     asyncio.run(run())
 
 
+@when(
+    "runner {number:d} answers nothing for {silent_s:g} s and carries out"
+    " starts {late_s:g} s late"
+)
+def play_late(
+    context: Context, number: int, silent_s: float, late_s: float
+) -> None:
+    site = context.site
+
+    async def run() -> None:
+        async with asyncio.timeout(LIMIT_S), site:
+            await site.settle()
+            runner = site.runners[number]
+            polls = runner.idle_polls
+            await wait_for(lambda: runner.idle_polls > polls + 1)
+            runner.late_s = lambda: late_s
+            job = asyncio.create_task(
+                site.submit(
+                    site.entries[0],
+                    JOB,
+                    make_job(context.tasks, context.work_ms),
+                    10.0,
+                )
+            )
+            runner.is_silent = True
+            await asyncio.sleep(silent_s)
+            runner.is_silent = False
+            runner.late_s = lambda: None
+            context.status = await job
+        context.runs = [run for run in runner.runs if run.task.startswith(JOB)]
+
+    asyncio.run(run())
+
+
+@then("runner {number:d} began runs of the job")
+def check_any_began(context: Context, number: int) -> None:
+    assert context.runs
+
+
 @then("runner {number:d} began runs of the job after its restart")
 def check_began(context: Context, number: int) -> None:
     assert any(run.born > 1 for run in context.runs), context.runs
