Keep a start without a response while its target can't be reached

A task ran twice at once: its agent reported the first run as lapsed when the lease had expired, the entry started the task elsewhere, and the target then carried out the start that it had left unanswered. The end of a lease rules out runs that have begun, not a start that may still be carried out; entries have known this of lost agents since, agents had not of lost targets. The same when a heartbeat shows another incarnation under the target's id: a start may have reached that one.

Such a run is now kept until the target's list or a stop rules it out, or for LATE_START_S. Not after a refused connection: that process is gone, and what it had received with it. Run numbers are kept over incarnations.

"A start request after the last renewal ..." asked that such a job ends within 10 s though its target never responds again, which can't be had without the risk of a second run. It is replaced by two: starts with a response and renewals without one, within the same 10 s; and neither with one, where the caller waits 30 s.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -78,6 +78,35 @@
     Then no task ever had two runs at the same time
     And job "a" is completed at entry 0
 
+  # Guards against a second run while a target that can't be reached may still
+  # carry out the start of the first one.
+  Scenario: A start that is executed while its target is unreachable runs beside no other
+    Given a simulated site of 1 entries and 2 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 2.2 s late
+    When job "a" of 12 tasks of 1800 ms is submitted to entry 0
+    And 0.02 s pass
+    And simulated target 0 stops sending responses
+    And 4 s pass
+    And simulated target 0 sends responses again
+    And 9 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 0
+
+  # Guards against a second run while the first one may go on in the next
+  # incarnation of its target.
+  Scenario: A start without a response at a restarted target runs beside no other
+    Given a simulated site of 1 entries and 3 targets of 16 cores
+    When 3.1 s pass
+    And target 0 crashes and restarts after 0.05 s
+    And simulated target 0 stops sending responses
+    And 0.06 s pass
+    And job "a" of 24 tasks of 1800 ms is submitted to entry 0
+    And 4 s pass
+    And simulated target 0 sends responses again
+    And 6 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 0
+
   # Guards against a caller that sends a job again which may still begin.
   Scenario: A job of which a start may still be executed ends as failed
     Given a simulated site of 1 entries and 2 targets of 16 cores
@@ -91,13 +120,22 @@
 
   Scenario: A start request after the last renewal extends the time until the lease ends
     Given a simulated site of 1 entries and 2 targets of 16 cores
-    When simulated target 0 stops sending responses
+    When simulated target 0 stops responding to renewals
     And 0.3 s pass
     And job "a" of 12 tasks of 4000 ms is submitted to entry 0
     And 15 s pass
     Then no task ever had two runs at the same time
     And job "a" is completed at entry 0
 
+  Scenario: A start that gets no response from a target lost for good runs elsewhere in the end
+    Given a simulated site of 1 entries and 2 targets of 16 cores
+    When simulated target 0 stops sending responses
+    And 0.3 s pass
+    And job "a" of 12 tasks of 4000 ms is submitted to entry 0, whose caller waits 30 s
+    And 30 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 0
+
   Scenario: A draining target gets no new runs
     Given a simulated site of 2 entries and 2 targets of 16 cores
     When target 0 reports that it is draining
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -99,6 +99,22 @@
     context.submitted.append((entry, job))
 
 
+@when(
+    'job "{job}" of {tasks:d} tasks of {work_ms:d} ms is submitted to entry'
+    " {number:d}, whose caller waits {wait_s:d} s"
+)
+def submit_with_wait(
+    context: Context,
+    number: int,
+    job: str,
+    tasks: int,
+    work_ms: int,
+    wait_s: int,
+) -> None:
+    entry = context.run_site.entries[number]
+    entry.submit(job, tasks, work_ms, wait_s=wait_s)
+
+
 @given("runs on simulated target {number:d} never finish")
 def hang_runs(context: Context, number: int) -> None:
     context.run_site.targets[number].is_hung = True
@@ -109,6 +125,25 @@
     context.run_site.targets[number].is_unresponsive = True
 
 
+@when("simulated target {number:d} stops responding to renewals")
+def silence_renewals(context: Context, number: int) -> None:
+    context.run_site.targets[number].is_renewal_silent = True
+
+
+@when("simulated target {number:d} sends responses again")
+def end_silence(context: Context, number: int) -> None:
+    context.run_site.targets[number].is_unresponsive = False
+
+
+@when("simulated target {number:d} rejects all requests for {duration_s:f} s")
+def reject_requests(context: Context, number: int, duration_s: float) -> None:
+    target = context.run_site.targets[number]
+    target.is_unhealthy = True
+    context.run_site.clock.call_in(
+        duration_s, lambda: setattr(target, "is_unhealthy", False)
+    )
+
+
 @given("every run on simulated target {number:d} fails")
 def fail_runs(context: Context, number: int) -> None:
     context.run_site.targets[number].is_failing = True
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -39,6 +39,8 @@
 from fulmarscale.entry.jobs.subset import AnnouncedAgent
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.limits import LEASE_S
+from fulmarscale.runs.limits import MAX_LEASE_S
+from fulmarscale.runs.limits import TARGET_CLOCK_FACTOR
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import QueueName
@@ -194,6 +196,10 @@
 
         Starts and renewals take effect all the same.
         """
+        self.is_renewal_silent = False
+        """Whether renewals alone get no response."""
+        self.is_unhealthy = False
+        """Whether it rejects all requests and carries out none."""
         self.is_lease_from_arrival = False
         """Whether the lease of a delayed start counts from its arrival."""
         self.start_delays_s: list[float] = []
@@ -321,6 +327,21 @@
             ),
         )
 
+    def lease_end(
+        self, until: float, clock: TargetIncarnation | None
+    ) -> float:
+        """Return when a lease that an agent requests expires.
+
+        :param until: when it is to expire, by the agent's time.
+        :param clock: the incarnation whose clock the agent has read it from.
+            The clock of another one starts anew, so that the lease would be
+            far longer; targets shorten it.
+        """
+        now = self._clock.now
+        is_read = clock == self.incarnation
+        lease_s = min(until - now, MAX_LEASE_S) if is_read else MAX_LEASE_S
+        return now + lease_s * TARGET_CLOCK_FACTOR
+
     def extend(self, until: float) -> None:
         """Extend the lease to a time; it never becomes shorter."""
         if (
@@ -498,6 +519,8 @@
         self.target = target
         self.fencing_token = incarnation * TOKEN_STRIDE
         """Sent with each request; rises with the target's incarnation."""
+        self._clock_of: TargetIncarnation | None = None
+        """The target's incarnation whose clock was read last."""
         self._token_target: TargetIncarnation | None = None
         """The target's incarnation for which the token was raised last."""
         self.guard = RunGuard(f"agent-{target.name}", "here", incarnation)
@@ -519,6 +542,7 @@
             and known_target.incarnation != self._token_target
         ):
             self._token_target = known_target.incarnation
+            self._clock_of = known_target.incarnation
             self.fencing_token += 1
         for action in actions:
             match action:
@@ -570,7 +594,7 @@
             extend = self.guard.may_renew
             if extend:
                 self.guard.record_renewal(requested_at)
-            if not self.target.is_up:
+            if not self.target.is_up or self.target.is_unhealthy:
                 self._clock.call_in(
                     0.1, lambda: self.call_or_defer(handle_failure)
                 )
@@ -579,8 +603,8 @@
                 self.target.highest_token, self.fencing_token
             )
             if extend:
-                self.target.extend(requested_at + LEASE_S)
-            if self.target.is_unresponsive:
+                self.target.extend(self._lease_end(requested_at))
+            if self.target.is_unresponsive or self.target.is_renewal_silent:
                 self._clock.call_in(
                     RENEW_TIMEOUT_S, lambda: self.call_or_defer(handle_failure)
                 )
@@ -605,6 +629,10 @@
 
         self._clock.call_in(TICK_S, lambda: self.call_or_defer(renew))
 
+    def _lease_end(self, leased_at: float) -> float:
+        """Return when the target ends a lease that begins at a time."""
+        return self.target.lease_end(leased_at + LEASE_S, self._clock_of)
+
     def _renew_when_due(self, renew: Callable[[], None]) -> None:
         """Renew at once, or after IDLE_POLL_S while the target is idle."""
         if not self.guard.is_idle:
@@ -639,7 +667,7 @@
         :param renew_again: called after the response.
         :param fail: called instead if the target goes down.
         """
-        if not self.target.is_up:
+        if not self.target.is_up or self.target.is_unhealthy:
             pause_s = RENEW_TIMEOUT_S if self.target.is_dark else HOP_DELAY_S
             self._clock.call_in(pause_s, lambda: self.call_or_defer(fail))
             return
@@ -659,6 +687,7 @@
         run_list = self.target.list_runs(forgettable_position)
 
         def deliver() -> None:
+            self._clock_of = run_list.incarnation
             self.perform(
                 self.guard.update_runs(run_list, requested_at, self._clock.now)
             )
@@ -675,7 +704,6 @@
     def _start(self, action: StartRun) -> None:
         """Send a start to the target; the response may get lost."""
         sent_at = self._clock.now
-        until = sent_at + LEASE_S
 
         def handle_response(start_response: StartResponse) -> None:
             self.perform(
@@ -710,7 +738,8 @@
                     if self.target.is_lease_from_arrival
                     else sent_at
                 )
-                self.target.start(action, granted_at + LEASE_S, token)
+                until = self._lease_end(granted_at)
+                self.target.start(action, until, token)
 
             self._clock.call_in(late_s, deliver_late)
             self._clock.call_in(
@@ -734,6 +763,10 @@
                 # It has gone down since the request was sent.
                 handle_response_later(StartResponse.UNKNOWN)
                 return
+            if self.target.is_unhealthy:
+                handle_response_later(StartResponse.REJECTED)
+                return
+            until = self._lease_end(sent_at)
             start_response = self.target.start(action, until, token)
             after_s = HOP_DELAY_S
             if self.target.is_unresponsive:
@@ -750,9 +783,16 @@
 
         self._clock.call_in(HOP_DELAY_S, deliver)
 
+    @property
+    def _is_reached(self) -> bool:
+        """Whether the target carries out requests and responds to them."""
+        target = self.target
+        is_silent = target.is_unresponsive or target.is_unhealthy
+        return target.is_up and not is_silent
+
     def _list_runs(self) -> None:
         """List the runs of the target; lost if that is unresponsive."""
-        if not self.target.is_up or self.target.is_unresponsive:
+        if not self._is_reached:
             return
         requested_at = self._clock.now
 
@@ -772,7 +812,7 @@
 
     def _stop(self, action: StopRun) -> None:
         """Send a stop to the target; it is lost if that is unresponsive."""
-        if not self.target.is_up or self.target.is_unresponsive:
+        if not self._is_reached:
             self._clock.call_in(
                 START_TIMEOUT_S,
                 lambda: self.call_or_defer(
--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from fulmarscale.runs.limits import LATE_START_S
 from fulmarscale.runs.model import RunOutcome
 from fulmarscale.runs.model import TargetIncarnation
 from fulmarscale.runs.model import TaskKey
@@ -140,6 +141,22 @@
             return self.percent_reported_at
         return self.start_resolved_at
 
+    def may_begin(self, now: float) -> bool:
+        """Return whether the target may still carry out the start request.
+
+        The end of its lease doesn't rule that out.
+
+        :param now: the agent's time.
+        """
+        if self.begun_at > float("-inf"):
+            return False
+        return now - self.requested_at <= LATE_START_S
+
+    def forget_stops(self) -> None:
+        """Forget all stops, as another incarnation doesn't know of them."""
+        self.stop_acknowledged_at = float("inf")
+        self.is_stop_pending = False
+
     @property
     def is_durable(self) -> bool:
         """Whether the run is of a durable job, whose outcome gets stored."""
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -647,7 +647,7 @@
         self, report: TargetReport, sequence: int, now: float
     ) -> None:
         """Adopt another incarnation of the target once the former ended."""
-        self._end_incarnation(now)
+        self._end_incarnation(report.incarnation.target, now)
         self._target = report
         self._is_target_described = True
         self._target_sequence = sequence
@@ -720,9 +720,7 @@
         present = {(item.task, item.number) for item in listed.running}
         present |= {(item.task, item.number) for item in listed.completions}
         for run in list(self._runs.values()):
-            # Acknowledgements of the former incarnation don't hold any more.
-            run.stop_acknowledged_at = float("inf")
-            run.is_stop_pending = False
+            run.forget_stops()
             is_former = run.start_resolved_at < renewal_sent_at
             if (
                 run.is_confirmed
@@ -731,12 +729,21 @@
             ):
                 self._finish_run(run, outcome, EndCause.TARGET_RESTARTED, now)
 
-    def _end_incarnation(self, now: float) -> None:
-        """Finish the runs of an incarnation of the target that has ended."""
+    def _end_incarnation(self, next_id: TargetId, now: float) -> None:
+        """Finish the runs of an incarnation of the target that has ended.
+
+        :param next_id: the target of the next one. Under the same id it may
+            still carry out the start requests to this one.
+        :param now: the agent's time.
+        """
+        former = self._target
+        is_same = former is not None and former.incarnation.target == next_id
+        ended = self._ended_runs(now) if is_same else [*self._runs.values()]
         outcome = self._outcome_without_target
-        for run in list(self._runs.values()):
+        for run in ended:
             self._finish_run(run, outcome, EndCause.TARGET_REPLACED, now)
-        self._run_numbers.clear()
+        for run in self._runs.values():
+            run.forget_stops()
         self._clear_incarnation()
 
     def _clear_incarnation(self) -> None:
@@ -1101,7 +1108,7 @@
         if self._is_target_available or now <= self._lease_expires_at:
             return
         outcome = self._outcome_without_target
-        for run in list(self._runs.values()):
+        for run in self._ended_runs(now):
             self._log(
                 Event.RUN_LAPSED,
                 task=str(run.task),
@@ -1111,6 +1118,18 @@
             )
             self._finish_run(run, outcome, EndCause.LEASE_EXPIRED, now)
 
+    def _ended_runs(self, now: float) -> list[Run]:
+        """Return the runs that have ended with their lease.
+
+        Others may still begin, unless the target's process is gone.
+        """
+        has_crashed = self._outcome_without_target is RunOutcome.CRASHED
+        return [
+            run
+            for run in self._runs.values()
+            if has_crashed or not run.may_begin(now)
+        ]
+
     @property
     def _outcome_without_target(self) -> RunOutcome:
         """The outcome of the runs of a target that does not respond."""
