Reckon with the longest lease where a target's clock is not known

A run went on for up to 0.2 s after its agent took it for ended, beside the next run of its task. A start that reaches a target which has restarted unnoticed carries a lease computed with the former clock, so the target grants MAX_LEASE_S. The agent reckoned with LEASE_S until a list showed the restart; if the target then gave no list, because it rejected requests for a second, it took the runs for ended too soon.

The agent now reckons with MAX_LEASE_S for each start, and for the request with which it reaches a target again, whose reading of the clock is old. Renewals follow each other within 0.25 s, so that only a target that is lost within 0.3 s of a start is waited for longer.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -264,6 +264,20 @@
       | 3.1  | 0.2  | 0.21  | 300  |
       | 3.3  | 0.05 | 0.06  | 1800 |
 
+  # Guards against a lease that lasts longer than its agent reckons, as it was
+  # computed with the clock of the target's former incarnation.
+  Scenario: A lease that a restarted target grants longer than requested has no second run
+    Given a simulated site of 1 entries and 3 targets of 16 cores
+    When 3.1 s pass
+    And target 0 crashes and restarts after 0.05 s
+    And 0.06 s pass
+    And job "a" of 24 tasks of 1800 ms is submitted to entry 0
+    And 0.02 s pass
+    And simulated target 0 rejects all requests for 3.0 s
+    And 6 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 0
+
   Scenario: A target on which every run fails costs no job
     Given a simulated site of 1 entries and 4 targets of 16 cores
     And every run on simulated target 0 fails
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -435,7 +435,15 @@
 
         :param sent_at: when it was sent, by the agent's time.
         """
-        expires_at = sent_at + LEASE_S * TARGET_CLOCK_FACTOR + LAPSE_MARGIN_S
+        self._extend_lease(sent_at, LEASE_S)
+
+    def _extend_lease(self, begin: float, lease_s: float) -> None:
+        """Record a lease of all runs.
+
+        :param begin: when it begins, by the agent's time.
+        :param lease_s: the longest that it lasts by the target's clock.
+        """
+        expires_at = begin + lease_s * TARGET_CLOCK_FACTOR + LAPSE_MARGIN_S
         self._lease_expires_at = max(self._lease_expires_at, expires_at)
 
     def update_runs(
@@ -465,6 +473,9 @@
         self._listed_at = now
         if not self._is_target_available:
             self._is_target_available = True
+            # The request was sent with an old reading of its clock, or that
+            # of a former incarnation.
+            self._extend_lease(now, MAX_LEASE_S)
             self._notify_all()
             self._log(Event.TARGET_REACHED, target=target.incarnation.target)
             if self._crashes.disprove(target.incarnation) is not None:
@@ -686,9 +697,6 @@
         self._is_target_described = False
         self._target_sequence = UNKNOWN_SEQUENCE
         self._incarnation_since = now
-        # Until it was known, leases were computed with the former clock.
-        expires_at = now + MAX_LEASE_S * TARGET_CLOCK_FACTOR + LAPSE_MARGIN_S
-        self._lease_expires_at = max(self._lease_expires_at, expires_at)
         self._log(
             Event.TARGET_REBORN,
             target=listed.incarnation.target,
@@ -891,8 +899,9 @@
             self._demand_of_runs.fits(target.capacity),
             "runs fit the target's capacity",
         )
-        # A start extends the lease of all runs, as a renewal does.
-        self.record_renewal(now)
+        # A start extends the lease of all runs, as a renewal does. It may
+        # reach a new incarnation, whose clock isn't known, before any list.
+        self._extend_lease(now, MAX_LEASE_S)
         self._actions.append(
             StartRun(
                 target.incarnation, request.task, number, request.payload, now
