Let a target forget its list only up to a position read just now

A durable task was started again after its run had ended as done and the end had been noted. An idle agent sent the last position of the target's list up to 1 s after it had read the list. A target that had restarted in between, unnoticed, forgot the ends of its own first runs, which nobody had read. The same with a renewal that was repeated after a restart.

A position is sent only while the list that it comes from is at most MAX_LIST_AGE_S old, and at once: a target with a position to forget doesn't count as idle.

Renewals of the stand-ins carry the position as of their sending now.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -22,6 +22,23 @@
     And no guarantee for durable jobs is violated
     And the agents have no runs and no unacknowledged completions
 
+  # Guards against ends that a restarted target forgets before they were read,
+  # by a position in the list of its former incarnation.
+  Scenario: A target that restarts while idle forgets no end that was not read
+    Given a simulated site of 1 entries, 1 targets and a store
+    When durable job "a" of 6 tasks of 100 ms is submitted to entry 0
+    And 0.4 s pass
+    And target 0 crashes and restarts after 0.05 s
+    And 0.06 s pass
+    And durable job "b" of 3 tasks of 100 ms is submitted to entry 0
+    And 5 s pass
+    Then the store records job "b" as completed
+    And no guarantee for durable jobs is violated
+
+  Scenario: Targets that restart within a moment forget no end that was not read
+    When targets restart at random, with seeds 1 to 6, under short durable jobs
+    Then no simulated site violated a guarantee for durable jobs
+
   Scenario: The steps of a durable job run in sequence
     Given a simulated site of 2 entries, 3 targets and a store
     When durable job "a" with steps of 3, 2 and 4 tasks of 200 ms is submitted to entry 0
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -11,6 +11,7 @@
 
 from features.support.durable_chaos import play_crashing_seed
 from features.support.durable_chaos import play_durable_seed
+from features.support.durable_chaos import play_restart_seed
 from features.support.durable_site import DurableSite
 from features.support.durable_site import is_idle
 from features.support.fake_row_store import StoreMode
@@ -314,6 +315,16 @@
         )
 
 
+@when(
+    "targets restart at random, with seeds {first:d} to {last:d}, under short"
+    " durable jobs"
+)
+def run_sites_with_restarts(context: Context, first: int, last: int) -> None:
+    with ProcessPoolExecutor(max_workers=WORKERS) as pool:
+        seeds = range(first, last + 1)
+        context.chaos_results = list(pool.map(play_restart_seed, seeds))
+
+
 @then("no simulated site violated a guarantee for durable jobs")
 def check_random_guarantees(context: Context) -> None:
     broken = [
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -158,6 +158,7 @@
         if extend:
             target.extend(requested_at + LEASE_S)
         born = target.incarnation
+        position = self.guard.forgettable_position(requested_at)
         is_answered = False
 
         def respond() -> None:
@@ -168,7 +169,7 @@
             if not target.is_up or target.incarnation != born:
                 self._later(HOP_DELAY_S, self._poll_failed)
                 return
-            listed = target.list_runs(self.guard.forgettable_position)
+            listed = target.list_runs(position)
             self._later(RESPONSE_S / 2, lambda: receive(listed))
 
         def receive(listed: Any) -> None:
@@ -181,8 +182,7 @@
             self._poll_after(IDLE_POLL_S if self.guard.is_idle else 0.0)
 
         has_completion = any(
-            completion.position > self.guard.forgettable_position
-            for completion in target.completions
+            completion.position > position for completion in target.completions
         )
         if wait_s > 0 and not has_completion:
             target.on_completion.append(
--- a/features/support/durable_chaos.py
+++ b/features/support/durable_chaos.py
@@ -52,6 +52,9 @@
     :param crashing_share: share of the jobs with a task that crashes targets.
     """
 
+    works_ms = (60, 200, 900, 2000)
+    """Durations of tasks, in milliseconds."""
+
     def __init__(self, seed: int, crashing_share: float = 0.0) -> None:
         self._random = Random(seed)
         self._crashing_share = crashing_share
@@ -84,7 +87,7 @@
         task_counts = self._random.choice(
             ((1,), (2,), (4,), (2, 3), (1, 1, 1))
         )
-        work_ms = self._random.choice((60, 200, 900, 2000))
+        work_ms = self._random.choice(self.works_ms)
         entry = self._choose_entry()
         if self._crashing_random.random() < self._crashing_share:
             self.site.make_task_crash_targets(job, 0)
@@ -211,6 +214,21 @@
                     self.site.connect(entry, other)
 
 
+class RestartRun(DurableChaosRun):
+    """Plays short tasks on targets that restart before their agents notice."""
+
+    works_ms = (60, 100, 200)
+
+    def _inject_fault(self) -> None:
+        target = self._random.choice(self.site.targets)
+        target.crash(self._random.choice((0.02, 0.03, 0.05, 0.2)))
+
+
+def play_restart_seed(seed: int) -> DurableSeedResult:
+    """Play one seed of short tasks on targets that restart."""
+    return _judge(seed, RestartRun(seed))
+
+
 CRASHING_SHARE: Final = 0.05
 """Share of jobs with a task that crashes targets, in runs with such jobs."""
 
@@ -228,7 +246,11 @@
     :param seed: seed of all random choices.
     :param crashing_share: share of the jobs with a task that crashes targets.
     """
-    chaos_run = DurableChaosRun(seed, crashing_share)
+    return _judge(seed, DurableChaosRun(seed, crashing_share))
+
+
+def _judge(seed: int, chaos_run: DurableChaosRun) -> DurableSeedResult:
+    """Play a run and check the guarantees on durable jobs."""
     chaos_run.play()
     site = chaos_run.site
     outcomes = site.submission_outcomes()
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -612,6 +612,7 @@
             wait_s = 0.0 if self.guard.is_idle else RENEW_WAIT_S
             self._wait_for_completion(
                 requested_at,
+                self.guard.forgettable_position(requested_at),
                 requested_at + wait_s,
                 lambda: self._renew_when_due(renew),
                 handle_failure,
@@ -656,6 +657,7 @@
     def _wait_for_completion(
         self,
         requested_at: float,
+        forgettable_position: int,
         until: float,
         renew_again: Any,
         fail: Any,
@@ -663,6 +665,7 @@
         """Respond to a renewal once a run has ended or `until` is reached.
 
         :param requested_at: when the renewal was sent.
+        :param forgettable_position: the position that it carries.
         :param until: when the target responds at the latest.
         :param renew_again: called after the response.
         :param fail: called instead if the target goes down.
@@ -671,7 +674,6 @@
             pause_s = RENEW_TIMEOUT_S if self.target.is_dark else HOP_DELAY_S
             self._clock.call_in(pause_s, lambda: self.call_or_defer(fail))
             return
-        forgettable_position = self.guard.forgettable_position
         has_completion = any(
             completion.position > forgettable_position
             for completion in self.target.completions
@@ -680,7 +682,11 @@
             self._clock.call_in(
                 HOP_DELAY_S,
                 lambda: self._wait_for_completion(
-                    requested_at, until, renew_again, fail
+                    requested_at,
+                    forgettable_position,
+                    until,
+                    renew_again,
+                    fail,
                 ),
             )
             return
@@ -795,9 +801,10 @@
         if not self._is_reached:
             return
         requested_at = self._clock.now
+        position = self.guard.forgettable_position(requested_at)
 
         def deliver() -> None:
-            listed = self.target.list_runs(self.guard.forgettable_position)
+            listed = self.target.list_runs(position)
             self._clock.call_in(
                 HOP_DELAY_S,
                 lambda: self.call_or_defer(lambda: receive(listed)),
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -104,6 +104,12 @@
 UNKNOWN_SEQUENCE: Final = -1
 """Sequence number before the first heartbeat, lower than that of any."""
 
+MAX_LIST_AGE_S: Final = 0.05
+"""Age of the target's list up to which a position in it is sent.
+
+A target doesn't restart and complete a run in that time.
+"""
+
 EXPIRY_INTERVAL_S: Final = 1.0
 """Interval between removals of expired reports, echoes and run numbers."""
 
@@ -135,7 +141,7 @@
         self._listed_clock_ms = 0
         """The target's time of its newest list of runs."""
         self._listed_at = float("-inf")
-        """When the newest list of runs was received."""
+        """When that list was received."""
         self._lease_expires_at = float("-inf")
         """When all runs have ended for certain if the lease isn't extended."""
         self._completions = UnacknowledgedCompletions()
@@ -201,13 +207,23 @@
         It is then polled less often.
         """
         has_no_work = not (
-            self._runs or self._orphans or self._completions.completions
+            self._runs
+            or self._orphans
+            or self._completions.completions
+            or self._completions.forgettable_position
         )
         return has_no_work and self._is_target_available
 
-    @property
-    def forgettable_position(self) -> int:
-        """The newest completion in its list that the target may forget."""
+    def forgettable_position(self, now: float) -> int:
+        """Return the newest completion in its list the target may forget.
+
+        It is 0 if the last list is too old to tell that the target hasn't
+        restarted. It could forget completions that no list has shown.
+
+        :param now: the agent's time.
+        """
+        if now - self._listed_at > MAX_LIST_AGE_S:
+            return 0
         return self._completions.forgettable_position
 
     @property
@@ -761,6 +777,7 @@
         self._orphans.clear()
         self._is_target_available = False
         self._listed_clock_ms = 0
+        self._listed_at = float("-inf")
         self._completions.reset()
         for session in self._sessions.values():
             session.sent_positions.clear()
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -214,7 +214,7 @@
             try:
                 listed = await self._target.renew(
                     target.incarnation,
-                    self._guard.forgettable_position,
+                    self._guard.forgettable_position(boottime_s()),
                     self._renew_wait_s(renewal_sent_at),
                     renewal_sent_at if extend else None,
                 )
@@ -259,7 +259,7 @@
         try:
             listed = await self._target.renew(
                 incarnation,
-                self._guard.forgettable_position,
+                self._guard.forgettable_position(sent_at),
                 0.0,
                 None,
             )
