Start a restarted agent's fencing token above any that it can't know of

The token rises by one when a target restarts, and is stored with the next heartbeat, once the store has taken it. An agent that was killed before had used the token that its next process began with, so that the target didn't reject a start of the former process which it carried out late. The next process had already reported that start as lapsed.

It now begins 1,000 above the stored token.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -129,6 +129,13 @@
     When its lease is renewed before and after it starts again with a lower clock
     Then the second renewal carries a higher fencing token than the first
 
+  # Guards against late starts of an agent's former process, which a runner would
+  # take for those of the present one.
+  Scenario: A restarted agent uses a higher fencing token than one not stored in time
+    Given a runner that accepts every renewal
+    When its lease is renewed before and after it starts again with a lower clock
+    Then an agent that has read the first token from its row exceeds the second
+
   Scenario: A higher fencing token at the runner is adopted for the next renewal
     Given a runner that has received the fencing token 5000
     When a lease is renewed twice, first with a fencing token of 100
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -700,6 +700,15 @@
     assert second > first >= 5000, (first, second)
 
 
+@then("an agent that has read the first token from its row exceeds the second")
+def check_following_token(context: Context) -> None:
+    bodies = [msgspec.json.decode(r.body) for r in context.stub.requests]
+    first, second = (body["fencingToken"] for body in bodies)
+    following = RunnerClient(LOG)
+    following.supersede(first)
+    assert following.fencing_token > second, (following.fencing_token, second)
+
+
 @when("a start and a renewal are sent {late_s:g} s after their decision")
 def send_late(context: Context, late_s: float) -> None:
     async def work(runner: RunnerClient) -> None:
--- a/src/fulmarscale/platform/runner.py
+++ b/src/fulmarscale/platform/runner.py
@@ -44,6 +44,12 @@
 MAX_CONNECTIONS: Final = 48
 """Limit of connections, below the 64 that a runner accepts."""
 
+TOKEN_RESERVE: Final = 1000
+"""How far the token of an earlier process may exceed the one that is stored.
+
+It rises by one with each restart of the runner, before it can be stored.
+"""
+
 TOKEN_GROWTH: Final = 2
 """Factor between fencing tokens that are tried while none is known."""
 
@@ -83,10 +89,11 @@
     def supersede(self, token: int) -> None:
         """Use higher fencing tokens than an earlier process of this agent.
 
-        :param token: the last one of that process; 0 if it isn't known.
+        :param token: the last one that it stored; 0 if it isn't known.
         """
         if token > 0:
-            self._fencing_token = max(self._fencing_token, token + 1)
+            token = min(token + TOKEN_RESERVE, MAX_INTEGER)
+            self._fencing_token = max(self._fencing_token, token)
 
     def resume_target(
         self, incarnation: TargetIncarnation, address: str
