Let a target forget completions that an overtaken list seemed to lack

By reading, two lists of one millisecond can be read in the wrong order: the older one, without the completions, then counts as the proof that they are forgotten, the position is never sent again, and a target with completions on its list responds to each renewal at once.

A list that has completions up to that position now takes the proof back. The scenario failed before (the position was 0).

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -136,6 +136,13 @@
     Then no task ever had two runs at the same time
     And job "a" is completed at entry 0
 
+  # Guards against an agent that never lets its target forget a completion, so
+  # that the target responds to each renewal at once.
+  Scenario: A list that was overtaken by one of the same time hides no completion
+    Given completions 1 to 3 that a target has listed
+    When a list without them is received, and then one with them
+    Then the target may forget completions up to 3
+
   Scenario: A draining target gets no new runs
     Given a simulated site of 2 entries and 2 targets of 16 cores
     When target 0 reports that it is draining
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -21,6 +21,8 @@
 from features.support.run_site import QUEUE
 from features.support.run_site import RunSite
 from features.support.run_site import TASK
+from fulmarscale.agent.completions import UnacknowledgedCompletions
+from fulmarscale.agent.run import ListedCompletion
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.capacity_prober import CapacityProber
 from fulmarscale.entry.jobs.fleet import Fleet
@@ -115,6 +117,30 @@
     entry.submit(job, tasks, work_ms, wait_s=wait_s)
 
 
+@given("completions {first:d} to {last:d} that a target has listed")
+def list_completions(context: Context, first: int, last: int) -> None:
+    context.completions = UnacknowledgedCompletions()
+    context.listed = [
+        ListedCompletion(
+            position, TaskKey(JobId("a"), 0, 0, position), 1, RunOutcome.DONE
+        )
+        for position in range(first, last + 1)
+    ]
+    for item in context.listed:
+        context.completions.record_position(item.position)
+
+
+@when("a list without them is received, and then one with them")
+def receive_lists(context: Context) -> None:
+    context.completions.record_list(())
+    context.completions.record_list(context.listed)
+
+
+@then("the target may forget completions up to {position:d}")
+def check_forgettable(context: Context, position: int) -> None:
+    assert context.completions.forgettable_position == position
+
+
 @given("runs on simulated target {number:d} never finish")
 def hang_runs(context: Context, number: int) -> None:
     context.run_site.targets[number].is_hung = True
--- a/src/fulmarscale/agent/completions.py
+++ b/src/fulmarscale/agent/completions.py
@@ -83,8 +83,12 @@
 
         :param listed: its list of completions.
         """
+        first = min((item.position for item in listed), default=None)
+        if first is not None and first <= self._forgotten_position:
+            # A list from before these completions was taken for a newer one.
+            self._forgotten_position = first - 1
         position = self.forgettable_position
-        if not any(item.position <= position for item in listed):
+        if first is None or first > position:
             self._forgotten_position = max(self._forgotten_position, position)
 
     def add_completion(
