Let a renewal with a position to forget wait for no completion

Change: a renewal with a position doesn't wait, and lists on demand carry none. Evidence: virtual time, one target, two durable jobs, a restart in between.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -138,6 +138,26 @@
     And 48 runs were started
     And no guarantee for durable jobs is violated
 
+  # The position up to which the former incarnation may forget its list must not
+  # reach the next one.
+  Scenario Outline: A target that restarts unnoticed forgets no completion of its next incarnation
+    Given a simulated site of 1 entries, 1 targets and a store
+    When durable job "a" of 3 tasks of 60 ms is submitted to entry 0
+    And 0.42 s pass
+    And target 0 crashes and restarts after <down> s
+    And <later> s pass
+    And durable job "b" of 3 tasks of 60 ms is submitted to entry 0
+    And 6 s pass
+    Then the store records job "b" as completed
+    And 6 runs were started
+    And no guarantee for durable jobs is violated
+
+    Examples:
+      | down | later |
+      | 0.02 | 0.02  |
+      | 0.1  | 0.1   |
+      | 0.3  | 0.3   |
+
   # Guards against tasks that wait for ever for a target that is gone.
   Scenario: A job is completed though an agent comes back without its target
     Given a simulated site of 2 entries, 3 targets and a store
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -194,7 +194,7 @@
 
     def _renew_wait_s(self) -> float:
         guard = self.guard
-        if guard.is_idle or guard.unacknowledged_count:
+        if guard.must_list_at_once:
             return 0.0
         if self._failed_renewals or not guard.is_target_available:
             return 0.0
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -609,10 +609,13 @@
                     RENEW_TIMEOUT_S, lambda: self.call_or_defer(handle_failure)
                 )
                 return
-            wait_s = 0.0 if self.guard.is_idle else RENEW_WAIT_S
+            # The position is sent with the request, and a target that has
+            # restarted since then applies it to its own list.
+            position = self.guard.forgettable_position(requested_at)
+            wait_s = 0.0 if self.guard.must_list_at_once else RENEW_WAIT_S
             self._wait_for_completion(
+                position,
                 requested_at,
-                self.guard.forgettable_position(requested_at),
                 requested_at + wait_s,
                 lambda: self._renew_when_due(renew),
                 handle_failure,
@@ -656,16 +659,17 @@
 
     def _wait_for_completion(
         self,
+        position: int,
         requested_at: float,
-        forgettable_position: int,
         until: float,
         renew_again: Any,
         fail: Any,
     ) -> None:
         """Respond to a renewal once a run has ended or `until` is reached.
 
+        :param position: up to where the target may forget its list, as sent
+            with the renewal.
         :param requested_at: when the renewal was sent.
-        :param forgettable_position: the position that it carries.
         :param until: when the target responds at the latest.
         :param renew_again: called after the response.
         :param fail: called instead if the target goes down.
@@ -675,22 +679,18 @@
             self._clock.call_in(pause_s, lambda: self.call_or_defer(fail))
             return
         has_completion = any(
-            completion.position > forgettable_position
+            completion.position > position
             for completion in self.target.completions
         )
         if not has_completion and self._clock.now < until:
             self._clock.call_in(
                 HOP_DELAY_S,
                 lambda: self._wait_for_completion(
-                    requested_at,
-                    forgettable_position,
-                    until,
-                    renew_again,
-                    fail,
+                    position, requested_at, until, renew_again, fail
                 ),
             )
             return
-        run_list = self.target.list_runs(forgettable_position)
+        run_list = self.target.list_runs(position)
 
         def deliver() -> None:
             self._clock_of = run_list.incarnation
@@ -801,10 +801,9 @@
         if not self._is_reached:
             return
         requested_at = self._clock.now
-        position = self.guard.forgettable_position(requested_at)
 
         def deliver() -> None:
-            listed = self.target.list_runs(position)
+            listed = self.target.list_runs(0)
             self._clock.call_in(
                 HOP_DELAY_S,
                 lambda: self.call_or_defer(lambda: receive(listed)),
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -204,7 +204,9 @@
     def is_idle(self) -> bool:
         """Whether the target responds and has no runs or completions.
 
-        It is then polled less often.
+        It is then polled less often. Not before it has forgotten all
+        completions: a position that is sent later may reach its next
+        incarnation.
         """
         has_no_work = not (
             self._runs
@@ -226,6 +228,19 @@
             return 0
         return self._completions.forgettable_position
 
+    @property
+    def must_list_at_once(self) -> bool:
+        """Whether the target must respond before a run completes.
+
+        Another incarnation may receive the position that it may forget, and
+        would forget the runs that complete while it waits.
+        """
+        return bool(
+            self.is_idle
+            or self.unacknowledged_count
+            or self._completions.forgettable_position
+        )
+
     @property
     def unacknowledged_count(self) -> int:
         """The number of completions not yet acknowledged by an entry."""
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -230,7 +230,7 @@
         :param now: the agent's time.
         """
         guard = self._guard
-        if guard.is_idle or guard.unacknowledged_count:
+        if guard.must_list_at_once:
             return 0.0
         if self._failed_renewals or not guard.is_target_available:
             return 0.0
@@ -257,12 +257,7 @@
         """List the target's runs without extending their lease."""
         sent_at = boottime_s()
         try:
-            listed = await self._target.renew(
-                incarnation,
-                self._guard.forgettable_position(sent_at),
-                0.0,
-                None,
-            )
+            listed = await self._target.renew(incarnation, 0, 0.0, None)
         except TargetUnreachableError:
             # The pending renewal, or the next one, has the list as well.
             return
