Take no run as lapsed that a full list of completions may hide

Cause: a target lists 500 completions at a time, and may forget them only up to one position. A completion that nobody acknowledges (its entry was lost) thus keeps the list full, and later ones are not listed. The agent took a run that is neither listed as running nor as completed for lapsed, and the entry started the task again at once, on this target or another, time and again. Once the list moved on, the same completions were unknown to the agent (END_UNKNOWN), discarded by the entry (END_VOIDED), and the lease had to lapse. Change: a run that a full list does not show is not taken for ended. From 400 listed completions on the lease has to run out, as for a discarded one, so that the list doesn't fill; LEASE_TO_LAPSE has `listed` then. The new scenario fails without the change to the agent; the stand-in listed all completions before.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -158,6 +158,20 @@
       | 0.1  | 0.1   |
       | 0.3  | 0.3   |
 
+  # The target lists a limited number of completions, and one that nobody
+  # acknowledges keeps all later ones on the list.
+  Scenario: A completion that a lost owner has not acknowledged hides no later ones
+    Given a simulated site of 2 entries, 1 targets and a store
+    When durable job "a" of 1 tasks of 300 ms is submitted to entry 0
+    And 0.2 s pass
+    And entry 0 is killed
+    And durable job "b" of 700 tasks of 60 ms is submitted to entry 1
+    And 30 s pass
+    Then the store records job "a" as completed
+    And the store records job "b" as completed
+    And no task of job "b" was done more than once
+    And no guarantee for durable jobs is violated
+
   # Guards against tasks that wait for ever for a target that is gone.
   Scenario: A job is completed though an agent comes back without its target
     Given a simulated site of 2 entries, 3 targets and a store
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,7 @@
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import RunOutcome
 from fulmarscale.runs.model import Step
 
 if TYPE_CHECKING:
@@ -325,6 +327,18 @@
         context.chaos_results = list(pool.map(play_restart_seed, seeds))
 
 
+@then('no task of job "{job}" was done more than once')
+def check_done_once(context: Context, job: str) -> None:
+    counts = Counter(
+        run.task
+        for run in context.run_site.history
+        if run.task.job_id == job and run.outcome is RunOutcome.DONE
+    )
+    repeated = {task: n for task, n in counts.items() if n > 1}
+    assert counts, context.run_site.history[:2]
+    assert not repeated, (len(repeated), list(repeated.items())[:3])
+
+
 @then("no simulated site violated a guarantee for durable jobs")
 def check_random_guarantees(context: Context) -> None:
     broken = [
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -19,6 +19,7 @@
 
 from fulmarscale.agent.run import ListedCompletion
 from fulmarscale.agent.run import ListedRun
+from fulmarscale.agent.run import MAX_LISTED_COMPLETIONS
 from fulmarscale.agent.run import RunList
 from fulmarscale.agent.run import StartResponse
 from fulmarscale.agent.run_actions import CloseStream
@@ -372,7 +373,7 @@
         return RunList(
             self.incarnation,
             running,
-            tuple(self.completions),
+            tuple(self.completions[:MAX_LISTED_COMPLETIONS]),
             round(self._clock.now * 1000),
         )
 
--- a/src/fulmarscale/agent/completions.py
+++ b/src/fulmarscale/agent/completions.py
@@ -10,8 +10,10 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from fulmarscale.agent.run import MAX_LISTED_COMPLETIONS
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection
 
     from fulmarscale.agent.run import ListedCompletion
     from fulmarscale.runs.messages import CompletionAck
@@ -24,6 +26,12 @@
 one.
 """
 
+MAX_RETAINED_COMPLETIONS: Final = MAX_LISTED_COMPLETIONS - 100
+"""Length of the target's list from which its lease has to expire.
+
+Runs that complete until then have to fit the list as well.
+"""
+
 
 class UnacknowledgedCompletions:
     """The unacknowledged completions of one incarnation of the target.
@@ -78,11 +86,17 @@
         self._newest_position = max(self._newest_position, position)
         return is_new
 
-    def record_list(self, listed: Iterable[ListedCompletion]) -> None:
+    def record_list(self, listed: Collection[ListedCompletion]) -> None:
         """Record what the target still lists.
 
+        A completion that stays unacknowledged keeps all later ones on the
+        list. Before the list is full, the lease has to expire, so that the
+        target may forget it.
+
         :param listed: its list of completions.
         """
+        if self._pending and len(listed) >= MAX_RETAINED_COMPLETIONS:
+            self._requires_lease_expiry = True
         first = min((item.position for item in listed), default=None)
         if first is not None and first <= self._forgotten_position:
             # A list from before these completions was taken for a newer one.
--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Final
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -63,6 +64,13 @@
     outcome: RunOutcome
 
 
+MAX_LISTED_COMPLETIONS: Final = 500
+"""Most completions that a target lists at a time.
+
+It lists later ones once it may forget some of these.
+"""
+
+
 class RunList(msgspec.Struct, frozen=True):
     """A target's response to a renewal of its lease."""
 
@@ -73,6 +81,11 @@
     clock_ms: int
     """When it was made, by the target's own clock."""
 
+    @property
+    def is_truncated(self) -> bool:
+        """Whether there may be completions that are not listed."""
+        return len(self.completions) >= MAX_LISTED_COMPLETIONS
+
 
 class Run:
     """One run that the guard has started and that has not ended yet."""
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -518,10 +518,17 @@
         for completion in listed.completions:
             if self._completions.record_position(completion.position):
                 self._handle_completion(completion, now)
-        self._completions.record_list(listed.completions)
+        self._record_list(listed)
         self._update_running(listed, renewal_sent_at, now)
         return self._collect_actions(now)
 
+    def _record_list(self, listed: RunList) -> None:
+        """Record what the target still lists."""
+        had_to_lapse = self._completions.requires_lease_expiry
+        self._completions.record_list(listed.completions)
+        if self._completions.requires_lease_expiry and not had_to_lapse:
+            self._log(Event.LEASE_TO_LAPSE, listed=len(listed.completions))
+
     def resolve_start(
         self,
         incarnation: TargetIncarnation,
@@ -1091,9 +1098,11 @@
             present.add(item.task)
             run.percent = item.percent
             run.percent_reported_at = now
-        for run in list(self._runs.values()):
-            if run.task not in present:
-                self._resolve_missing(run, renewal_sent_at, now)
+        # A run may have completed without being listed yet.
+        if not listed.is_truncated:
+            for run in list(self._runs.values()):
+                if run.task not in present:
+                    self._resolve_missing(run, renewal_sent_at, now)
         self._remove_ended_orphans({item.task for item in listed.running})
 
     def _stop_orphan(self, item: ListedRun, now: float) -> None:
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -341,9 +341,11 @@
     whether the completion counts.
     """
     LEASE_TO_LAPSE = 617, Importance.WARNING
-    """An entry discarded a completion that the target holds.
+    """The target holds completions that must not count.
 
-    The agent does not renew the target's lease until it has run out.
+    An entry discarded one, or those that nobody has acknowledged fill its list
+    (`listed`). The agent does not renew the target's lease until it has run
+    out.
     """
     TARGET_CRASHED = 618, Importance.WARNING
     """The target refuses connections while it has runs.
