Scan again if a lost owner's write is applied during the takeover

What callers would see: LOST, an accepted job that nobody runs. Cause: a write that got no answer may be applied seconds later. If that is one of a lost owner, between the scan and the write of the entry that takes the job over, the takeover meets a version conflict. The entry dropped the job in favour of the row, whose owner is gone, and scanned again only for jobs that it had never written. Change: any job that is dropped for a row of an owner without a lease leads to another scan. Evidence: found by reading; the new scenario (of the manager) fails without the change.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -125,6 +125,12 @@
     When another entry's cancellation of the job is read before the answer
     Then the job is cancelled and never started
 
+  # Guards against an accepted job that nobody runs.
+  Scenario: A write of a lost owner that is applied during the takeover of its job leads to another scan
+    Given an entry that takes over the job of a lost owner
+    When the answer shows that a write of the lost owner was applied meanwhile
+    Then the entry scans the records again
+
   # Guards against the loss of a completion in the next incarnation of a target.
   Scenario: Tasks that run on a restarted target before its agent knows are counted once
     Given a simulated site of 2 entries, 3 targets and a store
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -9,6 +9,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from features.support.durable_chaos import play_crashing_seed
 from features.support.durable_chaos import play_durable_seed
@@ -24,12 +25,17 @@
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
 from fulmarscale.entry.durable.manager import DurableJobManager
+from fulmarscale.entry.durable.record import DurableJobRecord
 from fulmarscale.entry.durable.record import DurableJobState
+from fulmarscale.entry.durable.record import encode_row
+from fulmarscale.entry.durable.record import JobRow
 from fulmarscale.entry.durable.record import MemberRecord
 from fulmarscale.entry.durable.record import MemberRow
+from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import RECORD_TABLE
 from fulmarscale.entry.durable.rows import CommitResult
 from fulmarscale.entry.durable.rows import CommitStatus
+from fulmarscale.entry.durable.rows import Row
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
@@ -166,6 +172,34 @@
     assert scans, context.actions
 
 
+@given("an entry that takes over the job of a lost owner")
+def take_over(context: Context) -> None:
+    manager = DurableJobManager(EntryId("e1", 1))
+    manager.activate(0.0)
+    manager.tick({}, 0.0)
+    applied = CommitResult(CommitStatus.APPLIED, 6)
+    manager.resolve_member_write("e1", applied, 0.0)
+    manager.tick({}, 0.1)
+    spec = JobSpec("9000", (Step(2, TASK, 9.0),), is_durable=True)
+    record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
+    row = JobRow(JobId("a"), record, 5)
+    actions = manager.process_scan((row,), (), 0.2)
+    commits = [a for a in actions if isinstance(a, CommitBatch)]
+    context.manager, context.commit = manager, commits[0]
+    context.record = record
+
+
+@when("the answer shows that a write of the lost owner was applied meanwhile")
+def apply_late_write(context: Context) -> None:
+    commit = context.commit
+    late = msgspec.structs.replace(context.record, done=(0,))
+    row = Row(record_key(JobId("a")), encode_row(late), 7)
+    answer = CommitResult(CommitStatus.CONFLICT, 7, (row,))
+    context.actions = context.manager.resolve_batch(
+        commit.shard, commit.attempt_number, answer, 0.3
+    )
+
+
 @given("an entry whose first write of a job is not answered yet")
 def submit_without_answer(context: Context) -> None:
     manager = DurableJobManager(EntryId("e1", 1))
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -624,6 +624,7 @@
             self._stop_lost_job(
                 job, "the row is malformed or has another owner", version
             )
+            self._scan_if_ownerless(record)
             return
         # An earlier submission of the same job was stored.
         self._jobs.pop(job.job_id)
@@ -632,12 +633,19 @@
             # This entry stored it, before it lost its lease.
             row = JobRow(job.job_id, record, version)
             self._take_over(row, now)
-        elif (
+        else:
+            self._scan_if_ownerless(record)
+
+    def _scan_if_ownerless(self, record: DurableJobRecord | None) -> None:
+        """Schedule a scan if a job's stored owner is lost.
+
+        A write of that owner was applied after the last scan.
+        """
+        if (
             record is not None
             and record.state is DurableJobState.OPEN
             and not self._membership.is_live(record.owner)
         ):
-            # Its first write was applied after the owner was lost.
             self._needs_scan = True
 
     def _stop_lost_job(
