Acknowledge the completions of ended jobs whose owner was lost

Cause: an owner that is lost between the storing of a job's end and the acknowledgement leaves the completion with the agent. The agent sends it to all entries, but before one of these owns the job, so that it was ignored; it was looked at again only for jobs that are still open. Nobody acknowledged it: the agent had its lease lapse after ACK_TIMEOUT_S, and the target's list was blocked until then. Change: after a scan that took jobs, the completions that agents hold for other than open jobs are processed again. The new scenario fails without the change.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -283,6 +283,15 @@
     And 2 runs were started
     And the agents have no runs and no unacknowledged completions
 
+  # The completion would keep all later ones on the target's list.
+  Scenario: A completion of an ended job is acknowledged by another entry once its owner is lost
+    Given a simulated site of 2 entries, 1 targets and a store
+    When durable job "a" of 1 tasks of 300 ms is submitted to entry 0
+    And entry 0 is killed at the moment that job "a" is stored as completed
+    And 12 s pass
+    Then 1 runs were started
+    And the agents have no runs and no unacknowledged completions
+
   # The restarted agent queries entries whether they have recorded the completions
   # that it finds at its target.
   Scenario: A job completes although the agent restarts with unacknowledged completions
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -17,6 +17,7 @@
 from features.support.durable_site import DurableSite
 from features.support.durable_site import is_idle
 from features.support.fake_row_store import StoreMode
+from features.support.run_site import HOP_DELAY_S
 from features.support.run_site import QUEUE
 from features.support.run_site import TASK
 from fulmarscale.entry.durable.actions import CommitBatch
@@ -260,6 +261,22 @@
     site.restart_entry(site.entries[number], down_s)
 
 
+@when(
+    'entry {number:d} is killed at the moment that job "{job}" is stored as'
+    " completed"
+)
+def kill_at_end(context: Context, number: int, job: str) -> None:
+    site = context.run_site
+    ends_at = site.clock.now + 5.0
+    while site.clock.now < ends_at:
+        site.advance(HOP_DELAY_S / 2)
+        record = site.record_of(job)
+        if record and record.state is DurableJobState.COMPLETED:
+            site.kill_entry(site.entries[number])
+            return
+    raise AssertionError(f"{job} is not completed")
+
+
 @when("all entries and agents are killed and restart after {down_s:g} s")
 def restart_all(context: Context, down_s: float) -> None:
     context.run_site.restart_all(down_s)
--- a/features/support/durable_site.py
+++ b/features/support/durable_site.py
@@ -24,6 +24,7 @@
 from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.actions import CommitMember
 from fulmarscale.entry.durable.actions import LogDurableDecision
+from fulmarscale.entry.durable.actions import ReviewCompletions
 from fulmarscale.entry.durable.actions import ScanRecords
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StopJob
@@ -187,6 +188,8 @@
                             action.agent, action.acks, now
                         )
                     )
+                case ReviewCompletions():
+                    self.perform(self.dispatcher.review_completions(now))
                 case AnswerCallers():
                     if action.is_for_end_waiters:
                         self.cancel_outcomes[action.job_id] = (
--- a/src/fulmarscale/entry/durable/actions.py
+++ b/src/fulmarscale/entry/durable/actions.py
@@ -99,6 +99,13 @@
     """One acknowledgement for each completion."""
 
 
+class ReviewCompletions(ManagerAction):
+    """Process the completions again that agents hold for jobs not open here.
+
+    They were received before this entry owned the jobs.
+    """
+
+
 class AnswerCallers(ManagerAction):
     """Answer all callers that wait for a job to be stored, or for its end."""
 
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -20,6 +20,7 @@
 from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.actions import CommitMember
 from fulmarscale.entry.durable.actions import LogDurableDecision
+from fulmarscale.entry.durable.actions import ReviewCompletions
 from fulmarscale.entry.durable.actions import ScanRecords
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StopJob
@@ -104,6 +105,10 @@
     ) -> None:
         """Acknowledge completions that an agent holds."""
 
+    @abstractmethod
+    def review_completions(self) -> None:
+        """Process the completions again that agents hold for other jobs."""
+
     @abstractmethod
     def pending(self) -> dict[str, int]:
         """Return the number of durable jobs not yet started, by queue."""
@@ -356,6 +361,8 @@
                     self._runner.acknowledge_completions(
                         action.agent, action.acks
                     )
+                case ReviewCompletions():
+                    self._runner.review_completions()
                 case AnswerCallers():
                     self._resolve_waiters(action)
                 case LogDurableDecision():
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -19,6 +19,7 @@
 from fulmarscale.entry.durable.actions import AnswerCallers
 from fulmarscale.entry.durable.actions import ChangeOwnerEpoch
 from fulmarscale.entry.durable.actions import LogDurableDecision
+from fulmarscale.entry.durable.actions import ReviewCompletions
 from fulmarscale.entry.durable.actions import ScanRecords
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StopJob
@@ -375,6 +376,8 @@
                 continue
             taken += 1
             self._take_over(row, now)
+        if taken:
+            self._actions.append(ReviewCompletions())
         self._log(Event.RECORDS_SCANNED, records=len(records), taken=taken)
         return self._take_actions(now)
 
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -320,6 +320,14 @@
             view.add_acks(acks)
         return self._flush(now)
 
+    def review_completions(self, now: float) -> list[DispatchAction]:
+        """Process the completions again that agents hold for other jobs.
+
+        The jobs have ended, or their takeover isn't stored yet.
+        """
+        self._results.review_completions()
+        return self._flush(now)
+
     def set_durable_jobs_exist(self, *, exist: bool) -> None:
         """Set whether any durable jobs exist, and report it to the agents.
 
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -305,6 +305,10 @@
         """Send acknowledgements of completions to an agent."""
         self._decide(self._dispatcher.acknowledge_completions, agent, acks)
 
+    def review_completions(self) -> None:
+        """Process the completions again that agents hold for other jobs."""
+        self._decide(self._dispatcher.review_completions)
+
     def pending(self) -> dict[str, int]:
         """Return the number of durable jobs not yet started, by queue."""
         return self._dispatcher.pending()
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -187,6 +187,13 @@
         ):
             self.apply_completion(view, completion, now)
 
+    def review_completions(self) -> None:
+        """Store the held completions of jobs that aren't open here."""
+        for view in self._fleet.views:
+            for completion in view.unacknowledged.values():
+                if completion.task.job_id not in self._open.jobs:
+                    self._act(StoreCompletion(view.name, completion, False))
+
     def close_if_finished(self, job: Job, now: float) -> None:
         """Close a job that was taken over after its last run."""
         if job.job_id not in self._open.jobs:
