Wait no longer than before for the runs of a target that has crashed

What was sent before the refusal has ended with that process, whatever lease it had: such runs end with the lease that was requested. What was sent afterwards may have reached the next incarnation and is waited for.

--- a/src/fulmarscale/agent/crash_recorder.py
+++ b/src/fulmarscale/agent/crash_recorder.py
@@ -84,11 +84,15 @@
 
     def has_crashed(self, incarnation: TargetIncarnation) -> bool:
         """Return whether an incarnation is recorded as crashed."""
-        return any(
-            record.incarnation == incarnation
-            and record.state is not CrashState.DISPROVED
-            for record in self._records
-        )
+        return self.crashed_at(incarnation) > float("-inf")
+
+    def crashed_at(self, incarnation: TargetIncarnation) -> float:
+        """Return when an incarnation crashed; minus infinity if it didn't."""
+        for record in self._records:
+            is_open = record.state is not CrashState.DISPROVED
+            if record.incarnation == incarnation and is_open:
+                return record.crashed_at
+        return float("-inf")
 
     def record_crash(
         self, incarnation: TargetIncarnation, runs: Iterable[Run], now: float
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -144,6 +144,8 @@
         """When that list was received."""
         self._lease_expires_at = float("-inf")
         """When all runs have ended for certain if the lease isn't extended."""
+        self._requested_expiry = float("-inf")
+        """The same if the target granted no lease longer than requested."""
         self._completions = UnacknowledgedCompletions()
         self._crashes = CrashRecorder()
         self._runs: dict[TaskKey, Run] = {}
@@ -467,6 +469,10 @@
         :param sent_at: when it was sent, by the agent's time.
         """
         self._extend_lease(sent_at, LEASE_S)
+        self._requested_expiry = max(
+            self._requested_expiry,
+            sent_at + LEASE_S * TARGET_CLOCK_FACTOR + LAPSE_MARGIN_S,
+        )
 
     def _extend_lease(self, begin: float, lease_s: float) -> None:
         """Record a lease of all runs.
@@ -940,6 +946,7 @@
         )
         # A start extends the lease of all runs, as a renewal does. It may
         # reach a new incarnation, whose clock isn't known, before any list.
+        self.record_renewal(now)
         self._extend_lease(now, MAX_LEASE_S)
         self._actions.append(
             StartRun(
@@ -1155,7 +1162,7 @@
 
     def _end_expired(self, now: float) -> None:
         """Finish all runs once their lease has expired for certain."""
-        if self._is_target_available or now <= self._lease_expires_at:
+        if self._is_target_available:
             return
         outcome = self._outcome_without_target
         for run in self._ended_runs(now):
@@ -1171,13 +1178,19 @@
     def _ended_runs(self, now: float) -> list[Run]:
         """Return the runs that have ended with their lease.
 
-        Others may still begin, unless the target's process is gone.
+        Others may still begin, or have a longer lease in another incarnation.
+        Neither holds for what was sent before the target's process was gone.
         """
-        has_crashed = self._outcome_without_target is RunOutcome.CRASHED
+        target = self._target
+        crashed_at = float("-inf")
+        if target is not None and now > self._requested_expiry:
+            crashed_at = self._crashes.crashed_at(target.incarnation)
+        has_expired = now > self._lease_expires_at
         return [
             run
             for run in self._runs.values()
-            if has_crashed or not run.may_begin(now)
+            if run.requested_at < crashed_at
+            or (has_expired and not run.may_begin(now))
         ]
 
     @property
