Send no position to forget after a renewal has failed

The position is bound to the age of the last list, and that counts from when the list was read. An agent that was suspended with a list in its socket takes it for new: its next request fails, as the target has restarted meanwhile, and the one after that, within 0.05 s, would carry the position to the next incarnation, which may have ended runs by then. By reading, from a review of the fixes; the scenario shows the rule, not the sequence.

A failed renewal now makes the list's age unknown.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -136,6 +136,13 @@
     Then no task ever had two runs at the same time
     And job "a" is completed at entry 0
 
+  # Guards against ends that a restarted target forgets before they were read.
+  Scenario: A target without a response to a renewal is sent no position to forget
+    Given an agent whose target has just listed a completion at position 3
+    Then the agent lets the target forget completions up to 3
+    When a renewal gets no response
+    Then the agent lets the target forget completions up to 0
+
   # Guards against an agent that never lets its target forget a completion, so
   # that the target responds to each renewal at once.
   Scenario: A list that was overtaken by one of the same time hides no completion
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -23,6 +23,8 @@
 from features.support.run_site import TASK
 from fulmarscale.agent.completions import UnacknowledgedCompletions
 from fulmarscale.agent.run import ListedCompletion
+from fulmarscale.agent.run import RunList
+from fulmarscale.agent.run_guard import RunGuard
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.capacity_prober import CapacityProber
 from fulmarscale.entry.jobs.fleet import Fleet
@@ -141,6 +143,30 @@
     assert context.completions.forgettable_position == position
 
 
+@given(
+    "an agent whose target has just listed a completion at position"
+    " {position:d}"
+)
+def make_listed_guard(context: Context, position: int) -> None:
+    target = RunSite(1, 1).targets[0].report()
+    context.guard = RunGuard("agent", "here", 1)
+    context.guard.record_heartbeat(target, 1, 0.0)
+    task = TaskKey(JobId("a"), 0, 0, 0)
+    completion = ListedCompletion(position, task, 1, RunOutcome.LAPSED)
+    listed = RunList(target.incarnation, (), (completion,), 1)
+    context.guard.update_runs(listed, 0.0, 0.0)
+
+
+@when("a renewal gets no response")
+def fail_renewal(context: Context) -> None:
+    context.guard.record_failed_renewal()
+
+
+@then("the agent lets the target forget completions up to {position:d}")
+def check_sent_position(context: Context, position: int) -> None:
+    assert context.guard.forgettable_position(0.0) == position
+
+
 @given("runs on simulated target {number:d} never finish")
 def hang_runs(context: Context, number: int) -> None:
     context.run_site.targets[number].is_hung = True
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -623,6 +623,7 @@
             )
 
         def handle_failure() -> None:
+            self.guard.record_failed_renewal()
             self.perform(
                 self.guard.mark_target_unavailable(
                     "no answer",
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -483,6 +483,13 @@
         expires_at = begin + lease_s * TARGET_CLOCK_FACTOR + LAPSE_MARGIN_S
         self._lease_expires_at = max(self._lease_expires_at, expires_at)
 
+    def record_failed_renewal(self) -> None:
+        """Record that a renewal got no usable response.
+
+        The target may have restarted since its last list.
+        """
+        self._listed_at = float("-inf")
+
     def update_runs(
         self, listed: RunList, renewal_sent_at: float, now: float
     ) -> list[RunAction]:
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -242,6 +242,7 @@
     ) -> None:
         """Mark the target as unavailable unless it is to be asked again."""
         self._failed_renewals += 1
+        self._guard.record_failed_renewal()
         if self._failed_renewals < MAX_FAILED_RENEWALS:
             return
 
