Count the longest lease of a start from its response

A start that a restarted target carries out 0.2 s after it was sent has a lease of up to 1.0 s from then, as its clock isn't known; the agent counted it from the sending. If no list follows, the run went on for up to 0.1 s after its agent took it for ended. Found by reading, in a review of the fixes; it has no test of its own.

--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -557,6 +557,9 @@
         run.start_resolved_at = now
         match response:
             case StartResponse.STARTED:
+                # A new incarnation counts the longest lease from when it
+                # carried out the start.
+                self._extend_lease(now, MAX_LEASE_S)
                 run.is_confirmed = True
                 if run.phase is RunPhase.STARTING:
                     run.phase = RunPhase.RUNNING
