Let a log whose descriptor the event loop uses itself not raise

add_writer raises RuntimeError for a descriptor of a transport, which a process that was started with its standard output closed may have there. The call that logs then failed, and with it the actions that follow a decision.

--- a/features/logs.feature
+++ b/features/logs.feature
@@ -32,6 +32,7 @@
       | a pipe nobody reads   | some  |
       | a pipe without reader | no    |
       | a closed descriptor   | no    |
+      | a connection in use   | some  |
 
   Scenario Outline: The level of a line is that of its event
     Given a log on a pipe of 4096 bytes
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -7,6 +7,7 @@
 import json
 import os
 from pathlib import Path
+import socket
 import tempfile
 from typing import TYPE_CHECKING
 
@@ -81,6 +82,19 @@
     open_log(context, UNUSED_DESCRIPTOR)
 
 
+@given("a log on a connection in use")
+def open_used_connection(context: Context) -> None:
+    reader, writer = socket.socketpair()
+    reader.setblocking(False)
+    context.reader = reader.fileno()
+    open_log(context, writer.fileno())
+    _, connection = context.loop.run_until_complete(
+        asyncio.open_connection(sock=writer)
+    )
+    context.add_cleanup(reader.close)
+    context.add_cleanup(connection.close)
+
+
 def log_burst(context: Context, events: list[Event]) -> None:
     async def log() -> None:
         for number, event in enumerate(events):
--- a/src/fulmarscale/logs.py
+++ b/src/fulmarscale/logs.py
@@ -161,8 +161,9 @@
             loop = asyncio.get_running_loop()
         except RuntimeError:
             return
-        # Not all descriptors can be watched, and no regular file.
-        with suppress(OSError):
+        # Not all descriptors can be watched: no regular file, and none that
+        # belongs to a transport of the loop.
+        with suppress(OSError, RuntimeError, ValueError):
             loop.add_writer(self._descriptor, self._on_writable)
             self._loop = loop
 
