Show starts of lost entries at unreachable targets, as known red

What is seen: two runs of a task at once. An entry is lost while a start of it has no response and the target can't be reached; the caller or the next owner starts the task again, and the target carries out the first start late, with a lease from then. Cause: the agent keeps such a run since a start without a response is not taken for ended, but only the entry that asked for it knows. Not mended: agents would have to tell all entries which starts may still be carried out.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -178,6 +178,24 @@
     And no task of job "b" was done more than once
     And no guarantee for durable jobs is violated
 
+  # Guards against a next owner that starts a task whose first start may still be
+  # carried out by a target out of its agent's reach.
+  Scenario Outline: A lost owner's start at an unreachable target runs beside no other
+    Given a simulated site of 3 entries, 2 targets and a store
+    And the next 6 start requests to target 0 are executed <late> s late
+    When durable job "a" of 8 tasks of 3000 ms is submitted to entry 0
+    And 0.03 s pass
+    And simulated target 0 stops sending responses
+    And 0.1 s pass
+    And entry 0 is killed and restarts after <down> s
+    And 25 s pass
+    Then no task ever had two runs at the same time
+
+    Examples:
+      | late | down |
+      | 4.5  | 1.0  |
+      | 10.5 | 20.0 |
+
   # Guards against tasks that wait for ever for a target that is gone.
   Scenario: A job is completed though an agent comes back without its target
     Given a simulated site of 2 entries, 3 targets and a store
--- a/features/runs.feature
+++ b/features/runs.feature
@@ -107,6 +107,21 @@
     Then no task ever had two runs at the same time
     And job "a" is completed at entry 0
 
+  # Guards against a second entry that starts a task whose first start may still
+  # be carried out by a target out of its agent's reach.
+  Scenario: A lost entry's start at an unreachable target runs beside no other
+    Given a simulated site of 2 entries and 2 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 2.2 s late
+    When job "a" of 12 tasks of 1800 ms is submitted to entry 0
+    And 0.02 s pass
+    And simulated target 0 stops sending responses
+    And 0.1 s pass
+    And entry 0 is killed
+    And 1.3 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 1
+    And 9 s pass
+    Then no task ever had two runs at the same time
+
   # Guards against a caller that sends a job again which may still begin.
   Scenario: A job of which a start may still be executed ends as failed
     Given a simulated site of 1 entries and 2 targets of 16 cores
