Tell all entries which starts may still be carried out

Agents' messages now name the tasks whose starts got no response, to all entries, and at once when a start turns out to be one. An entry doesn't place such a task until the agent no longer names it, or for LATE_START_S after the agent's last message.

Not covered: an entry that keeps no stream to that agent, as in fleets of hundreds of machines, and an agent that is lost as well.

--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -569,6 +569,7 @@
                     task=str(task),
                     run=number,
                 )
+                self._notify_all()
                 self._stop(run, EndCause.START_UNCONFIRMED, now)
             case _:
                 self._crashes.remove_rejected_run(task, now)
@@ -1388,6 +1389,7 @@
                 self._queue_loads() if session.has_confined_queues else ()
             ),
             probation_s=self._probation.remaining_s(now),
+            unconfirmed=self._unconfirmed_starts(now),
         )
         session.reports = []
         session.has_changes = False
@@ -1399,6 +1401,16 @@
             session.site_revision = site.revision
         self._actions.append(SendMessage(session.number, message))
 
+    def _unconfirmed_starts(self, now: float) -> tuple[TaskKey, ...]:
+        """Return the tasks whose starts may still be carried out."""
+        return tuple(
+            sorted(
+                run.task
+                for run in self._runs.values()
+                if run.phase is RunPhase.STOPPING and run.may_begin(now)
+            )
+        )
+
     def _progress_of(
         self, entry: EntryId, now: float
     ) -> tuple[RunProgress, ...]:
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -84,6 +84,8 @@
 
         They are removed once an acknowledgement is queued.
         """
+        self._unconfirmed: frozenset[TaskKey] = frozenset()
+        """Tasks of any entry whose starts the target may still carry out."""
         self.expected: tuple[ExpectedRun, ...] = ()
         """Runs from an earlier stream, for the first message of this one."""
         self._free = Resources()
@@ -164,6 +166,8 @@
         available_before = self.available
         was_usable = now - self.last_message_at <= MAX_STATE_AGE_S
         is_target_unchanged = was_usable and message.target == self.target
+        unconfirmed_before = self._unconfirmed
+        self._unconfirmed = frozenset(message.unconfirmed)
         self.probed_at = None
         self.token = message.token
         self.last_message_at = now
@@ -181,6 +185,8 @@
             if sequence > message.last_sequence
         ]
         self._update_free()
+        if unconfirmed_before - self._unconfirmed:
+            return True
         return not is_target_unchanged or not self.available.fits(
             available_before
         )
@@ -311,6 +317,17 @@
             return False
         return now - self.last_message_at <= LATE_START_S
 
+    def has_unexpired_run(self, task: TaskKey, now: float) -> bool:
+        """Return whether a run of a task may go on, or begin, on the target.
+
+        :param task: the task.
+        :param now: the entry's time.
+        """
+        if task in self.assigned:
+            return True
+        may_begin = now - self.last_message_at <= LATE_START_S
+        return may_begin and task in self._unconfirmed
+
     def is_lost(self, now: float) -> bool:
         """Return whether the agent may be down.
 
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -314,9 +314,15 @@
             default=None,
         )
 
-    def has_unexpired_run(self, key: TaskKey) -> bool:
-        """Return whether an earlier run of a task may not have ended yet."""
-        return any(key in view.assigned for view in self._agents.values())
+    def has_unexpired_run(self, key: TaskKey, now: float) -> bool:
+        """Return whether an earlier run of a task may not have ended yet.
+
+        :param key: the task.
+        :param now: the entry's time.
+        """
+        return any(
+            view.has_unexpired_run(key, now) for view in self._agents.values()
+        )
 
     def placement(
         self, job: Job, views: list[AgentView], now: float
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -200,7 +200,7 @@
         tasks = [
             task
             for task in job.waiting
-            if not self._fleet.has_unexpired_run(task.key)
+            if not self._fleet.has_unexpired_run(task.key, now)
         ]
         if not tasks:
             return False
@@ -247,7 +247,7 @@
         is_complete = True
         placement = self._fleet.placement(job, views, now)
         for task in job.waiting:
-            if self._fleet.has_unexpired_run(task.key):
+            if self._fleet.has_unexpired_run(task.key, now):
                 # An earlier run of the task may not have ended yet.
                 is_complete = False
                 continue
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -222,3 +222,8 @@
     """The runs by queue; empty if the entry has no confined queues."""
     probation_s: float = 0.0
     """Time until runs of other jobs may start, after one on probation."""
+    unconfirmed: tuple[TaskKey, ...] = ()
+    """Tasks of any entry whose start requests got no response.
+
+    The target may still carry them out.
+    """
