Play faults between agents and targets in overlap

The short faults that overlap lacked: targets that restart twice within a second or send their first heartbeat late, that respond to nothing or to no renewal or reject all requests; starts that are carried out late meanwhile; streams that are held up in one direction; pauses of 0.05 to 0.3 s.

The stand-ins had a target carry out a late start while it was down: a process that has ended carries out nothing.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -500,6 +500,11 @@
     Then no simulated site violated an invariant
     And every simulated site completed jobs after the faults ended
 
+  Scenario: Faults between agents and targets never cause two runs of a task at once
+    When faults between agents and targets with seeds 1 to 9 overlap on small simulated sites
+    Then no simulated site violated an invariant
+    And every simulated site completed jobs after the faults ended
+
   Scenario Outline: Random faults on a small site never cause two runs of a task at once
     When random faults with seeds <first> to <last> are injected into small simulated sites
     Then no simulated site violated an invariant
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -17,6 +17,7 @@
 from features.support.run_chaos import play_large_site_seed
 from features.support.run_chaos import play_overlap_seed
 from features.support.run_chaos import play_seed
+from features.support.run_chaos import play_target_fault_seed
 from features.support.run_site import EntryNode
 from features.support.run_site import QUEUE
 from features.support.run_site import RunSite
@@ -493,6 +494,16 @@
     print(f"{runs} runs, {done} jobs completed")
 
 
+@when(
+    "faults between agents and targets with seeds {first:d} to {last:d}"
+    " overlap on small simulated sites"
+)
+def run_target_faults(context: Context, first: int, last: int) -> None:
+    with ProcessPoolExecutor(max_workers=WORKERS) as pool:
+        seeds = range(first, last + 1)
+        context.chaos_results = list(pool.map(play_target_fault_seed, seeds))
+
+
 @when(
     "short faults with seeds {first:d} to {last:d} overlap on small simulated"
     " sites"
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -251,7 +251,7 @@
             born = target.incarnation
 
             def deliver_late() -> None:
-                if target.incarnation != born:
+                if target.incarnation != born or not target.is_up:
                     # The process that had received it has ended.
                     return
                 # The worst case: the lease counts from the arrival.
--- a/features/support/run_chaos.py
+++ b/features/support/run_chaos.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from features.support.run_site import AgentNode
+    from features.support.run_site import FakeTarget
 
 FAULT_PHASE_S: Final = 30.0
 """Duration of the phase with load and faults."""
@@ -230,6 +231,70 @@
         return self._random.choice((0.03, 0.2, 0.5, 0.8, 1.4, 2.2))
 
 
+class TargetFaultRun(OverlapRun):
+    """Adds faults between agents and targets to the short faults.
+
+    Targets restart twice in a row with a late first heartbeat, respond to
+    nothing or to no renewal, or reject all requests, while starts are carried
+    out late. Streams are held up in one direction.
+    """
+
+    def _inject_fault(self) -> None:
+        if self._random.random() < 0.4:
+            super()._inject_fault()
+            return
+        site = self._site
+        agent = self._random.choice(site.agents)
+        entry = self._random.choice(site.entries)
+        target = agent.target
+        duration_s = self._draw_duration_s()
+        match self._random.choice(("flap", "flag", "late", "stall", "pause")):
+            case "flap":
+                target.heartbeat_delay_s = self._random.choice((0.0, 0.8))
+                target.crash(self._random.choice((0.03, 0.2)))
+                site.clock.call_in(
+                    self._random.uniform(0.25, 0.9),
+                    lambda: target.crash(0.03),
+                )
+            case "flag":
+                self._raise_flag(target, duration_s)
+            case "late":
+                # The starts are carried out while the agent gets no list.
+                late_s = self._random.uniform(1.2, 2.2)
+                target.start_delays_s = [late_s] * 3
+                silent_s = self._random.uniform(1.3, 3.5)
+                site.clock.call_in(
+                    0.1, lambda: self._raise_flag(target, silent_s)
+                )
+                site.clock.call_in(silent_s, target.start_delays_s.clear)
+            case "stall":
+                names = [entry.name, target.name]
+                self._random.shuffle(names)
+                until = site.clock.now + duration_s
+                site.stalls[names[0], names[1]] = until
+            case "pause" if agent.is_up and not agent.is_paused:
+                agent.is_paused = True
+                pause_s = self._random.uniform(0.05, 0.3)
+                site.clock.call_in(pause_s, agent.resume)
+            case _:
+                pass
+
+    def _raise_flag(self, target: FakeTarget, duration_s: float) -> None:
+        """Make a target ignore or reject requests for a while."""
+        flag = self._random.choice(
+            ("is_unresponsive", "is_renewal_silent", "is_unhealthy")
+        )
+        setattr(target, flag, True)
+        self._site.clock.call_in(
+            duration_s, lambda: setattr(target, flag, False)
+        )
+
+
+def play_target_fault_seed(seed: int) -> SeedResult:
+    """Play one seed with faults between agents and targets."""
+    return _judge(seed, TargetFaultRun(seed))
+
+
 def play_overlap_seed(seed: int) -> SeedResult:
     """Play one seed with many short faults on a small site."""
     return _judge(seed, OverlapRun(seed))
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -197,6 +197,10 @@
 
         Starts and renewals take effect all the same.
         """
+        self.heartbeat_delay_s = 0.0
+        """Time from its restart to its first heartbeat, in seconds."""
+        self.heartbeats_from = float("-inf")
+        """When it sends its first heartbeat."""
         self.is_renewal_silent = False
         """Whether renewals alone get no response."""
         self.is_unhealthy = False
@@ -396,6 +400,7 @@
         self._last_position = 0
         self.is_dark = False
         self.is_up = True
+        self.heartbeats_from = self._clock.now + self.heartbeat_delay_s
 
     _last_position = 0
 
@@ -566,7 +571,8 @@
         """Schedule heartbeats of the target to the guard."""
 
         def send_heartbeat() -> None:
-            if self.target.is_up:
+            is_heard = self._clock.now >= self.target.heartbeats_from
+            if self.target.is_up and is_heard:
                 self.perform(
                     self.guard.record_heartbeat(
                         self.target.report(), number, self._clock.now
@@ -738,7 +744,7 @@
             born = self.target.incarnation
 
             def deliver_late() -> None:
-                if self.target.incarnation != born:
+                if self.target.incarnation != born or not self.target.is_up:
                     # The process that had received it has ended.
                     return
                 granted_at = (
@@ -1000,6 +1006,8 @@
         self._last_incarnation = 0
         self.disconnected_pairs: set[tuple[str, str]] = set()
         """Pairs of entry and target whose messages are lost."""
+        self.stalls: dict[tuple[str, str], float] = {}
+        """Until when the messages of a sender to a receiver are held back."""
         self.agents: list[AgentNode] = []
         self.entries: list[EntryNode] = []
         for number, target in enumerate(self.targets):
@@ -1200,6 +1208,11 @@
         for agent in self.agents:
             self.disconnect(entry, agent)
 
+    def _delay_s(self, sender: str, receiver: str) -> float:
+        """Return how long a message takes, in seconds."""
+        until = self.stalls.get((sender, receiver), self.clock.now)
+        return max(0.0, until - self.clock.now) + HOP_DELAY_S
+
     def deliver_to_entry(self, agent: AgentNode, action: SendMessage) -> None:
         """Deliver an agent's message unless the two are disconnected."""
         for entry in self.entries:
@@ -1208,7 +1221,7 @@
             if (entry.name, agent.target.name) in self.disconnected_pairs:
                 return
             self.clock.call_in(
-                HOP_DELAY_S,
+                self._delay_s(agent.target.name, entry.name),
                 lambda entry=entry: entry.call_or_defer(
                     lambda: entry.perform(
                         entry.dispatcher.receive_agent(
@@ -1229,7 +1242,7 @@
         ):
             return
         self.clock.call_in(
-            HOP_DELAY_S,
+            self._delay_s(entry.name, agent.target.name),
             lambda: agent.call_or_defer(
                 lambda: agent.perform(
                     agent.guard.receive(
