--- a/features/durable.feature
+++ b/features/durable.feature
@@ -35,6 +35,7 @@
     Then the store records job "b" as completed
     And no guarantee for durable jobs is violated
 
+  # Guards against the same, in restarts at random.
   Scenario: Targets that restart within a moment forget no end that was not read
     When targets restart at random, with seeds 1 to 6, under short durable jobs
     Then no simulated site violated a guarantee for durable jobs
--- a/features/runs.feature
+++ b/features/runs.feature
@@ -142,6 +142,7 @@
     Then no task ever had two runs at the same time
     And job "a" is completed at entry 0
 
+  # Guards against a task that waits for ever for a target that is lost for good.
   Scenario: A start that gets no response from a target lost for good runs elsewhere in the end
     Given a simulated site of 1 entries and 2 targets of 16 cores
     When simulated target 0 stops sending responses
@@ -500,6 +501,7 @@
     Then no simulated site violated an invariant
     And every simulated site completed jobs after the faults ended
 
+  # Guards against second runs while agents and targets don't know of each other.
   Scenario: Faults between agents and targets never cause two runs of a task at once
     When faults between agents and targets with seeds 1 to 9 overlap on small simulated sites
     Then no simulated site violated an invariant
@@ -514,6 +516,7 @@
       | first | last |
       | 1     | 24   |
 
+  # Guards against second runs that an entry's log doesn't explain.
   Scenario Outline: The log of an entry tells why it starts a task again
     Given a simulated site of 1 entries and 3 targets of 16 cores
     When job "a" of 12 tasks of 1000 ms is submitted to entry 0
@@ -532,5 +535,6 @@
       | agent 0 is killed and restarts after 9 s   | agent_silent | no report        |
       | entry 0 is paused for 4 s                  | stopped      | entry_gone       |
 
+  # Guards against streams that break while versions are mixed.
   Scenario: Entries and agents of other versions read a report of a run
     Then a report without its last field, or with one more, is read
