--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -692,8 +692,10 @@
         labels: list[list[str]] | None = None,
         max_attempts: int = 3,
         routes: list[dict[str, Any]] | None = None,
+        runner_type: type[Runner] = Runner,
     ) -> None:
         self.case = case
+        self._runner_type = runner_type
         self.record = Record(case / "record.txt")
         self.runs: list[Run] = []
         """All runs, in the order of their starts."""
@@ -756,7 +758,7 @@
                 if self._labels
                 else [f"{'aab'[number % 3]}", f"r{number // 3 + 1}-1"]
             )
-            runner = Runner(
+            runner = self._runner_type(
                 self,
                 f"i-7f3a91{number:02x}",
                 zone,
