Offer freed capacity to the most urgent priority class of all entries

Cause: an agent offered a target's freed capacity to the entry with the earliest latest start, whatever the priority of its jobs: long jobs of the least urgent queue with their long slack lost to it only by chance, and entries knew the others' demand as one number.

Entries report their backlog by priority class where queues of one service differ in priority; agents offer capacity to the most urgent class of all entries, each eighth offer to the least urgent one, and report the other entries' demand by class. Sites without priorities send and decide as before. The choice moves from entry_session.py to capacity_offers.py.

--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -1,4 +1,4 @@
-"""An entry's stream at an agent, and which entry is offered free capacity.
+"""An entry's stream at an agent.
 
 Used by the run guard for the users' platform. `entry_streams` holds the
 streams of the project's own protocol.
@@ -6,23 +6,15 @@
 
 from __future__ import annotations
 
-from typing import Final
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from fulmarscale.ids import EntryId
+    from fulmarscale.runs.messages import ClassDemand
+    from fulmarscale.runs.messages import EntryMessage
     from fulmarscale.runs.messages import ExpectedRun
     from fulmarscale.runs.messages import RunReport
 
-EXCLUSIVE_OFFER_S: Final = 0.012
-"""How long free capacity is offered to one entry before the next.
-
-A round trip between data centres takes 2 ms.
-"""
-
-OFFER_COOLDOWN_S: Final = 0.05
-"""Pause before an entry that did not use an offer gets another."""
-
 
 class EntrySession:
     """The state of an entry's stream."""
@@ -30,6 +22,7 @@
     __slots__ = (
         "backlog",
         "crash_revision",
+        "demands",
         "entry",
         "expected",
         "has_changes",
@@ -79,41 +72,36 @@
         """CPU demand of the entry's waiting tasks, in millicores."""
         self.latest_start_at = float("inf")
         """When its most urgent job has to start, by the agent's clock."""
+        self.demands: tuple[ClassDemand, ...] = ()
+        """The backlog by priority class; empty without priorities."""
         self.offered_at = float("-inf")
         """When free capacity was last offered to this entry first.
 
         Reset to minus infinity once the entry sends start requests.
         """
 
+    @property
+    def priority(self) -> int:
+        """The priority of the entry's most urgent waiting job.
 
-def choose_preferred(
-    sessions: list[EntrySession], now: float
-) -> EntrySession | None:
-    """Choose the entry that free capacity is offered to first.
+        0 if the site has no priorities.
+        """
+        return self.demands[0].priority if self.demands else 0
 
-    It is the one whose waiting job is the most urgent; otherwise the nearest
-    entry would always be the first to claim capacity. An offer that is not
-    used in time passes to the next entry.
+    def update_backlog(self, message: EntryMessage, now: float) -> None:
+        """Replace the backlog by that of the entry's newest message.
 
-    :param sessions: all open streams.
-    :param now: the agent's time.
-    :returns: none if all entries may use the capacity.
-    """
-    waiting = [session for session in sessions if session.backlog > 0]
-    if len(waiting) < 2:
-        return None
-    for session in waiting:
-        if now - session.offered_at <= EXCLUSIVE_OFFER_S:
-            return session
-    eligible = [
-        session
-        for session in waiting
-        if now - session.offered_at > OFFER_COOLDOWN_S
-    ]
-    if not eligible:
-        return None
-    chosen = min(
-        eligible, key=lambda session: (session.latest_start_at, session.entry)
-    )
-    chosen.offered_at = now
-    return chosen
+        :param message: the message.
+        :param now: the agent's time.
+        """
+        self.backlog = message.backlog
+        self.demands = message.demands
+        slack_s = message.slack_s
+        if message.demands:
+            slack_s = message.demands[0].slack_s
+        self.latest_start_at = now + slack_s
+
+    def clear_backlog(self) -> None:
+        """Forget the backlog of an entry that may be down."""
+        self.backlog = 0
+        self.demands = ()
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -19,9 +19,10 @@
 
 import msgspec
 
+from fulmarscale.agent.capacity_offers import CapacityOffers
+from fulmarscale.agent.capacity_offers import sum_demands
 from fulmarscale.agent.completions import UnacknowledgedCompletions
 from fulmarscale.agent.crash_recorder import CrashRecorder
-from fulmarscale.agent.entry_session import choose_preferred
 from fulmarscale.agent.entry_session import EntrySession
 from fulmarscale.agent.probation import Probation
 from fulmarscale.agent.run import Run
@@ -163,8 +164,7 @@
         """The heartbeat of an incarnation that is not adopted yet."""
         self._last_expiry_at = float("-inf")
         self._is_stopping = False
-        self._preferred: EntrySession | None = None
-        """The entry that free capacity is offered to first; none if to all."""
+        self._offers = CapacityOffers()
         self._probation = Probation()
         self._entries_with_runs: set[EntryId] = set()
         self._actions: list[RunAction] = []
@@ -361,8 +361,7 @@
         session.site_revision = message.site_revision
         session.has_durable_jobs = message.has_durable_jobs
         session.has_confined_queues = message.has_confined_queues
-        session.backlog = message.backlog
-        session.latest_start_at = now + message.slack_s
+        session.update_backlog(message, now)
         session.must_send = session.must_send or message.is_probe
         if message.starts:
             session.offered_at = float("-inf")
@@ -633,7 +632,7 @@
         for session in self._sessions.values():
             if self._echo_age_s(session.entry, now) > ECHO_TIMEOUT_S:
                 # Free capacity is not offered to an entry that may be down.
-                session.backlog = 0
+                session.clear_backlog()
             if self._must_send_site_config(session, now):
                 session.must_send = True
             if self._must_send_crashes(session, now):
@@ -1328,11 +1327,10 @@
         return actions
 
     def _update_preferred(self, now: float) -> None:
-        preferred = choose_preferred(list(self._sessions.values()), now)
-        former = self._preferred
+        former = self._offers.preferred
+        preferred = self._offers.update(self._sessions.values(), now)
         if preferred is former:
             return
-        self._preferred = preferred
         if preferred is None:
             self._mark_changed()
         else:
@@ -1350,7 +1348,11 @@
                 return ACTIVE_PING_S
             # The other entries are sent a message once free capacity is
             # offered to them.
-            return 0.0 if self._preferred in (None, session) else ACTIVE_PING_S
+            return (
+                0.0
+                if self._offers.preferred in (None, session)
+                else ACTIVE_PING_S
+            )
         has_runs = session.entry in self._entries_with_runs
         return ACTIVE_PING_S if has_runs else IDLE_PING_S
 
@@ -1364,11 +1366,9 @@
         is_behind = self._must_send_site_config(session, now)
         has_crashes = self._must_send_crashes(session, now)
         is_usable = self._is_target_available and self._is_target_described
-        others = sum(
-            other.backlog
-            for other in self._sessions.values()
-            if other is not session
-        )
+        others = [
+            other for other in self._sessions.values() if other is not session
+        ]
         message = AgentMessage(
             name=self._name,
             token=AgentToken(self._incarnation, now),
@@ -1381,15 +1381,16 @@
             progress=self._progress_of(session.entry, now),
             site_revision=site.revision,
             site=site if is_behind else None,
-            others_backlog=others,
+            others_backlog=sum(other.backlog for other in others),
             is_stopping=self._is_stopping,
-            is_offered_elsewhere=self._preferred not in (None, session),
+            is_offered_elsewhere=self._offers.preferred not in (None, session),
             crashes=self._crashes.report(now) if has_crashes else (),
             queue_loads=(
                 self._queue_loads() if session.has_confined_queues else ()
             ),
             probation_s=self._probation.remaining_s(now),
             unconfirmed=self._unconfirmed_starts(now),
+            other_demands=sum_demands(others),
         )
         session.reports = []
         session.has_changes = False
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -69,6 +69,8 @@
         """The revision of the site configuration that the agent has."""
         self.others_backlog = 0
         """Demand waiting at other entries, in thousandths of a core."""
+        self.others_by_priority: dict[int, int] = {}
+        """The same by priority class; empty if the site has no priorities."""
         self.assigned: dict[TaskKey, int] = {}
         """Numbers of the start requests whose runs may not have ended."""
         self._begun: set[TaskKey] = set()
@@ -175,6 +177,10 @@
         self.is_stopping = message.is_stopping
         self.site_revision = message.site_revision
         self.others_backlog = message.others_backlog
+        self.others_by_priority = {
+            demand.priority: demand.millicores
+            for demand in message.other_demands
+        }
         self._used = message.used
         self.queue_loads = message.queue_loads
         self._probation_ends_at = now + message.probation_s
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -7,6 +7,7 @@
 
 from fulmarscale.entry.jobs.actions import SendEntryMessage
 from fulmarscale.entry.jobs.admission import waiting_demand
+from fulmarscale.runs.messages import ClassDemand
 from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.runs.site_config import must_propagate
 from fulmarscale.runs.site_config import SiteConfig
@@ -28,13 +29,31 @@
     """Their waiting demand, in thousandths of a core; 0 only without jobs."""
     slack_s: float
     """The time until the earliest latest start, in seconds."""
+    demands: tuple[ClassDemand, ...]
+    """The same by priority class, the most urgent class first."""
 
 
 def _backlog(waiting: Collection[Job], now: float) -> Backlog:
-    slack_s = min((job.latest_start_at - now for job in waiting), default=0.0)
-    millicores = sum(map(waiting_demand, waiting))
-    # Tasks may demand only memory, and agents take 0 for no backlog.
-    return Backlog(max(millicores, min(1, len(waiting))), slack_s)
+    """Return the backlog of the jobs that wait for the same targets."""
+    by_priority: dict[int, tuple[int, float]] = {}
+    for job in waiting:
+        # Tasks may demand only memory, and agents take 0 for no backlog.
+        millicores = max(1, waiting_demand(job))
+        slack_s = job.latest_start_at - now
+        former = by_priority.get(job.queue.priority, (0, float("inf")))
+        by_priority[job.queue.priority] = (
+            former[0] + millicores,
+            min(former[1], slack_s),
+        )
+    demands = tuple(
+        ClassDemand(priority, *by_priority[priority])
+        for priority in sorted(by_priority)
+    )
+    return Backlog(
+        sum(demand.millicores for demand in demands),
+        min((demand.slack_s for demand in demands), default=0.0),
+        demands,
+    )
 
 
 class Outbox:
@@ -159,6 +178,7 @@
             has_durable_jobs=self._has_durable_jobs,
             is_probe=view.must_probe,
             has_confined_queues=bool(self._fleet.bulkheads.queues),
+            demands=backlog.demands if site.has_priorities else (),
         )
         view.has_reported_backlog = backlog.millicores > 0
         if view.must_probe:
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -146,6 +146,17 @@
     """Their processor demand, in thousandths of a core."""
 
 
+class ClassDemand(MessagePart):
+    """The waiting tasks of one priority class."""
+
+    priority: int
+    """The class: the priority of the jobs' queues; 0 is the highest."""
+    millicores: int
+    """Their demand, in thousandths of a core."""
+    slack_s: float = 0.0
+    """Time until the latest start of their most urgent job."""
+
+
 class EntryMessage(MessagePart):
     """A message from an entry to an agent."""
 
@@ -183,6 +194,11 @@
     """Whether this is a capacity probe: the agent replies at once."""
     has_confined_queues: bool = False
     """Whether the entry confines queues and needs their loads by target."""
+    demands: tuple[ClassDemand, ...] = ()
+    """The backlog by priority class, the most urgent class first.
+
+    Empty if the site has no priorities.
+    """
 
 
 class AgentMessage(MessagePart):
@@ -227,3 +243,8 @@
 
     The target may still carry them out.
     """
+    other_demands: tuple[ClassDemand, ...] = ()
+    """`others_backlog` by priority class, the most urgent class first.
+
+    Empty if the site has no priorities.
+    """
--- a/src/fulmarscale/runs/site_config.py
+++ b/src/fulmarscale/runs/site_config.py
@@ -57,6 +57,16 @@
         """Whether any configuration has been read."""
         return self.configuration_version > 0
 
+    @cached_property
+    def has_priorities(self) -> bool:
+        """Whether queues of different priorities use the same service."""
+        priorities: dict[ServiceName, int] = {}
+        return any(
+            priorities.setdefault(queue.service, queue.priority)
+            != queue.priority
+            for queue in self.queues
+        )
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest matching path prefix.
 
