Place every job as if those that can't be placed weren't there

Started jobs go first, the oldest ahead, so three jobs whose next step no target can run ended every pass.

A pass now skips a task by its label and demand: no agent has that much free (FreeRoom), or a task like it found no agent in this pass. It goes over all waiting jobs without looking at each agent for each of them.

Tasks that wait for the end of an earlier run no longer end a pass either; the tasks with such runs are collected once a pass.

--- /dev/null
+++ b/features/durable_bounds.feature
@@ -0,0 +1,33 @@
+Feature: What one durable job, call or entry may cost the others
+  Entries and agents run the real code on simulated targets and a simulated
+  store.
+
+  # Guards against jobs that end each placement pass and are never placed.
+  Scenario Outline: Jobs that can't be placed hold up no other job
+    Given a simulated site of 2 entries, 3 targets and a store
+    And target 0 is the only one with the label "rare"
+    When durable job "holder" of 10 tasks of 9000 ms needs the label "rare" at entry 0
+    And <odd> jobs are submitted to entry 0 whose last step <why>
+    And 1.5 s pass
+    And 30 durable jobs of 4 tasks of 300 ms are submitted to entry 0, 20 ms apart
+    And 6 s pass
+    Then every accepted ordinary job is stored as completed
+    And no guarantee for durable jobs is violated
+
+    Examples:
+      | odd | why                             |
+      | 3   | needs a label that no target has |
+      | 3   | needs more memory than any target has |
+      | 3   | needs the label "rare"          |
+      | 300 | needs labels that no target has |
+
+  # Guards against agents that offer free capacity to a job they can't run.
+  Scenario: A job that no target can run is no demand until one can run it
+    Given a simulated site of 1 entries, 2 targets and a store
+    When durable job "a" of 2 tasks of 300 ms needs the label "rare" at entry 0
+    And 2 s pass
+    Then no agent is told of waiting tasks
+    When target 0 is the only one with the label "rare"
+    And 3 s pass
+    Then the store records job "a" as completed
+    And no guarantee for durable jobs is violated
--- a/features/support/durable_site.py
+++ b/features/support/durable_site.py
@@ -48,6 +48,7 @@
 from fulmarscale.entry.jobs.actions import StoreCompletion
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import RunOutcome
 from fulmarscale.runs.model import Step
 
@@ -112,16 +113,30 @@
                     )
 
     def submit_durable(
-        self, job_id: str, task_counts: tuple[int, ...], work_ms: int
+        self,
+        job_id: str,
+        task_counts: tuple[int, ...],
+        work_ms: int,
+        last_label: str = "",
+        last_demand: Resources = TASK,
     ) -> None:
         """Submit a durable job whose steps run one after another.
 
         :param job_id: id of the job.
         :param task_counts: number of tasks of each step.
         :param work_ms: work of each task.
+        :param last_label: label that the last step needs; empty for none.
+        :param last_demand: demand of each task of the last step.
         """
+        last = len(task_counts) - 1
         steps = tuple(
-            Step(count, TASK, work_ms / 1000, after=(n - 1,) if n else ())
+            Step(
+                count,
+                last_demand if n == last else TASK,
+                work_ms / 1000,
+                after=(n - 1,) if n else (),
+                required_label=last_label if n == last else "",
+            )
             for n, count in enumerate(task_counts)
         )
         spec = JobSpec(str(work_ms), steps, is_durable=True)
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -328,6 +328,15 @@
         may_begin = now - self.last_message_at <= LATE_START_S
         return may_begin and task in self._unconfirmed
 
+    def unexpired_tasks(self, now: float) -> set[TaskKey]:
+        """Return the tasks of which a run may go on, or begin, on the target.
+
+        :param now: the entry's time.
+        """
+        if now - self.last_message_at <= LATE_START_S:
+            return self.assigned.keys() | self._unconfirmed
+        return set(self.assigned)
+
     def is_lost(self, now: float) -> bool:
         """Return whether the agent may be down.
 
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -324,6 +324,15 @@
             view.has_unexpired_run(key, now) for view in self._agents.values()
         )
 
+    def unexpired_tasks(self, now: float) -> set[TaskKey]:
+        """Return all tasks with an earlier run that may not have ended yet.
+
+        :param now: the entry's time.
+        """
+        return set().union(
+            *(view.unexpired_tasks(now) for view in self._agents.values())
+        )
+
     def placement(
         self, job: Job, views: list[AgentView], now: float
     ) -> PlacementPass:
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/free_room.py
@@ -0,0 +1,74 @@
+"""Which waiting tasks may still be placed during one placement pass."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fulmarscale.runs.model import Resources
+
+if TYPE_CHECKING:
+    from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.runs.model import Step
+
+
+class FreeRoom:
+    """The capacity that a pass may still use, on the agents of one part.
+
+    Starts that are requested during a pass only reduce free capacity. So a
+    task that no agent could run shows for the rest of the pass that no other
+    task of the same label and demand can be placed. A task is rejected without
+    looking at each agent, so a pass may cover any number of waiting jobs.
+
+    :param views: the agents on which tasks may be placed.
+    """
+
+    def __init__(self, views: list[AgentView]) -> None:
+        self._views = views
+        self._most_free: dict[str, Resources | None] = {}
+        """The most of each resource that any agent with a label has free.
+
+        The amounts may be those of different agents. None without any agent.
+        """
+        self._exhausted: set[tuple[str, Resources]] = set()
+        """Labels and demands of which no further task can be placed."""
+
+    @property
+    def views(self) -> list[AgentView]:
+        """The agents on which tasks may be placed."""
+        return self._views
+
+    def may_fit(self, step: Step) -> bool:
+        """Return whether an agent may have room for a task of a step."""
+        label = step.required_label
+        if (label, step.demand) in self._exhausted:
+            return False
+        if label not in self._most_free:
+            self._most_free[label] = self._sum_up(label)
+        most = self._most_free[label]
+        return most is not None and step.demand.fits(most)
+
+    def record_failure(self, step: Step) -> None:
+        """Record that no agent can run a task of a step.
+
+        The limit of tasks per target is the job's own and shows nothing for
+        other jobs.
+        """
+        # Tasks have been placed since it was determined.
+        self._most_free.pop(step.required_label, None)
+        if step.max_tasks_per_target == 0:
+            self._exhausted.add((step.required_label, step.demand))
+
+    def _sum_up(self, label: str) -> Resources | None:
+        """Return the most of each resource that agents with a label have."""
+        free = [
+            view.available
+            for view in self._views
+            if not label or view.has_label(label)
+        ]
+        if not free:
+            return None
+        return Resources(
+            max(each.cpu_millicores for each in free),
+            max(each.memory_mb for each in free),
+            max(each.accelerators for each in free),
+        )
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -125,6 +125,8 @@
         self._by_key: dict[TaskKey, Task] = {}
         self._by_phase: dict[TaskPhase, dict[TaskKey, Task]]
         self._by_phase = {phase: {} for phase in TaskPhase}
+        self._waiting_counts: dict[int, int] = {}
+        """The number of waiting tasks of each step that has any."""
         for number, step in enumerate(spec.steps):
             for index in range(step.count):
                 task = Task(TaskKey(job_id, 0, number, index), step)
@@ -209,6 +211,12 @@
         """The tasks that wait for free capacity."""
         return list(self._by_phase[TaskPhase.WAITING].values())
 
+    @property
+    def waiting_steps(self) -> list[Step]:
+        """The steps with tasks that wait for free capacity."""
+        steps = self._spec.steps
+        return [steps[number] for number in self._waiting_counts]
+
     @property
     def assigned(self) -> list[Task]:
         """The tasks that are assigned to an agent."""
@@ -232,8 +240,15 @@
     def set_phase(self, task: Task, phase: TaskPhase) -> None:
         """Move a task to another phase."""
         del self._by_phase[task.phase][task.key]
+        counts, step = self._waiting_counts, task.key.step
+        if task.phase is TaskPhase.WAITING:
+            counts[step] -= 1
+            if not counts[step]:
+                del counts[step]
         task.phase = phase
         self._by_phase[phase][task.key] = task
+        if phase is TaskPhase.WAITING:
+            counts[step] = counts.get(step, 0) + 1
 
     def restore(
         self, done: tuple[int, ...], failures: tuple[tuple[int, int], ...]
--- a/src/fulmarscale/entry/jobs/open_jobs.py
+++ b/src/fulmarscale/entry/jobs/open_jobs.py
@@ -19,6 +19,10 @@
         """All open jobs."""
         self.waiting: dict[JobId, Job] = {}
         """Open jobs with tasks that wait for free capacity."""
+        self.set_apart: dict[JobId, Job] = {}
+        """Open jobs whose waiting tasks no known target can run."""
+        self.unchecked: dict[JobId, Job] = {}
+        """Waiting jobs for which this is not known."""
         self.needs_placement = False
         """Whether more tasks may be placed than after the last pass."""
 
@@ -29,7 +33,7 @@
 
     def remove(self, job_id: JobId) -> Job | None:
         """Remove and return a job; none if it isn't open."""
-        self.waiting.pop(job_id, None)
+        self._drop(job_id)
         return self.jobs.pop(job_id, None)
 
     def set_phase(self, job: Job, task: Task, phase: TaskPhase) -> None:
@@ -41,6 +45,24 @@
         """Update whether a job waits for capacity, and request placement."""
         self.needs_placement = True
         if job.is_waiting:
-            self.waiting[job.job_id] = job
+            self.set_waiting(job, is_apart=False)
+            self.unchecked[job.job_id] = job
         else:
-            self.waiting.pop(job.job_id, None)
+            self._drop(job.job_id)
+
+    def set_waiting(self, job: Job, *, is_apart: bool) -> None:
+        """Let a job wait for capacity, or set it apart.
+
+        :param job: a job with waiting tasks.
+        :param is_apart: whether no known target can run these tasks.
+        """
+        source, to = self.set_apart, self.waiting
+        if is_apart:
+            source, to = to, source
+        source.pop(job.job_id, None)
+        to[job.job_id] = job
+
+    def _drop(self, job_id: JobId) -> None:
+        """Forget a job that has no waiting tasks."""
+        for jobs in (self.waiting, self.set_apart, self.unchecked):
+            jobs.pop(job_id, None)
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import Final
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.bulkheads import Partition
+from fulmarscale.entry.jobs.free_room import FreeRoom
 from fulmarscale.entry.jobs.job import TaskPhase
+from fulmarscale.entry.jobs.unplaceable_jobs import UnplaceableJobs
 from fulmarscale.events import Event
 from fulmarscale.runs.messages import StartRequest
 
@@ -28,14 +29,7 @@
     from fulmarscale.entry.jobs.waiting_order import WaitingOrder
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import ServiceName
-
-MAX_UNPLACED_JOBS: Final = 3
-"""Number of jobs of a partition not placed in full that end its pass.
-
-Capacity that doesn't suffice for the most urgent jobs may still suffice for
-a smaller one.
-"""
-
+    from fulmarscale.runs.model import TaskKey
 
 PROBATION_S: Final = 0.05
 """Longest time that a confined queue's job has a target for itself at first.
@@ -82,6 +76,7 @@
         self._open = open_jobs
         self._crashes = crashes
         self._log = log
+        self._unplaceable = UnplaceableJobs(fleet, open_jobs, log)
         self._trials: dict[JobId, Partition] = {}
         """Jobs that run on trial, and where."""
         self._last_start_number = 0
@@ -95,6 +90,7 @@
         :param waiting: jobs with tasks that wait for capacity.
         :param now: the entry's time.
         """
+        self._unplaceable.update(now)
         self._confined_up_share = max(
             MIN_UP_SHARE, self._fleet.confined_up_share(now)
         )
@@ -128,20 +124,25 @@
 
     def _place_jobs(self, jobs: list[Job], now: float) -> None:
         """Place the tasks of jobs, the first job's first."""
-        unplaced: Counter[Partition] = Counter()
-        usable: dict[tuple[ServiceName, Partition], list[AgentView]] = {}
+        rooms: dict[tuple[ServiceName, Partition], FreeRoom] = {}
+        unexpired: set[TaskKey] | None = None
         for job in jobs:
             partition = self._fleet.bulkheads.partition_of(job)
-            if unplaced[partition] >= MAX_UNPLACED_JOBS:
-                continue
             key = (job.queue.service, partition)
-            if key not in usable:
-                usable[key] = self._fleet.usable(job, now)
-            views = usable[key]
-            if not views:
+            if key not in rooms:
+                rooms[key] = FreeRoom(self._fleet.usable(job, now))
+            room = rooms[key]
+            # Other jobs may fail where this one has its runs on probation.
+            is_exempt = job.is_assigned and self._fleet.bulkheads.is_confined(
+                job
+            )
+            if not is_exempt and not any(
+                room.may_fit(step) for step in job.waiting_steps
+            ):
                 continue
-            if not self._place_job(job, views, now):
-                unplaced[partition] += 1
+            if unexpired is None:
+                unexpired = self._fleet.unexpired_tasks(now)
+            self._place_job(job, room, unexpired, now)
 
     def _run_trial(self, suspects: list[Job], now: float) -> None:
         """Start the tasks of the most suspected jobs that can be tried.
@@ -236,27 +237,28 @@
         self._request_start(job, task, view, now, is_exclusive=True)
         return True
 
-    def _place_job(self, job: Job, views: list[AgentView], now: float) -> bool:
+    def _place_job(
+        self, job: Job, room: FreeRoom, unexpired: set[TaskKey], now: float
+    ) -> None:
         """Request starts of as many of a job's waiting tasks as possible.
 
         :param job: the job.
-        :param views: the agents on which its tasks may be placed.
+        :param room: the agents on which its tasks may be placed.
+        :param unexpired: tasks with an earlier run that may not have ended.
         :param now: the entry's time.
-        :returns: whether all waiting tasks were placed.
         """
-        is_complete = True
-        placement = self._fleet.placement(job, views, now)
+        placement = self._fleet.placement(job, room.views, now)
+        failed: set[int] = set()
+        """Steps of which no further task can be placed."""
         for task in job.waiting:
-            if self._fleet.has_unexpired_run(task.key, now):
-                # An earlier run of the task may not have ended yet.
-                is_complete = False
+            if task.key.step in failed or task.key in unexpired:
                 continue
             view = placement.choose(task)
             if view is None:
-                is_complete = False
+                failed.add(task.key.step)
+                room.record_failure(task.step)
                 continue
             self._request_start(job, task, view, now)
-        return is_complete
 
     def _request_start(
         self,
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -225,6 +225,11 @@
     request of such a task is logged, so that one that an agent refuses is
     followed by another.
     """
+    JOB_SET_APART = 529, Importance.CHANGE
+    """No known target can run any waiting task of a job, or one can again.
+
+    Meanwhile the job doesn't count as waiting (`is_apart`).
+    """
     STOOD_STILL = 530, Importance.WARNING
     """The process was paused for `pause_s` seconds.
 
