Learn the speeds of targets and use each for what it ends in time

Cause: a sound target of speed 0.6 takes 1.67 times the mean run time, which nearly reaches SLOW_FACTOR, so its runs were moved; long tasks were placed there although they could only end late.

Change: entries learn speeds from the tasks of a step (target_speeds.py, no message, no store), apart from Slowness, which now compares runs with what the speed explains. target_choice.py holds what a placement pass goes by: the free share as before, or, while the measured speeds differ clearly, whether a target ends a task in time. A run is moved only if that gains more time than it throws away. Forecasts count capacity times speed. Sites of equal targets keep their behaviour.

crash_steps.py: Dispatcher.agents became Dispatcher.fleet; no check changed.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -316,7 +316,7 @@
 
 @then("entry {number:d} has quarantined no target")
 def check_quarantine(context: Context, number: int) -> None:
-    views = context.run_site.entries[number].dispatcher.agents
+    views = context.run_site.entries[number].dispatcher.fleet.views
     assert not any(view.is_quarantined for view in views)
 
 
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -74,16 +74,20 @@
         name: str,
         cores: int,
         runs_s: dict[str, tuple[float, ...]],
+        speed: float = 1.0,
     ) -> None:
         super().__init__(clock, name, cores)
         self._runs_s = runs_s
+        self.speed = speed
+        """Speed of its runs; 1 takes the true run times of the tasks."""
         self.unanswered_share = 0.0
         """Share of the requests that get no response and are late."""
         self.on_completion: list[Callable[[], None]] = []
         """Called once when the next run ends."""
 
     def _work_s(self, action: StartRun) -> float:
-        return self._runs_s[action.task.job_id][action.task.index]
+        work_s = self._runs_s[action.task.job_id][action.task.index]
+        return work_s / self.speed
 
     def _finish(self, task: Any, number: int, outcome: Any) -> None:
         super()._finish(task, number, outcome)
@@ -328,7 +332,13 @@
         self._random = Random(f"{seed}/faults")
         self._jobs = {job.name: job for job in jobs}
         self._runs_s = {job.name: job.runs_s for job in jobs}
-        self._cores = iter(workload.cores)
+        self._sizes = iter(
+            zip(
+                workload.cores,
+                workload.speeds or [1.0] * len(workload.cores),
+                strict=True,
+            )
+        )
         self._queues = {
             kind.name: Queue(
                 name=QueueName(kind.name),
@@ -392,7 +402,8 @@
 
     def make_target(self, name: str, cores: int) -> BenchTarget:
         """Start a target with the next size of the workload."""
-        return BenchTarget(self.clock, name, next(self._cores), self._runs_s)
+        own_cores, speed = next(self._sizes)
+        return BenchTarget(self.clock, name, own_cores, self._runs_s, speed)
 
     def make_agent(
         self,
--- a/features/support/dispatch_workload.py
+++ b/features/support/dispatch_workload.py
@@ -84,6 +84,8 @@
     cores: list[int]
     """Cores of each target."""
     kinds: list[Kind]
+    speeds: list[float] = []
+    """Speed of each target; empty if all have a speed of 1."""
     length_s: float = 34.0
     stretch: float = 1.6
     """Multiple of a job's longest run in its objective."""
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -159,9 +159,9 @@
         return len(self._open.jobs)
 
     @property
-    def agents(self) -> list[AgentView]:
+    def fleet(self) -> Fleet:
         """All agents that the entry has had a stream to."""
-        return self._fleet.views
+        return self._fleet
 
     @property
     def subset(self) -> Subset:
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -15,6 +15,9 @@
 from fulmarscale.entry.jobs.agent_view import AgentView
 from fulmarscale.entry.jobs.bulkheads import Bulkheads
 from fulmarscale.entry.jobs.open_load import OpenLoad
+from fulmarscale.entry.jobs.target_choice import EndInTimeChoice
+from fulmarscale.entry.jobs.target_choice import FreeShareChoice
+from fulmarscale.entry.jobs.target_speeds import TargetSpeeds
 from fulmarscale.runs.limits import MAX_STATE_AGE_S
 from fulmarscale.runs.limits import STREAM_TIMEOUT_S
 from fulmarscale.runs.model import TargetState
@@ -26,6 +29,7 @@
     from fulmarscale.entry.jobs.bulkheads import Partition
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
+    from fulmarscale.entry.jobs.target_choice import TargetChoice
     from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
 
@@ -45,8 +49,8 @@
     """Whether the target is in the part of the other queues."""
     is_off_rack: bool
     """Whether the task's data is on another rack."""
-    negative_free_share: float
-    """The free share of the target's processor time, negated."""
+    cost: float
+    """What the choice among equal targets goes by; see `TargetChoice`."""
     is_remote: bool
     """Whether the target is in another data centre than the entry."""
 
@@ -60,6 +64,8 @@
         self._closed_data_centres: tuple[str, ...] = ()
         self.bulkheads = Bulkheads()
         """Which queues are confined to which of the targets."""
+        self.speeds = TargetSpeeds()
+        """The learned speeds of the targets."""
         self._open_loads: dict[ServiceName, OpenLoad] = {}
         """The load of the queues that are not confined, by service."""
         self._agents: dict[str, AgentView] = {}
@@ -197,7 +203,8 @@
             if target.state is TargetState.READY and not (
                 view.slowness.is_slow(now)
             ):
-                capacity += target.capacity.cpu_millicores
+                speed = self.speeds.speed_of(view.name)
+                capacity += round(target.capacity.cpu_millicores * speed)
                 free += max(0, view.free.cpu_millicores)
             if now - view.last_message_at <= MAX_STATE_AGE_S:
                 others = max(others, view.others_backlog)
@@ -276,15 +283,28 @@
         Agents without recent messages count by their last report; they are
         probed before the task is placed there.
         """
-        return any(
-            view.name not in task.failed_on
-            and view.name != task.agent
-            and not view.is_unresponsive(now)
-            and not view.is_quarantined
-            and not view.slowness.is_slow(now)
-            and task.step.demand.fits(view.available)
-            for view in self.serving(job.queue.service)
-            if self.bulkheads.allows(job, view)
+        return self.top_healthy_speed(job, task, now) is not None
+
+    def top_healthy_speed(
+        self, job: Job, task: Task, now: float
+    ) -> float | None:
+        """Return the top speed of the targets that can take over a run.
+
+        :returns: a factor of the mean speed; none if there is no such target.
+        """
+        return max(
+            (
+                self.speeds.speed_of(view.name)
+                for view in self.serving(job.queue.service)
+                if self.bulkheads.allows(job, view)
+                and view.name not in task.failed_on
+                and view.name != task.agent
+                and not view.is_unresponsive(now)
+                and not view.is_quarantined
+                and not view.slowness.is_slow(now)
+                and task.step.demand.fits(view.available)
+            ),
+            default=None,
         )
 
     def least_used(self, job: Job, task: Task, now: float) -> AgentView | None:
@@ -333,7 +353,10 @@
         :param views: the agents on which its tasks may be placed.
         :param now: the entry's time.
         """
-        return PlacementPass(self, job, views, now)
+        choice: TargetChoice = FreeShareChoice()
+        if self.speeds.is_uneven:
+            choice = EndInTimeChoice(job, views, self.speeds, now)
+        return PlacementPass(self, choice, job, views, now)
 
     def can_run(
         self, job: Job, task: Task, view: AgentView, now: float
@@ -365,18 +388,22 @@
         )
         return placed < step.max_tasks_per_target
 
-    def rank(self, job: Job, task: Task, view: AgentView, now: float) -> Rank:
+    def rank(
+        self,
+        choice: TargetChoice,
+        job: Job,
+        task: Task,
+        view: AgentView,
+        now: float,
+    ) -> Rank:
         """Return the rank of an agent for a task; the lowest is the best."""
         rack = task.step.data_rack
-        free_share = view.available.cpu_millicores / max(
-            view.capacity.cpu_millicores, 1
-        )
         return Rank(
             has_failed=view.name in task.failed_on,
             is_slow=view.slowness.is_slow(now),
             is_other_part=not self.bulkheads.is_own_part(job, view.name),
             is_off_rack=bool(rack) and not view.has_label(rack),
-            negative_free_share=-free_share,
+            cost=choice.cost(task, view),
             is_remote=view.data_centre != self._data_centre,
         )
 
@@ -415,9 +442,15 @@
     """
 
     def __init__(
-        self, fleet: Fleet, job: Job, views: list[AgentView], now: float
+        self,
+        fleet: Fleet,
+        choice: TargetChoice,
+        job: Job,
+        views: list[AgentView],
+        now: float,
     ) -> None:
         self._fleet = fleet
+        self._choice = choice
         self._job = job
         # Most agents of a busy fleet are full; ranking them is wasted work.
         min_millicores = min(
@@ -458,7 +491,17 @@
         )
         if self._batch_size >= max_batch or last.slowness.is_slow(self._now):
             return False
-        return self._fleet.can_run(self._job, task, last, self._now)
+        return self._can_place(task, last)
+
+    def _can_place(self, task: Task, view: AgentView) -> bool:
+        """Return whether a target can run a task and is chosen for it."""
+        return self._fleet.can_run(
+            self._job, task, view, self._now
+        ) and self._choice.is_acceptable(task, view)
+
+    def _rank(self, task: Task, view: AgentView) -> Rank:
+        """Return the rank of an agent for a task."""
+        return self._fleet.rank(self._choice, self._job, task, view, self._now)
 
     def _choose_best(self, task: Task) -> AgentView | None:
         """Return the best agent for any task of a task's step."""
@@ -471,12 +514,12 @@
         """Return a heap of the agents that can run a task, by rank."""
         candidates = [
             RankedAgent(
-                self._fleet.rank(self._job, task, view, self._now),
+                self._rank(task, view),
                 position,
                 view,
             )
             for position, view in enumerate(self._views)
-            if self._fleet.can_run(self._job, task, view, self._now)
+            if self._can_place(task, view)
         ]
         heapify(candidates)
         return candidates
@@ -488,10 +531,10 @@
         while heap:
             first = heap[0]
             view = first.view
-            if not self._fleet.can_run(self._job, task, view, self._now):
+            if not self._can_place(task, view):
                 heappop(heap)
                 continue
-            rank = self._fleet.rank(self._job, task, view, self._now)
+            rank = self._rank(task, view)
             if rank == first.rank:
                 return view
             heapreplace(heap, RankedAgent(rank, first.position, view))
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from enum import Enum
-from statistics import median
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -281,23 +280,22 @@
             if all(earlier in done for earlier in task.step.after):
                 self.set_phase(task, TaskPhase.WAITING)
 
-    def peer_median_s(self, task: Task) -> float | None:
-        """Return the median whole-run duration of a task's peers.
+    def peer_runs_s(self, task: Task) -> list[tuple[str, float]]:
+        """Return the agents and whole-run durations of a task's peers.
 
         Peers are the other tasks of its step on other targets. They are alike,
-        so this is a better estimate than the declared run time. Those on the
+        so these are a better estimate than the declared run time. Those on the
         same target would hide that the target is slow.
 
-        :returns: seconds; none if no peer has an estimate.
+        :returns: durations in seconds; empty if no peer has an estimate.
         """
-        durations_s = [
-            other.whole_run_s
+        return [
+            (other.agent, whole_run_s)
             for other in self._tasks
             if other.agent != task.agent
             and other.step is task.step
-            and other.whole_run_s is not None
+            and (whole_run_s := other.whole_run_s) is not None
         ]
-        return median(durations_s) if durations_s else None
 
     def critical_path_s(self) -> float:
         """Return the declared run time of the critical path through the steps.
@@ -315,3 +313,17 @@
                 step.declared_s + max(preceding_s, default=0.0)
             )
         return max(path_lengths_s, default=0.0)
+
+    def declared_s_after(self, step: int) -> float:
+        """Return the declared run time of the longest path after a step.
+
+        :param step: the number of the step.
+        :returns: seconds.
+        """
+        steps = self._spec.steps
+        after_s = [0.0] * len(steps)
+        for number in reversed(range(len(steps))):
+            for earlier in steps[number].after:
+                path_s = steps[number].declared_s + after_s[number]
+                after_s[earlier] = max(after_s[earlier], path_s)
+        return after_s[step]
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -412,11 +412,13 @@
 
     def _gauges(self) -> dict[str, float]:
         """Return the current gauge values by name."""
-        views = self._dispatcher.agents
-        connected = sum(view.session is not None for view in views)
+        fleet = self._dispatcher.fleet
+        connected = sum(view.session is not None for view in fleet.views)
         return {
             "jobs": self._dispatcher.open_job_count,
             "agents": connected,
+            "targets_uneven": fleet.speeds.is_uneven,
+            "targets_of_known_speed": len(fleet.speeds.known_speeds),
             "configuration_version": self.site.configuration_version,
             "configuration_age_seconds": self.site_age_s,
         }
--- a/src/fulmarscale/entry/jobs/run_monitor.py
+++ b/src/fulmarscale/entry/jobs/run_monitor.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from statistics import median
 from typing import Final
 from typing import Protocol
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.estimates import SLOW_FACTOR
+from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.entry.jobs.stragglers import evaluate_run
 from fulmarscale.entry.jobs.stragglers import MIN_ELAPSED_S
+from fulmarscale.entry.jobs.stragglers import move_pays
 from fulmarscale.entry.jobs.stragglers import RunCondition
+from fulmarscale.entry.jobs.target_speeds import StepRun
 from fulmarscale.events import Event
 
 if TYPE_CHECKING:
@@ -84,7 +88,12 @@
         if not task.is_slowness_recorded:
             view.record_slowness(ran_s / max(expected_s, MIN_EXPECTED_S), now)
         task.ran_s = ran_s
-        self._run_times.record(job.queue.name, task.step.declared_s, ran_s)
+        self._record_speeds(view, job, task, now)
+        self._run_times.record(
+            job.queue.name,
+            task.step.declared_s,
+            ran_s * self._fleet.speeds.speed_of(view.name),
+        )
 
     def check_run(self, job: Job, task: Task, now: float) -> None:
         """Stop a run that has stalled or is far too slow, to move its task.
@@ -124,12 +133,76 @@
         )
 
     def _expected_s(self, job: Job, task: Task) -> float:
-        """Return the expected duration of a task's run, in seconds."""
-        peer_median_s = job.peer_median_s(task)
-        if peer_median_s is not None:
-            return peer_median_s
+        """Return the expected duration of a task's run, in seconds.
+
+        It is that of a sound target of the learned speed.
+        """
+        speeds = self._fleet.speeds
+        if not speeds.is_uneven:
+            return self._work_s(job, task)
+        return self._work_s(job, task) / speeds.speed_of(task.agent)
+
+    def _work_s(self, job: Job, task: Task) -> float:
+        """Return the expected duration at the mean speed, in seconds."""
+        peers_s = [
+            whole_run_s * self._fleet.speeds.speed_of(agent)
+            for agent, whole_run_s in job.peer_runs_s(task)
+        ]
+        if peers_s:
+            return median(peers_s)
         return self._run_times.estimate_s(job.queue.name, task.step.declared_s)
 
+    def _record_speeds(
+        self, view: AgentView, job: Job, task: Task, now: float
+    ) -> None:
+        """Learn target speeds once all tasks of a step have succeeded.
+
+        Those that succeed first tend to be small or on fast targets, so that
+        they are not compared before.
+
+        :param view: the agent of the task's target.
+        :param job: the job.
+        :param task: its task that has just succeeded, still assigned.
+        :param now: the entry's time.
+        """
+        speeds = self._fleet.speeds
+        if view.target is not None:
+            speeds.observe_target(view.name, view.target)
+        members = [other for other in job.tasks if other.step is task.step]
+        if any(
+            other is not task and other.phase is not TaskPhase.DONE
+            for other in members
+        ):
+            return
+        runs = [
+            StepRun(other.agent, other.ran_s)
+            for other in members
+            if other.ran_s is not None and self._shows_speed(other.agent, now)
+        ]
+        was_uneven = speeds.is_uneven
+        if len({run.agent for run in runs}) > 1:
+            speeds.record_step(runs, now)
+        else:
+            expected_s = self._run_times.estimate_s(
+                job.queue.name, task.step.declared_s
+            )
+            for run in runs:
+                speeds.record_single(run, expected_s, now)
+        if speeds.is_uneven != was_uneven:
+            known = speeds.known_speeds
+            self._log(
+                Event.TARGET_SPEEDS_CHANGED,
+                uneven=speeds.is_uneven,
+                known=len(known),
+                lowest=round(min(known, default=1.0), 3),
+                highest=round(max(known, default=1.0), 3),
+            )
+
+    def _shows_speed(self, agent: str, now: float) -> bool:
+        """Return whether runs on a target show the speed that it keeps."""
+        view = self._fleet.find(agent)
+        return view is not None and not view.slowness.is_slow(now)
+
     def _is_worth_moving(
         self, job: Job, task: Task, view: AgentView, now: float
     ) -> bool:
@@ -138,10 +211,15 @@
         If all tasks of a job are slow, its declared run time is wrong, and
         moving them would only discard their work.
         """
-        has_peers = job.peer_median_s(task) is not None
+        has_peers = bool(job.peer_runs_s(task))
         if not has_peers and not view.slowness.is_slow(now):
             return False
-        return self._fleet.has_healthy_capacity(job, task, now)
+        if not self._fleet.speeds.is_uneven:
+            return self._fleet.has_healthy_capacity(job, task, now)
+        speed = self._fleet.top_healthy_speed(job, task, now)
+        if speed is None:
+            return False
+        return move_pays(task, self._work_s(job, task) / speed, now)
 
     def _record_slow_run(self, job: Job, task: Task, now: float) -> None:
         """Record a far slower run than expected as slowness of its target."""
--- a/src/fulmarscale/entry/jobs/stragglers.py
+++ b/src/fulmarscale/entry/jobs/stragglers.py
@@ -64,8 +64,29 @@
     elapsed_s = task.progress_at - task.assigned_at
     if elapsed_s < MIN_ELAPSED_S:
         return RunCondition.HEALTHY
-    remaining_s = elapsed_s * (100 - task.percent) / task.percent
-    remaining_s -= now - task.progress_at
-    if remaining_s > MOVE_FACTOR * expected_s + MOVE_COST_S:
+    if _remaining_s(task, now) > MOVE_FACTOR * expected_s + MOVE_COST_S:
         return RunCondition.SLOW
     return RunCondition.HEALTHY
+
+
+def move_pays(task: Task, new_run_s: float, now: float) -> bool:
+    """Return whether a move ends a task sooner by more than it throws away.
+
+    :param task: a task whose run has made progress.
+    :param new_run_s: the expected duration of a new run, in seconds.
+    :param now: the entry's time.
+    """
+    gained_s = _remaining_s(task, now) - new_run_s - MOVE_COST_S
+    return gained_s > now - task.assigned_at
+
+
+def _remaining_s(task: Task, now: float) -> float:
+    """Return the time that a run needs to its end at its present speed.
+
+    :param task: a task whose run has made progress.
+    :param now: the entry's time.
+    :returns: seconds.
+    """
+    elapsed_s = task.progress_at - task.assigned_at
+    remaining_s = elapsed_s * (100 - task.percent) / task.percent
+    return remaining_s - (now - task.progress_at)
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -247,6 +247,11 @@
 
     At most one line a second, with the slowest of `count` decisions.
     """
+    TARGET_SPEEDS_CHANGED = 535, Importance.CHANGE
+    """The measured speeds of targets began to differ clearly, or no longer do.
+
+    While they do, the entry uses a target only for tasks that it ends in time.
+    """
     KEEPING_STARTED = 540, Importance.CHANGE
     """The entry begins to hold a lease in the store.
 
