Order, begin and admit jobs by the priority of their queue

A waiting job was never judged while any one of its tasks fitted any target, and Queue.priority was read by nothing, so under a lasting overload wide jobs of all queues began, held what they had and starved each other.

Where the queues of a service have different priorities, the more urgent class goes first, with a floor for each class; a job begins when the room for all of its tasks is there or near; and a job is judged at arrival and at each tick by the demand of more urgent and equal classes ahead of it. A begun job without room for its rest before its answer is useless ends as failed with ENDS_TOO_LATE. Other services are served as before.

--- a/benches/dispatch.py
+++ b/benches/dispatch.py
@@ -71,6 +71,7 @@
     values = score_jobs(workload, jobs, site.completed_at)
     values["rejected"] = len(site.rejected_at) / len(jobs)
     values["served"] = len(site.completed_at) / len(jobs)
+    values["held"] = len(site.held_jobs)
     starts = sum(len(target.history) for target in site.targets)
     lost_s = sum(
         (run.ended_at or run.started_at) - run.started_at
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -381,6 +381,12 @@
         """Share of the jobs that were answered as completed."""
         return len(self.completed_at) / len(self._jobs)
 
+    @property
+    def held_jobs(self) -> list[str]:
+        """Jobs whose callers waited until their deadline in vain."""
+        answered = self.completed_at.keys() | self.rejected_at.keys()
+        return sorted(self._jobs.keys() - answered - self.failed)
+
     @property
     def elapsed_s(self) -> float:
         """Time since the first job could arrive, in seconds."""
--- a/src/fulmarscale/entry/jobs/admission.py
+++ b/src/fulmarscale/entry/jobs/admission.py
@@ -4,12 +4,14 @@
 
 from bisect import bisect_right
 from itertools import accumulate
+from types import MappingProxyType
 from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from fulmarscale.entry.jobs.estimates import RunTimes
     from fulmarscale.entry.jobs.job import Job
@@ -38,6 +40,8 @@
     """The free part of it."""
     others: int
     """Demand of tasks that wait at other entries, over all services."""
+    others_by_priority: Mapping[int, int] = MappingProxyType({})
+    """The same by the priority of their queues; empty if not known."""
 
 
 def waiting_demand(job: Job) -> int:
--- a/src/fulmarscale/entry/jobs/admission_control.py
+++ b/src/fulmarscale/entry/jobs/admission_control.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from typing import Final
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.admission import ends_too_late
 from fulmarscale.entry.jobs.admission import Forecast
 from fulmarscale.entry.jobs.admission import is_satisfiable
 from fulmarscale.entry.jobs.bulkheads import Partition
+from fulmarscale.entry.jobs.class_admission import cant_be_useful
+from fulmarscale.entry.jobs.class_admission import ClassForecast
+from fulmarscale.entry.jobs.class_admission import is_admitted
+from fulmarscale.entry.jobs.class_admission import may_wait
 from fulmarscale.events import Event
 
 if TYPE_CHECKING:
@@ -16,6 +21,7 @@
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.run_monitor import DecisionLog
+    from fulmarscale.entry.jobs.urgency import Urgency
     from fulmarscale.runs.model import JobId
 
 LATEST_USEFUL_FACTOR: Final = 3.0
@@ -29,12 +35,25 @@
 """
 
 
+class PartitionForecast(NamedTuple):
+    """The forecasts for the targets of one partition."""
+
+    by_start: Forecast
+    """For services whose queues have the same priority."""
+    by_class: ClassForecast
+    """For services with classes."""
+
+
+Forecasts = dict[Partition, PartitionForecast]
+
+
 class AdmissionControl:
     """Predicts whether jobs that haven't started can still be on time.
 
     :param fleet: the entry's agents.
     :param run_times: the measured run times of tasks.
     :param waiting: the open jobs with waiting tasks, kept up to date.
+    :param urgency: the classes of the services that have any.
     :param log: writes a line for each rejection.
     """
 
@@ -43,11 +62,13 @@
         fleet: Fleet,
         run_times: RunTimes,
         waiting: dict[JobId, Job],
+        urgency: Urgency,
         log: DecisionLog,
     ) -> None:
         self._fleet = fleet
         self._run_times = run_times
         self._waiting = waiting
+        self._urgency = urgency
         self._log = log
         self._undecided: dict[JobId, Job] = {}
         """New jobs that may be rejected once all free capacity is known."""
@@ -71,22 +92,27 @@
 
     def add(self, job: Job) -> None:
         """Add a new job, to be decided once free capacity is known."""
+        self._urgency.record_asked(job, job.arrived_at)
         self._undecided[job.job_id] = job
 
     def discard(self, job_id: JobId) -> None:
         """Forget a job that is closed or removed."""
         self._undecided.pop(job_id, None)
 
-    def forecasts(self) -> dict[Partition, Forecast]:
+    def forecasts(self, now: float) -> Forecasts:
         """Return forecasts from the jobs that wait now, by partition."""
         return {
-            partition: self._forecast(partition) for partition in Partition
+            partition: self._forecast(partition, now)
+            for partition in Partition
         }
 
-    def _forecast(self, partition: Partition, *extra: Job) -> Forecast:
-        """Return a forecast for the targets of one partition.
+    def _forecast(
+        self, partition: Partition, now: float, *extra: Job
+    ) -> PartitionForecast:
+        """Return forecasts for the targets of one partition.
 
         :param partition: the partition.
+        :param now: the entry's time.
         :param extra: jobs that wait beside those that are open.
         """
         partition_of = self._fleet.bulkheads.partition_of
@@ -95,7 +121,12 @@
             for job in (*self._waiting.values(), *extra)
             if partition_of(job) is partition
         ]
-        return Forecast(waiting, self._run_times)
+        return PartitionForecast(
+            Forecast(waiting, self._run_times),
+            ClassForecast(
+                waiting, self._fleet, self._run_times, self._urgency, now
+            ),
+        )
 
     def take_decidable(self, now: float) -> list[Job]:
         """Return and remove the new jobs whose free capacity is known.
@@ -113,7 +144,7 @@
         return decidable
 
     def check_new(
-        self, job: Job, forecasts: dict[Partition, Forecast], now: float
+        self, job: Job, forecasts: Forecasts, now: float
     ) -> float | None:
         """Return the wait of a new job that is unlikely to be on time.
 
@@ -122,6 +153,8 @@
         :param now: the entry's time.
         :returns: seconds; none if the job is admitted.
         """
+        if self._urgency.applies_to(job):
+            return self._check_class(job, forecasts, now, is_new=True)
         if self._fleet.has_capacity(job, now):
             return None
         wait_s = self._predict_wait_s(job, forecasts, now)
@@ -131,7 +164,7 @@
         return wait_s
 
     def check_waiting(
-        self, job: Job, forecasts: dict[Partition, Forecast], now: float
+        self, job: Job, forecasts: Forecasts, now: float
     ) -> float | None:
         """Return the wait of a waiting job that would end too late.
 
@@ -145,6 +178,8 @@
         """
         if job.job_id in self._undecided:
             return None
+        if self._urgency.applies_to(job):
+            return self._check_class(job, forecasts, now, is_new=False)
         if self._fleet.has_capacity(job, now):
             return None
         wait_s = self._predict_wait_s(job, forecasts, now)
@@ -153,6 +188,50 @@
         self._log_hopeless(job, wait_s, now)
         return wait_s
 
+    def _check_class(
+        self, job: Job, forecasts: Forecasts, now: float, *, is_new: bool
+    ) -> float | None:
+        """Return the wait of a job that more urgent demand makes late.
+
+        :param job: a job without any started task.
+        :param forecasts: the forecasts, one of which predicts its wait.
+        :param now: the entry's time.
+        :param is_new: whether it has just arrived.
+        :returns: seconds; none if the job may stay.
+        """
+        if self._is_starting_up(now):
+            return None
+        partition = self._fleet.bulkheads.partition_of(job)
+        forecast = forecasts[partition].by_class
+        if is_new:
+            may_stay, wait_s = is_admitted(job, forecast)
+        else:
+            may_stay, wait_s = may_wait(job, forecast, now)
+        if may_stay:
+            return None
+        self._log_hopeless(job, wait_s, now)
+        return wait_s
+
+    def ends_useless(self, job: Job, forecasts: Forecasts, now: float) -> bool:
+        """Return whether a begun job can't end before its answer is useless.
+
+        Some of its tasks still wait, without room for all of them now.
+
+        :param job: a job of which tasks may have started.
+        :param forecasts: the forecasts, one of which predicts its wait.
+        :param now: the entry's time.
+        """
+        if job.is_durable or not job.is_waiting:
+            return False
+        if not self._urgency.applies_to(job) or self._is_starting_up(now):
+            return False
+        partition = self._fleet.bulkheads.partition_of(job)
+        forecast = forecasts[partition].by_class
+        if not cant_be_useful(job, forecast, now):
+            return False
+        self._log_hopeless(job, forecast.wait_s(job), now)
+        return True
+
     def too_late_wait_s(self, job: Job, now: float) -> float | None:
         """Return the wait of a job that would end too late to be useful.
 
@@ -163,8 +242,8 @@
         if self._fleet.has_capacity(job, now) or self._is_starting_up(now):
             return None
         partition = self._fleet.bulkheads.partition_of(job)
-        forecast = self._forecast(partition, job)
-        wait_s = forecast.wait_s(job, self._fleet.load(job, now))
+        forecast = self._forecast(partition, now, job)
+        wait_s = forecast.by_start.wait_s(job, self._fleet.load(job, now))
         ends_at = now + wait_s + job.critical_s
         return None if ends_at <= job.useful_until else wait_s
 
@@ -173,21 +252,24 @@
         return now - self._started_at < STARTUP_S
 
     def _predict_wait_s(
-        self, job: Job, forecasts: dict[Partition, Forecast], now: float
+        self, job: Job, forecasts: Forecasts, now: float
     ) -> float:
         """Return a job's predicted wait, in seconds."""
         if self._is_starting_up(now):
             # Not all targets are known yet; they are assumed to be available.
             return 0.0
         forecast = forecasts[self._fleet.bulkheads.partition_of(job)]
-        return forecast.wait_s(job, self._fleet.load(job, now))
+        return forecast.by_start.wait_s(job, self._fleet.load(job, now))
 
     def _log_hopeless(self, job: Job, wait_s: float, now: float) -> None:
         load = self._fleet.load(job, now)
         self._log(
             Event.JOB_HOPELESS,
             job=job.job_id,
+            queue=job.queue.name,
+            priority=job.queue.priority,
             wait_s=round(wait_s, 3),
+            granted=round(self._urgency.granted_share(job), 3),
             capacity=load.capacity,
             free=load.free,
             others=load.others,
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -69,6 +69,8 @@
         """The revision of the site configuration that the agent has."""
         self.others_backlog = 0
         """Demand waiting at other entries, in thousandths of a core."""
+        self.others_by_priority: dict[int, int] = {}
+        """The same by the priority of its queues; empty if not known."""
         self.assigned: dict[TaskKey, int] = {}
         """Numbers of the start requests whose runs may not have ended."""
         self._begun: set[TaskKey] = set()
--- /dev/null
+++ b/src/fulmarscale/entry/jobs/class_admission.py
@@ -0,0 +1,200 @@
+"""Judges waiting jobs of services whose queues have different priorities.
+
+A job waits behind the demand of more urgent classes and the earlier demand of
+its own, at this and at other entries, but not behind less urgent jobs.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from itertools import accumulate
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from fulmarscale.entry.jobs.admission import is_satisfiable
+from fulmarscale.entry.jobs.admission import waiting_demand
+from fulmarscale.entry.jobs.room import fitting_tasks
+from fulmarscale.entry.jobs.room import largest_demand
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarscale.entry.jobs.admission import Load
+    from fulmarscale.entry.jobs.estimates import RunTimes
+    from fulmarscale.entry.jobs.fleet import Fleet
+    from fulmarscale.entry.jobs.job import Job
+    from fulmarscale.entry.jobs.urgency import Urgency
+    from fulmarscale.runs.model import Resources
+    from fulmarscale.runs.model import ServiceName
+
+
+class ClassBacklog:
+    """The waiting jobs of one class, by their latest start."""
+
+    def __init__(self, jobs: Iterable[Job]) -> None:
+        ordered = sorted(jobs, key=lambda job: job.latest_start_at)
+        self._latest_starts = [job.latest_start_at for job in ordered]
+        self._cumulative = [0, *accumulate(map(waiting_demand, ordered))]
+
+    @property
+    def total(self) -> int:
+        """The demand of all, in thousandths of a core."""
+        return self._cumulative[-1]
+
+    def up_to(self, latest_start_at: float) -> int:
+        """Return the demand with a latest start up to a time.
+
+        :returns: thousandths of a core.
+        """
+        position = bisect_right(self._latest_starts, latest_start_at)
+        return self._cumulative[position]
+
+
+class ServiceRoom(NamedTuple):
+    """A service's capacity at the time of a forecast."""
+
+    load: Load
+    """Its capacity and other entries' demand."""
+    free: list[Resources]
+    """The free resources of each usable target."""
+
+
+class ClassForecast:
+    """Predicts waiting times from the jobs that wait at one moment.
+
+    :param waiting: the jobs that wait for the same targets.
+    :param fleet: the entry's agents.
+    :param run_times: the measured run times of tasks.
+    :param urgency: the classes.
+    :param now: the entry's time.
+    """
+
+    def __init__(
+        self,
+        waiting: Iterable[Job],
+        fleet: Fleet,
+        run_times: RunTimes,
+        urgency: Urgency,
+        now: float,
+    ) -> None:
+        self._fleet = fleet
+        self._run_times = run_times
+        self._urgency = urgency
+        self._now = now
+        by_class: dict[ServiceName, dict[int, list[Job]]] = {}
+        for job in waiting:
+            classes = by_class.setdefault(job.queue.service, {})
+            classes.setdefault(job.queue.priority, []).append(job)
+        self._backlogs = {
+            service: {
+                priority: ClassBacklog(jobs)
+                for priority, jobs in classes.items()
+            }
+            for service, classes in by_class.items()
+        }
+        self._rooms: dict[ServiceName, ServiceRoom] = {}
+
+    def wait_s(self, job: Job) -> float:
+        """Predict how long a job's last task waits for free capacity.
+
+        :returns: seconds; infinite if no target is usable.
+        """
+        room = self._room(job)
+        capacity = room.load.capacity
+        if capacity <= 0:
+            return float("inf")
+        shortfall = self._ahead(job, room.load) - self._usable_free(job, room)
+        mean_s = self._run_times.mean_s or job.critical_s
+        share = self._urgency.granted_share(job)
+        return max(0.0, shortfall) * mean_s / (capacity * max(share, 0.01))
+
+    def has_room(self, job: Job) -> bool:
+        """Return whether all waiting tasks of a job fit now."""
+        demand = largest_demand(job)
+        room = self._room(job)
+        return fitting_tasks(demand, room.free) >= len(job.waiting)
+
+    def _room(self, job: Job) -> ServiceRoom:
+        service = job.queue.service
+        if service not in self._rooms:
+            self._rooms[service] = ServiceRoom(
+                self._fleet.load(job, self._now),
+                [view.free for view in self._fleet.usable(job, self._now)],
+            )
+        return self._rooms[service]
+
+    def _usable_free(self, job: Job, room: ServiceRoom) -> int:
+        """Return the free capacity in parts that suffice for a task."""
+        demand = largest_demand(job)
+        if not demand.cpu_millicores:
+            return room.load.free
+        return fitting_tasks(demand, room.free) * demand.cpu_millicores
+
+    def _ahead(self, job: Job, load: Load) -> float:
+        """Return the demand up to and including a job's."""
+        priority = job.queue.priority
+        backlogs = self._backlogs.get(job.queue.service, {})
+        own_class = backlogs.get(priority)
+        equal = own_class.up_to(job.latest_start_at) if own_class else 0
+        above = sum(
+            backlog.total
+            for each, backlog in backlogs.items()
+            if each < priority
+        )
+        # The other entries' jobs of the class are assumed to have latest
+        # starts like this entry's.
+        earlier = equal / own_class.total if own_class and equal else 1.0
+        return above + equal + self._others_ahead(job, load, earlier)
+
+    def _others_ahead(self, job: Job, load: Load, earlier: float) -> float:
+        """Return the demand at other entries that goes ahead of a job.
+
+        :param job: the job.
+        :param load: what is known of other entries.
+        :param earlier: the share of its class that goes ahead of it.
+        """
+        priority = job.queue.priority
+        if not load.others_by_priority:
+            shares = self._urgency.asked_shares(job)
+            return load.others * (
+                sum(shares[each] for each in shares if each < priority)
+                + earlier * shares.get(priority, 0.0)
+            )
+        others = load.others_by_priority
+        above = sum(others[each] for each in others if each < priority)
+        return above + earlier * others.get(priority, 0)
+
+
+def is_admitted(job: Job, forecast: ClassForecast) -> tuple[bool, float]:
+    """Judge a job that has just arrived.
+
+    :returns: whether it is likely to be on time or can start at once, and
+        its predicted wait in seconds.
+    """
+    wait_s = forecast.wait_s(job)
+    return is_satisfiable(job, wait_s), wait_s
+
+
+def may_wait(
+    job: Job, forecast: ClassForecast, now: float
+) -> tuple[bool, float]:
+    """Judge a waiting job without any started task.
+
+    :returns: whether it can still be on time or start at once, and its
+        predicted wait in seconds.
+    """
+    wait_s = forecast.wait_s(job)
+    if now + wait_s <= job.latest_start_at:
+        return True, wait_s
+    return forecast.has_room(job), wait_s
+
+
+def cant_be_useful(job: Job, forecast: ClassForecast, now: float) -> bool:
+    """Return whether a begun job can't end while its answer is useful.
+
+    While there is room for its rest it is finished, however late.
+    """
+    if forecast.has_room(job):
+        return False
+    ends_at = now + forecast.wait_s(job) + job.critical_s
+    return ends_at > job.useful_until
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -18,6 +18,7 @@
 from fulmarscale.entry.jobs.actions import LogDispatchDecision
 from fulmarscale.entry.jobs.actions import OpenAgentStream
 from fulmarscale.entry.jobs.admission_control import AdmissionControl
+from fulmarscale.entry.jobs.beginning import BeginWithRoomForAll
 from fulmarscale.entry.jobs.capacity_prober import CapacityProber
 from fulmarscale.entry.jobs.crash_history import CrashHistory
 from fulmarscale.entry.jobs.estimates import RunTimes
@@ -28,10 +29,12 @@
 from fulmarscale.entry.jobs.outbox import Outbox
 from fulmarscale.entry.jobs.overload import OverloadDetector
 from fulmarscale.entry.jobs.placer import Placer
+from fulmarscale.entry.jobs.returning import retry_after_s
 from fulmarscale.entry.jobs.run_monitor import RunMonitor
 from fulmarscale.entry.jobs.run_results import RunResults
 from fulmarscale.entry.jobs.subset import Subset
-from fulmarscale.entry.jobs.waiting_order import LatestStartOrder
+from fulmarscale.entry.jobs.urgency import Urgency
+from fulmarscale.entry.jobs.urgency import UrgencyOrder
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
 from fulmarscale.runs.limits import BUSY_TICK_S
@@ -46,9 +49,8 @@
 if TYPE_CHECKING:
     from fulmarscale.entry.durable.record import DurableJobRecord
     from fulmarscale.entry.jobs.actions import DispatchAction
-    from fulmarscale.entry.jobs.admission import Forecast
+    from fulmarscale.entry.jobs.admission_control import Forecasts
     from fulmarscale.entry.jobs.agent_view import AgentView
-    from fulmarscale.entry.jobs.bulkheads import Partition
     from fulmarscale.entry.jobs.crash_report import CrashReport
     from fulmarscale.entry.jobs.subset import AnnouncedAgent
     from fulmarscale.ids import EntryId
@@ -69,24 +71,6 @@
 request is based on outdated state.
 """
 
-MIN_RETRY_AFTER_S: Final = 1.0
-"""Shortest delay of a retry that is advised to callers.
-
-HTTP's Retry-After header has whole seconds.
-"""
-
-MAX_RETRY_AFTER_S: Final = 5.0
-"""Longest advised delay: a lost target is restarted or replaced by then."""
-
-
-def retry_after_s(wait_s: float) -> float:
-    """Return the delay after which a retry is likely to be accepted.
-
-    :param wait_s: the predicted wait of the rejected job, in seconds.
-    :returns: seconds.
-    """
-    return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
-
 
 class Dispatcher:
     """Schedules the jobs of one entry on the targets of a site."""
@@ -121,15 +105,22 @@
             act=self._act,
             log=self._log,
         )
+        self._urgency = Urgency()
         self._placer = Placer(
             self._fleet,
-            LatestStartOrder(),
+            UrgencyOrder(self._urgency),
+            BeginWithRoomForAll(self._fleet, self._run_times, self._urgency),
+            self._urgency,
             self._open,
             self._crashes,
             self._log,
         )
         self._admission = AdmissionControl(
-            self._fleet, self._run_times, self._open.waiting, self._log
+            self._fleet,
+            self._run_times,
+            self._open.waiting,
+            self._urgency,
+            self._log,
         )
         self._needs_flush = False
         """Whether placement and sending were deferred."""
@@ -522,7 +513,7 @@
                 self._results.expire_runs(view, now)
         self._crashes.refresh(now)
         self._update_bulkheads(now)
-        forecasts = self._admission.forecasts()
+        forecasts = self._admission.forecasts(now)
         for job in list(self._open.jobs.values()):
             self._check_job(job, forecasts, now)
         self._open.needs_placement = True
@@ -551,10 +542,10 @@
 
     def _check_new_jobs(self, now: float) -> None:
         """Reject new jobs that can't be on time once capacity is known."""
-        forecasts: dict[Partition, Forecast] | None = None
+        forecasts: Forecasts | None = None
         for job in self._admission.take_decidable(now):
             if forecasts is None:
-                forecasts = self._admission.forecasts()
+                forecasts = self._admission.forecasts(now)
             wait_s = self._admission.check_new(job, forecasts, now)
             self._reject(job, wait_s, now)
 
@@ -616,9 +607,7 @@
                 jobs=len(self._open.jobs),
             )
 
-    def _check_job(
-        self, job: Job, forecasts: dict[Partition, Forecast], now: float
-    ) -> None:
+    def _check_job(self, job: Job, forecasts: Forecasts, now: float) -> None:
         """Check a job's deadline, predicted wait and the speed of its runs."""
         if now >= job.deadline_at:
             self._abandon(job, now, "deadline")
@@ -631,6 +620,17 @@
                 wait_s = self._admission.check_waiting(job, forecasts, now)
                 self._reject(job, wait_s, now)
             return
+        if now >= self._hold_until and (
+            self._admission.ends_useless(job, forecasts, now)
+        ):
+            self._close_job(
+                job,
+                JobOutcome.FAILED,
+                now,
+                "useless",
+                code=ResultCode.ENDS_TOO_LATE,
+            )
+            return
         for task in job.assigned:
             self._monitor.check_run(job, task, now)
 
@@ -725,6 +725,7 @@
             return
         self._site = adopted
         self._fleet.set_closed_data_centres(adopted.closed_data_centres)
+        self._urgency.configure(adopted)
         self._open.needs_placement = True
         self._log(
             Event.SITE_STATE_ADOPTED,
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -181,6 +181,7 @@
         capacity = 0
         free = 0
         others = 0
+        by_priority: dict[int, int] = {}
         for view in self._connected.values():
             target = view.target
             if target is None or target.service != job.queue.service:
@@ -201,7 +202,10 @@
                 free += max(0, view.free.cpu_millicores)
             if now - view.last_message_at <= MAX_STATE_AGE_S:
                 others = max(others, view.others_backlog)
-        return Load(capacity, free, others)
+                for priority, demand in view.others_by_priority.items():
+                    known = by_priority.get(priority, 0)
+                    by_priority[priority] = max(known, demand)
+        return Load(capacity, free, others, by_priority)
 
     def is_capacity_known(self, job: Job, now: float) -> bool:
         """Return whether every agent that may run a job has reported lately.
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -19,12 +19,14 @@
     from collections.abc import Iterable
 
     from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.beginning import BeginningRule
     from fulmarscale.entry.jobs.crash_history import CrashHistory
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.entry.jobs.open_jobs import OpenJobs
     from fulmarscale.entry.jobs.run_monitor import DecisionLog
+    from fulmarscale.entry.jobs.urgency import Urgency
     from fulmarscale.entry.jobs.waiting_order import WaitingOrder
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import ServiceName
@@ -64,6 +66,8 @@
 
     :param fleet: the entry's agents.
     :param order: the order in which jobs get free capacity.
+    :param beginning: decides which jobs may begin.
+    :param urgency: is told the tasks that are placed.
     :param open_jobs: the entry's open jobs.
     :param crashes: the known crashes of targets.
     :param log: writes a line about a decision.
@@ -73,12 +77,16 @@
         self,
         fleet: Fleet,
         order: WaitingOrder,
+        beginning: BeginningRule,
+        urgency: Urgency,
         open_jobs: OpenJobs,
         crashes: CrashHistory,
         log: DecisionLog,
     ) -> None:
         self._fleet = fleet
         self._order = order
+        self._beginning = beginning
+        self._urgency = urgency
         self._open = open_jobs
         self._crashes = crashes
         self._log = log
@@ -140,7 +148,9 @@
             views = usable[key]
             if not views:
                 continue
-            if not self._place_job(job, views, now):
+            if not self._beginning.may_begin(job, views, now) or (
+                not self._place_job(job, views, now)
+            ):
                 unplaced[partition] += 1
 
     def _run_trial(self, suspects: list[Job], now: float) -> None:
@@ -276,6 +286,7 @@
         :param is_exclusive: whether nothing else may start beside the run.
         """
         self._open.set_phase(job, task, TaskPhase.ASSIGNED)
+        self._urgency.record_placed(job, task, now)
         task.agent = view.name
         task.assigned_at = now
         task.percent = 0
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -29,8 +29,8 @@
 from fulmarscale.entry.jobs.actions import SendEntryMessage
 from fulmarscale.entry.jobs.actions import StoreCompletion
 from fulmarscale.entry.jobs.dispatcher import Dispatcher
-from fulmarscale.entry.jobs.dispatcher import retry_after_s
 from fulmarscale.entry.jobs.job_service import JobService
+from fulmarscale.entry.jobs.returning import retry_after_s
 from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
