--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -20,17 +21,26 @@
     from collections.abc import Iterable
 
     from fulmarscale.entry.jobs.agent_view import AgentView
+    from fulmarscale.entry.jobs.beginning import BeginningRule
     from fulmarscale.entry.jobs.crash_history import CrashHistory
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.entry.jobs.open_jobs import OpenJobs
     from fulmarscale.entry.jobs.run_monitor import DecisionLog
+    from fulmarscale.entry.jobs.urgency import Urgency
     from fulmarscale.entry.jobs.waiting_order import WaitingOrder
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
 
+MAX_HELD_JOBS: Final = 3
+"""Jobs that may not begin for want of room, from which no later one begins.
+
+Smaller or less urgent jobs would take the room that the first ones wait for,
+each time that a part of it is freed.
+"""
+
 PROBATION_S: Final = 0.05
 """Longest time that a confined queue's job has a target for itself at first.
 
@@ -58,6 +68,8 @@
 
     :param fleet: the entry's agents.
     :param order: the order in which jobs get free capacity.
+    :param beginning: decides which jobs may begin.
+    :param urgency: is told the tasks that are placed.
     :param open_jobs: the entry's open jobs.
     :param crashes: the known crashes of targets.
     :param log: writes a line about a decision.
@@ -67,12 +79,16 @@
         self,
         fleet: Fleet,
         order: WaitingOrder,
+        beginning: BeginningRule,
+        urgency: Urgency,
         open_jobs: OpenJobs,
         crashes: CrashHistory,
         log: DecisionLog,
     ) -> None:
         self._fleet = fleet
         self._order = order
+        self._beginning = beginning
+        self._urgency = urgency
         self._open = open_jobs
         self._crashes = crashes
         self._log = log
@@ -125,6 +141,8 @@
     def _place_jobs(self, jobs: list[Job], now: float) -> None:
         """Place the tasks of jobs, the first job's first."""
         rooms: dict[tuple[ServiceName, Partition], FreeRoom] = {}
+        # Jobs that may not begin yet, as their tasks don't all fit.
+        held: Counter[tuple[ServiceName, Partition]] = Counter()
         unexpired: set[TaskKey] | None = None
         for job in jobs:
             partition = self._fleet.bulkheads.partition_of(job)
@@ -140,6 +158,11 @@
                 room.may_fit(step) for step in job.waiting_steps
             ):
                 continue
+            if not job.is_started and held[key] >= MAX_HELD_JOBS:
+                continue
+            if not self._beginning.may_begin(job, room.views, now):
+                held[key] += 1
+                continue
             if unexpired is None:
                 unexpired = self._fleet.unexpired_tasks(now)
             self._place_job(job, room, unexpired, now)
@@ -278,6 +301,7 @@
         :param is_exclusive: whether nothing else may start beside the run.
         """
         self._open.set_phase(job, task, TaskPhase.ASSIGNED)
+        self._urgency.record_placed(job, task, now)
         task.agent = view.name
         task.assigned_at = now
         task.percent = 0
