--- a/src/fulmarscale/entry/jobs/free_room.py
+++ b/src/fulmarscale/entry/jobs/free_room.py
@@ -37,15 +37,18 @@
         """The agents on which tasks may be placed."""
         return self._views
 
-    def may_fit(self, step: Step) -> bool:
-        """Return whether an agent may have room for a task of a step."""
-        label = step.required_label
-        if (label, step.demand) in self._exhausted:
-            return False
-        if label not in self._most_free:
-            self._most_free[label] = self._sum_up(label)
-        most = self._most_free[label]
-        return most is not None and step.demand.fits(most)
+    def may_fit_any(self, steps: tuple[Step, ...]) -> bool:
+        """Return whether an agent may have room for a task of any step."""
+        for step in steps:
+            label = step.required_label
+            if label not in self._most_free:
+                self._most_free[label] = self._sum_up(label)
+            most = self._most_free[label]
+            if most is None or not step.demand.fits(most):
+                continue
+            if (label, step.demand) not in self._exhausted:
+                return True
+        return False
 
     def record_failure(self, step: Step) -> None:
         """Record that no agent can run a task of a step.
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -127,6 +127,8 @@
         self._by_phase = {phase: {} for phase in TaskPhase}
         self._waiting_counts: dict[int, int] = {}
         """The number of waiting tasks of each step that has any."""
+        self.waiting_steps: tuple[Step, ...] = ()
+        """The steps with tasks that wait for free capacity."""
         for number, step in enumerate(spec.steps):
             for index in range(step.count):
                 task = Task(TaskKey(job_id, 0, number, index), step)
@@ -211,12 +213,6 @@
         """The tasks that wait for free capacity."""
         return list(self._by_phase[TaskPhase.WAITING].values())
 
-    @property
-    def waiting_steps(self) -> list[Step]:
-        """The steps with tasks that wait for free capacity."""
-        steps = self._spec.steps
-        return [steps[number] for number in self._waiting_counts]
-
     @property
     def assigned(self) -> list[Task]:
         """The tasks that are assigned to an agent."""
@@ -240,15 +236,26 @@
     def set_phase(self, task: Task, phase: TaskPhase) -> None:
         """Move a task to another phase."""
         del self._by_phase[task.phase][task.key]
-        counts, step = self._waiting_counts, task.key.step
         if task.phase is TaskPhase.WAITING:
-            counts[step] -= 1
-            if not counts[step]:
-                del counts[step]
+            self._count_waiting(task.key.step, -1)
         task.phase = phase
         self._by_phase[phase][task.key] = task
         if phase is TaskPhase.WAITING:
-            counts[step] = counts.get(step, 0) + 1
+            self._count_waiting(task.key.step, 1)
+
+    def _count_waiting(self, step: int, change: int) -> None:
+        """Update the number of waiting tasks of a step.
+
+        :param step: the step's number.
+        :param change: 1 or -1.
+        """
+        counts = self._waiting_counts
+        before = counts.get(step, 0)
+        counts[step] = before + change
+        if before == 0 or not counts[step]:
+            self.waiting_steps = tuple(
+                self._spec.steps[number] for number in counts if counts[number]
+            )
 
     def restore(
         self, done: tuple[int, ...], failures: tuple[tuple[int, int], ...]
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -28,6 +28,7 @@
     from fulmarscale.entry.jobs.run_monitor import DecisionLog
     from fulmarscale.entry.jobs.waiting_order import WaitingOrder
     from fulmarscale.runs.model import JobId
+    from fulmarscale.runs.model import QueueName
     from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
 
@@ -125,20 +126,21 @@
     def _place_jobs(self, jobs: list[Job], now: float) -> None:
         """Place the tasks of jobs, the first job's first."""
         rooms: dict[tuple[ServiceName, Partition], FreeRoom] = {}
+        queue_rooms: dict[tuple[QueueName, ServiceName], FreeRoom] = {}
         unexpired: set[TaskKey] | None = None
+        bulkheads = self._fleet.bulkheads
         for job in jobs:
-            partition = self._fleet.bulkheads.partition_of(job)
-            key = (job.queue.service, partition)
-            if key not in rooms:
-                rooms[key] = FreeRoom(self._fleet.usable(job, now))
-            room = rooms[key]
+            queue = job.queue
+            room = queue_rooms.get((queue.name, queue.service))
+            if room is None:
+                partition = bulkheads.partition_of(job)
+                key = (queue.service, partition)
+                if key not in rooms:
+                    rooms[key] = FreeRoom(self._fleet.usable(job, now))
+                room = queue_rooms[queue.name, queue.service] = rooms[key]
             # Other jobs may fail where this one has its runs on probation.
-            is_exempt = job.is_assigned and self._fleet.bulkheads.is_confined(
-                job
-            )
-            if not is_exempt and not any(
-                room.may_fit(step) for step in job.waiting_steps
-            ):
+            is_exempt = bulkheads.is_confined(job) and job.is_assigned
+            if not is_exempt and not room.may_fit_any(job.waiting_steps):
                 continue
             if unexpired is None:
                 unexpired = self._fleet.unexpired_tasks(now)
