Keep each call to the store under its limits, split one that is too large

A transaction now holds at most 950,000 bytes as sent (values in base64, keys twice). Answers 400 and 413 mean that the call is over a limit: its records are queued again and the next calls of that part hold half as many, until calls are applied. A record that is rejected alone is written again after 0.2 s, behind the others of its part, which it no longer keeps from being stored; a new job that is rejected alone is answered as before with 504.

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -31,3 +31,21 @@
     And 3 s pass
     Then the store records job "a" as completed
     And no guarantee for durable jobs is violated
+
+  # Guards against a call that is too large and is repeated for ever.
+  Scenario: An entry takes over more large jobs than a call may hold
+    Given an entry that takes over 60 jobs of one part, in rows of 40000 bytes
+    When the store answers its calls
+    Then each call has at most 100 entries and 1000000 bytes as sent
+    And all 60 jobs are stored and started
+
+  Scenario: A call that is rejected as too large is split
+    Given an entry that takes over 60 jobs of one part, in rows of 500 bytes
+    When the store answers its calls, those of over 5 records with status 413
+    Then all 60 jobs are stored and started
+
+  # Guards against one record that keeps all others of its part from the store.
+  Scenario: A record that no call may hold keeps no other from being stored
+    Given an entry that takes over 60 jobs of one part, in rows of 500 bytes
+    When the store answers its calls, those with the first job with status 400
+    Then all jobs but the first are stored and started
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -4,15 +4,34 @@
 
 from typing import TYPE_CHECKING
 
+from behave import given
 from behave import step
 from behave import then
 from behave import when
 import msgspec
 
+from features.support.run_site import QUEUE
 from features.support.run_site import TASK
+from fulmarscale.entry.durable.actions import CommitBatch
+from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
+from fulmarscale.entry.durable.manager import DurableJobManager
+from fulmarscale.entry.durable.record import DurableJobRecord
+from fulmarscale.entry.durable.record import JobRow
+from fulmarscale.entry.durable.record import shard_of
+from fulmarscale.entry.durable.rows import CommitResult
+from fulmarscale.entry.durable.rows import CommitStatus
+from fulmarscale.ids import EntryId
+from fulmarscale.platform.http_client import HttpResponse
+from fulmarscale.platform.store import decode_commit
+from fulmarscale.platform.store import encode_transaction
+from fulmarscale.runs.model import JobId
+from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import Step
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from behave.runner import Context
 
 ORDINARY = "ordinary"
@@ -94,3 +113,114 @@
             if view.has_reported_backlog
         ]
         assert not told, told
+
+
+def make_owner() -> DurableJobManager:
+    """Return the manager of an entry that holds its lease."""
+    manager = DurableJobManager(EntryId("e1", 1))
+    manager.activate(0.0)
+    manager.tick({}, 0.0)
+    applied = CommitResult(CommitStatus.APPLIED, 6)
+    manager.resolve_member_write("e1", applied, 0.0)
+    manager.tick({}, 0.1)
+    return manager
+
+
+@given(
+    "an entry that takes over {jobs:d} jobs of one part, in rows of {size:d}"
+    " bytes"
+)
+def take_over_jobs(context: Context, jobs: int, size: int) -> None:
+    ids = [JobId(f"{number:016x}") for number in range(100 * jobs)]
+    ids = [job_id for job_id in ids if shard_of(job_id) == "s0"][:jobs]
+    spec = JobSpec("x" * size, (Step(1, TASK, 9.0),), is_durable=True)
+    record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
+    rows = tuple(JobRow(job_id, record, 5) for job_id in ids)
+    context.manager = make_owner()
+    context.job_ids = ids
+    context.actions = context.manager.process_scan(rows, (), 0.2)
+
+
+def answer_calls(
+    context: Context, answer: Callable[[CommitBatch], CommitResult]
+) -> None:
+    """Answer the entry's calls for 10 s of its time."""
+    context.commits, context.started = [], set()
+    actions = list(context.actions)
+    for number in range(2000):
+        now = 0.2 + 0.005 * number
+        actions += context.manager.update_members((), now)
+        while actions:
+            action = actions.pop(0)
+            if isinstance(action, StartJob):
+                context.started.add(action.job_id)
+            if not isinstance(action, CommitBatch):
+                continue
+            context.commits.append(action)
+            actions += context.manager.resolve_batch(
+                action.shard, action.attempt_number, answer(action), now
+            )
+
+
+def accept(commit: CommitBatch) -> CommitResult:
+    """Return the answer to a call that the store applies."""
+    return CommitResult(CommitStatus.APPLIED, 7)
+
+
+@when("the store answers its calls")
+def answer_all(context: Context) -> None:
+    answer_calls(context, accept)
+
+
+@when(
+    "the store answers its calls, those of over {records:d} records with"
+    " status {status:d}"
+)
+def reject_large(context: Context, records: int, status: int) -> None:
+    def answer(commit: CommitBatch) -> CommitResult:
+        if len(commit.writes) > records:
+            return decode_commit(HttpResponse(status, b""))
+        return accept(commit)
+
+    answer_calls(context, answer)
+
+
+@when(
+    "the store answers its calls, those with the first job with status"
+    " {status:d}"
+)
+def reject_first(context: Context, status: int) -> None:
+    first = context.job_ids[0]
+
+    def answer(commit: CommitBatch) -> CommitResult:
+        if any(write.row_key.key == first for write in commit.writes):
+            return decode_commit(HttpResponse(status, b""))
+        return accept(commit)
+
+    answer_calls(context, answer)
+
+
+@then("each call has at most {entries:d} entries and {size:d} bytes as sent")
+def check_calls(context: Context, entries: int, size: int) -> None:
+    calls = [encode_transaction(commit.writes) for commit in context.commits]
+    sizes = [len(msgspec.json.encode(call)) for call in calls]
+    assert max(sizes) <= size, sizes
+    # Few enough of them that they aren't much smaller than they may be.
+    assert sum(sizes) / len(sizes) > size / 2, sizes
+    counts = [
+        len(call.set_keys) + len(call.expected_rev) + len(call.remove)
+        for call in calls
+    ]
+    assert max(counts) <= entries, counts
+
+
+@then("all {jobs:d} jobs are stored and started")
+def check_all_started(context: Context, jobs: int) -> None:
+    assert len(context.started) == jobs, len(context.started)
+
+
+@then("all jobs but the first are stored and started")
+def check_others_started(context: Context) -> None:
+    missing = set(context.job_ids) - context.started
+    assert missing == {context.job_ids[0]}, len(missing)
+    assert len(context.commits) < 200, len(context.commits)
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -331,6 +331,8 @@
                     self._handle_stored(item, answer.version, now)
                 case CommitStatus.CONFLICT:
                     self._handle_conflict(item, answer.rows, now)
+                case CommitStatus.TOO_LARGE if len(batch) > 1:
+                    self._requeue_write(item, now)
                 case _:
                     self._handle_refused(item, now)
         return self._take_actions(now)
--- a/src/fulmarscale/entry/durable/rows.py
+++ b/src/fulmarscale/entry/durable/rows.py
@@ -5,9 +5,16 @@
 from abc import ABC
 from abc import abstractmethod
 from enum import Enum
+from typing import Final
 
 import msgspec
 
+ROW_FRAME_BYTES: Final = 200
+"""Most bytes of a change as sent, beside its value and its row's key."""
+
+MAX_ESCAPE: Final = 6
+"""Most bytes as which a character of a key is sent: a JSON escape."""
+
 
 class RowKey(msgspec.Struct, frozen=True):
     """The key of a row."""
@@ -44,6 +51,17 @@
     expected_version: int
     """The version that the row must have; 0 if it must not exist."""
 
+    @property
+    def sent_bytes(self) -> int:
+        """The most bytes that the change takes in a call.
+
+        The value is sent in base64, and the key twice.
+        """
+        key = self.row_key
+        names = len(f"{key.table}{key.part}{key.key}".encode())
+        value = 4 * -(-len(self.value or b"") // 3)
+        return value + 2 * MAX_ESCAPE * names + ROW_FRAME_BYTES
+
 
 class CommitStatus(Enum):
     """The outcome of a transaction."""
@@ -54,6 +72,8 @@
     """Nothing was written: a row had another version than expected."""
     REFUSED = "refused"
     """Nothing was written, and nothing of this attempt will be."""
+    TOO_LARGE = "too_large"
+    """The store accepts no call like this; no attempt of it was applied."""
     UNKNOWN = "unknown"
     """No answer: the writes may have been applied, or may still be."""
 
--- a/src/fulmarscale/entry/durable/write_queue.py
+++ b/src/fulmarscale/entry/durable/write_queue.py
@@ -40,9 +40,12 @@
 MAX_BATCH_RECORDS: Final = 50
 """Limit of records in one transaction.
 
-The platform's limits are 100 rows and 1 MB.
+The platform's limit is 100 entries; a record takes two.
 """
 
+MAX_BATCH_BYTES: Final = 950_000
+"""Limit of a transaction's length as sent; the platform's limit is 1 MB."""
+
 INCONCLUSIVE_STATUSES: Final = (CommitStatus.UNKNOWN, CommitStatus.REFUSED)
 """Statuses that don't show whether an earlier attempt was applied."""
 
@@ -54,11 +57,16 @@
     """The job."""
     record: DurableJobRecord | None
     """The record to write; none removes the row."""
-    expected_version: int
-    """The version that the row must have for the write to apply."""
+    write: RowWrite
+    """The change of the row."""
     pending_acks: tuple[PendingAck, ...]
     """Acknowledgements to send when the write is applied."""
 
+    @property
+    def expected_version(self) -> int:
+        """The version that the row must have for the write to apply."""
+        return self.write.expected_version
+
 
 class ShardWrites:
     """The transaction in flight, or to be repeated, of one shard."""
@@ -71,6 +79,8 @@
         self.is_in_flight = False
         self.may_still_apply = False
         """Whether an earlier attempt may have been or may be applied."""
+        self.max_records = MAX_BATCH_RECORDS
+        """Limit of records in the next transaction."""
         self.retry_at = float("-inf")
         """The earliest time of the next attempt."""
 
@@ -136,10 +146,15 @@
             # of the attempts be applied.
             shard.retry_at = now + RETRY_DELAY_S
             return ()
-        if is_refused:
-            shard.retry_at = now + RETRY_DELAY_S
         shard.may_still_apply = False
         batch, shard.batch = shard.batch, ()
+        is_too_large = answer.status is CommitStatus.TOO_LARGE
+        if is_refused or (is_too_large and len(batch) == 1):
+            shard.retry_at = now + RETRY_DELAY_S
+        if is_too_large:
+            shard.max_records = max(1, len(batch) // 2)
+        elif answer.status is CommitStatus.APPLIED:
+            shard.max_records = min(MAX_BATCH_RECORDS, 2 * shard.max_records)
         return batch
 
     def _take_batch(self, name: str, now: float) -> tuple[BatchItem, ...]:
@@ -150,14 +165,16 @@
         )
         if not is_due:
             return ()
-        batch_jobs = list(jobs.values())[:MAX_BATCH_RECORDS]
-        batch = []
-        for job in batch_jobs:
+        batch: list[BatchItem] = []
+        sent_bytes = 0
+        max_records = self._shards[name].max_records
+        for job in list(jobs.values())[:max_records]:
+            item = _make_item(job)
+            sent_bytes += item.write.sent_bytes
+            if batch and sent_bytes > MAX_BATCH_BYTES:
+                break
+            batch.append(item)
             del jobs[job.job_id]
-            record = None if job.is_expired else job.record
-            batch.append(
-                BatchItem(job, record, job.version, tuple(job.pending_acks))
-            )
             job.pending_acks = []
             job.is_dirty = False
             job.is_urgent = False
@@ -167,12 +184,13 @@
         self._last_attempt_number += 1
         shard.attempt_number = self._last_attempt_number
         shard.is_in_flight = True
-        writes = tuple(
-            RowWrite(
-                record_key(item.job.job_id),
-                None if item.record is None else encode_row(item.record),
-                item.expected_version,
-            )
-            for item in shard.batch
-        )
+        writes = tuple(item.write for item in shard.batch)
         return CommitBatch(name, shard.attempt_number, writes)
+
+
+def _make_item(job: DurableJob) -> BatchItem:
+    """Return the write of a job's record."""
+    record = None if job.is_expired else job.record
+    value = None if record is None else encode_row(record)
+    write = RowWrite(record_key(job.job_id), value, job.version)
+    return BatchItem(job, record, write, tuple(job.pending_acks))
--- a/src/fulmarscale/platform/store.py
+++ b/src/fulmarscale/platform/store.py
@@ -47,6 +47,12 @@
 NOT_APPLIED_STATUSES: Final = (429, 503)
 """Statuses that state that a request was not and will not be applied."""
 
+TOO_LARGE_STATUSES: Final = (400, 413)
+"""Statuses of a transaction over a limit of the store.
+
+The platform names no status for it.
+"""
+
 PARTS_PAGE_SIZE: Final = 1_000
 """The platform's page size in a list of parts."""
 
@@ -153,7 +159,7 @@
 
         All rows must be in parts of the same name.
         """
-        body = msgspec.json.encode(_encode_transaction(writes))
+        body = msgspec.json.encode(encode_transaction(writes))
         try:
             response = await self._client.call(
                 "POST", "/api/rows-tx", body, self._call_timeout_s
@@ -162,7 +168,7 @@
             if error.may_be_sent:
                 return CommitResult(CommitStatus.UNKNOWN)
             return CommitResult(CommitStatus.REFUSED)
-        return _decode_commit(response)
+        return decode_commit(response)
 
     async def read_changes(
         self, table: str, after: int, wait_s: float
@@ -228,7 +234,7 @@
         raise _unavailable_error(f"status {response.status}")
 
 
-def _encode_transaction(writes: tuple[RowWrite, ...]) -> WireTransaction:
+def encode_transaction(writes: tuple[RowWrite, ...]) -> WireTransaction:
     """Convert writes to a transaction that checks each row's version."""
     conditions = []
     changed = []
@@ -250,10 +256,12 @@
     return WireTransaction(tuple(changed), tuple(conditions), tuple(removed))
 
 
-def _decode_commit(response: HttpResponse) -> CommitResult:
+def decode_commit(response: HttpResponse) -> CommitResult:
     """Decode the response to a transaction; UNKNOWN if it is malformed."""
     if response.status in NOT_APPLIED_STATUSES:
         return CommitResult(CommitStatus.REFUSED)
+    if response.status in TOO_LARGE_STATUSES:
+        return CommitResult(CommitStatus.TOO_LARGE)
     try:
         if response.status == OK:
             decoded = decode_json(response.body, WireTransactionResponse)
