--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -49,3 +49,17 @@
     Given an entry that takes over 60 jobs of one part, in rows of 500 bytes
     When the store answers its calls, those with the first job with status 400
     Then all jobs but the first are stored and started
+
+  # Guards against jobs of a lost owner that nobody takes over unless asked.
+  Scenario: An entry that nobody asks finds the first durable jobs of others
+    Given an entry that has found no durable jobs in the store
+    When another entry stores one and 4.2 s of real time pass
+    Then the entry knows that durable jobs exist
+    And it has made at most 3 calls to find out
+
+  # Guards against a job that was stored after the takeover from its owner.
+  Scenario: A query for a job of an owner without a lease leads to a takeover
+    Given an entry that takes over 1 jobs of one part, in rows of 500 bytes
+    When the store answers its calls
+    And a caller asks for a job whose stored owner has no lease
+    Then the entry scans the records again
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
+from unittest.mock import Mock
 
 from behave import given
 from behave import step
@@ -15,6 +17,7 @@
 from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
+from fulmarscale.entry.durable.driver import DurableJobDriver
 from fulmarscale.entry.durable.manager import DurableJobManager
 from fulmarscale.entry.durable.record import DurableJobRecord
 from fulmarscale.entry.durable.record import JobRow
@@ -224,3 +227,57 @@
     missing = set(context.job_ids) - context.started
     assert missing == {context.job_ids[0]}, len(missing)
     assert len(context.commits) < 200, len(context.commits)
+
+
+@given("an entry that has found no durable jobs in the store")
+def make_driver(context: Context) -> None:
+    context.rows = ListedRows()
+
+
+class ListedRows:
+    """A store of which only the parts of the job table are read."""
+
+    def __init__(self) -> None:
+        self.parts: tuple[str, ...] = ()
+        self.reads = 0
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """Return the parts."""
+        self.reads += 1
+        return self.parts
+
+
+@when("another entry stores one and {span_s:g} s of real time pass")
+def search(context: Context, span_s: float) -> None:
+    async def run() -> None:
+        runner = Mock(pending=dict)
+        driver = DurableJobDriver(
+            EntryId("e1", 1), context.rows, runner, Mock()
+        )
+        driver.start()
+        await asyncio.sleep(0.1)
+        assert not driver.activated.is_set()
+        context.rows.parts = ("s0",)
+        await asyncio.sleep(span_s)
+        context.is_activated = driver.activated.is_set()
+        await driver.close()
+
+    asyncio.run(run())
+
+
+@then("the entry knows that durable jobs exist")
+def check_activated(context: Context) -> None:
+    assert context.is_activated
+
+
+@then("it has made at most {count:d} calls to find out")
+def check_reads(context: Context, count: int) -> None:
+    assert context.rows.reads <= count, context.rows.reads
+
+
+@when("a caller asks for a job whose stored owner has no lease")
+def ask_for_lost_job(context: Context) -> None:
+    spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+    record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
+    context.manager.process_scan((), (), 20.0)
+    context.actions = context.manager.check_owner(record, 20.0)
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -25,6 +25,7 @@
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StopJob
 from fulmarscale.entry.durable.actions import StorageOutcome
+from fulmarscale.entry.durable.job_search import DurableJobSearch
 from fulmarscale.entry.durable.manager import DurableJobManager
 from fulmarscale.entry.durable.record import cancel_key
 from fulmarscale.entry.durable.record import decode_member
@@ -43,7 +44,6 @@
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
-from fulmarscale.runs.clock import boottime_s
 from fulmarscale.runs.driver import Driver
 from fulmarscale.runs.model import JobId
 
@@ -62,9 +62,6 @@
 TICK_S: Final = 0.05
 """Time between ticks of the manager, for decisions that depend on the time."""
 
-STORE_POLL_INTERVAL_S: Final = 1.0
-"""Minimum time between queries to the store for whether durable jobs exist."""
-
 MAX_CANCEL_ATTEMPTS: Final = 5
 """Conflicts with the owner's writes after which a cancellation fails.
 
@@ -130,7 +127,7 @@
         self._runner = runner
         self._activated = asyncio.Event()
         self._members_read = asyncio.Event()
-        self._store_polled_at = float("-inf")
+        self._search = DurableJobSearch(rows, self._handle_search, log)
         self._removing_cancel_rows: set[str] = set()
         """Jobs whose rows in the table of cancellations are being removed."""
         self._store_waiters: dict[
@@ -155,7 +152,7 @@
     def start(self) -> None:
         """Start the periodic decisions and the search for durable jobs."""
         self._tasks.run_forever(self._tick_forever)
-        self._tasks.run_forever(self._poll_until_answered)
+        self._tasks.run_forever(self._search.run)
 
     async def close(self) -> None:
         """Stop all background tasks."""
@@ -165,6 +162,7 @@
         """Start to acquire the lease and own jobs, as durable jobs exist."""
         if not self._activated.is_set():
             self._activated.set()
+            self._search.stop()
             self._runner.set_durable_jobs_exist(exist=True)
             self._decide(self._manager.activate)
             self._tick()
@@ -238,9 +236,8 @@
         An entry that knows of no durable jobs queries the store first, as
         other entries may have accepted some.
         """
-        is_stale = boottime_s() - self._store_polled_at > STORE_POLL_INTERVAL_S
-        if not self._activated.is_set() and is_stale:
-            await self._poll_for_jobs()
+        if not self._activated.is_set():
+            await self._search.query_if_stale()
         if self._activated.is_set():
             with suppress(TimeoutError):
                 async with asyncio.timeout(MEMBER_ROWS_WAIT_S):
@@ -305,29 +302,12 @@
             self._tick()
             await asyncio.sleep(TICK_S)
 
-    async def _poll_until_answered(self) -> None:
-        """Query the store for durable jobs until it answers."""
-        while not self._activated.is_set() and not await self._poll_for_jobs():
-            await asyncio.sleep(STORE_POLL_INTERVAL_S)
-
-    async def _poll_for_jobs(self) -> bool:
-        """Query the store for whether durable jobs exist.
-
-        :returns: whether the store answered.
-        """
-        try:
-            jobs_exist = bool(await self._rows.list_parts(RECORD_TABLE))
-        except FulmarError as error:
-            self._log.write(
-                Event.STORE_LOST, table=RECORD_TABLE, detail=error.detail
-            )
-            return False
-        self._store_polled_at = boottime_s()
+    def _handle_search(self, jobs_exist: bool) -> None:
+        """Handle the store's answer to whether durable jobs exist."""
         if jobs_exist:
             self.activate()
-        elif not self._activated.is_set():
+        else:
             self._runner.set_durable_jobs_exist(exist=False)
-        return True
 
     async def _read_record(self, job_id: JobId) -> DurableJobRecord | None:
         """Return a job's stored record, read from the store."""
@@ -336,7 +316,10 @@
             return None
         # The row shows that durable jobs exist.
         self.activate()
-        return self._decode_record(row)
+        record = self._decode_record(row)
+        if record is not None:
+            self._decide(self._manager.check_owner, record)
+        return record
 
     def _perform(self, actions: list[ManagerAction]) -> None:
         for action in actions:
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -309,6 +309,13 @@
             self._apply_cancellation(job, version, now)
         return self._take_actions(now)
 
+    def check_owner(
+        self, record: DurableJobRecord, now: float
+    ) -> list[ManagerAction]:
+        """Take over a job that was read if its owner is lost."""
+        self._scan_if_ownerless(record)
+        return self._take_actions(now)
+
     def resolve_batch(
         self, shard: str, attempt_number: int, answer: CommitResult, now: float
     ) -> list[ManagerAction]:
