--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -31,6 +30,7 @@
     from fulmarscale.entry.jobs.urgency import Urgency
     from fulmarscale.entry.jobs.waiting_order import WaitingOrder
     from fulmarscale.runs.model import JobId
+    from fulmarscale.runs.model import QueueName
     from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
 
@@ -141,27 +141,26 @@
     def _place_jobs(self, jobs: list[Job], now: float) -> None:
         """Place the tasks of jobs, the first job's first."""
         rooms: dict[tuple[ServiceName, Partition], FreeRoom] = {}
-        # Jobs that may not begin yet, as their tasks don't all fit.
-        held: Counter[tuple[ServiceName, Partition]] = Counter()
+        queue_rooms: dict[tuple[QueueName, ServiceName], FreeRoom] = {}
         unexpired: set[TaskKey] | None = None
+        bulkheads = self._fleet.bulkheads
         for job in jobs:
-            partition = self._fleet.bulkheads.partition_of(job)
-            key = (job.queue.service, partition)
-            if key not in rooms:
-                rooms[key] = FreeRoom(self._fleet.usable(job, now))
-            room = rooms[key]
+            queue = job.queue
+            room = queue_rooms.get((queue.name, queue.service))
+            if room is None:
+                partition = bulkheads.partition_of(job)
+                key = (queue.service, partition)
+                if key not in rooms:
+                    rooms[key] = FreeRoom(self._fleet.usable(job, now))
+                room = queue_rooms[queue.name, queue.service] = rooms[key]
             # Other jobs may fail where this one has its runs on probation.
-            is_exempt = job.is_assigned and self._fleet.bulkheads.is_confined(
-                job
-            )
-            if not is_exempt and not any(
-                room.may_fit(step) for step in job.waiting_steps
-            ):
+            is_exempt = bulkheads.is_confined(job) and job.is_assigned
+            if not is_exempt and not room.may_fit_any(job.waiting_steps):
                 continue
-            if not job.is_started and held[key] >= MAX_HELD_JOBS:
+            if not job.is_started and room.held_jobs >= MAX_HELD_JOBS:
                 continue
             if not self._beginning.may_begin(job, room.views, now):
-                held[key] += 1
+                room.held_jobs += 1
                 continue
             if unexpired is None:
                 unexpired = self._fleet.unexpired_tasks(now)
