Ends of unknown runs wait for the store, not for a flag of the entries

Cause: an agent that starts again doesn't know whose runs its target lists as ended. It let the target forget them if every connected entry said that it knew of no durable job; an entry learns of these jobs only by a request of its own, so all others say so while the owner is down.

The agent now releases such an end only if an entry acknowledges it: the owner, or an entry to which the store shows that there is no such job (one read of the parts of the table on a site without kept jobs, a read of the row otherwise). A job that the store has is left to its owner or successor. Such an end also makes an entry active that knew of no kept jobs. The limits stay that keep a target from being blocked: after 20 s without an answer, or with 400 ends listed, the lease lapses first. In calm nothing is sent or read more: only an agent that started again has ends of unknown runs.

has_durable_jobs stays in the messages for agents of earlier versions.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -27,3 +27,18 @@
     Then runner 0 began runs of the job
     And no task had two runs at the same time
     And the job was completed
+
+  # Guards against a second run of a task whose end an agent has let its runner
+  # forget after its own restart, before the owner of the job has stored it.
+  Scenario: Ends that a restarted agent finds wait for an owner that is down
+    Given a site of 3 entry processes and 4 agent processes
+    When 6 kept jobs of 6 tasks of 500 ms are submitted to entry 0
+    And entry 0 is down for 2.5 s, and an agent with ends for a moment of it
+    Then the agent found ends after its restart
+    And no task started after an end that was taken note of
+
+  Scenario: On a site without kept jobs a restarted agent has ends forgotten soon
+    Given a site of 2 entry processes and 2 agent processes
+    When agent 1 is killed while a job of 12 tasks of 300 ms is run
+    Then the agent found ends after its restart
+    And its runner has no ends left to forget after 1 s
--- a/features/steps/process_site_steps.py
+++ b/features/steps/process_site_steps.py
@@ -27,6 +27,15 @@
 
 LIMIT_S: Final = 18.0
 
+FORGOTTEN_WITHIN_S: Final = 1.0
+"""How long after an agent's first list its target may keep ends."""
+
+BEGINNING_S: Final = 0.2
+"""How long after the first start of kept jobs their owner is killed."""
+
+RESTARTED_JOBS_S: Final = 5.0
+"""How long a restarted owner may take to start its jobs again."""
+
 ATTEMPTS: Final = 3
 
 
@@ -165,3 +174,102 @@
 @then("the job was completed")
 def check_completed(context: Context) -> None:
     assert context.status == 200, context.status
+
+
+@when(
+    "{jobs:d} kept jobs of {tasks:d} tasks of {work_ms:d} ms are submitted to"
+    " entry 0"
+)
+def choose_kept_jobs(
+    context: Context, jobs: int, tasks: int, work_ms: int
+) -> None:
+    job = {**make_job(tasks, work_ms), "bestEffort": False}
+    context.jobs = [job] * jobs
+
+
+@when(
+    "entry 0 is down for {down_s:g} s, and an agent with ends for a moment of"
+    " it"
+)
+def play_dark_owner(context: Context, down_s: float) -> None:
+    site = context.site
+
+    async def run() -> None:
+        async with asyncio.timeout(LIMIT_S), site:
+            await site.settle()
+            begun = sum(len(runner.runs) for runner in site.runners)
+            jobs = [
+                site.submit(site.entries[0], f"{index:08x}{JOB[8:]}", job, 1.5)
+                for index, job in enumerate(context.jobs)
+            ]
+            submitted = asyncio.gather(*jobs)
+            await wait_for(
+                lambda: sum(len(each.runs) for each in site.runners) > begun
+            )
+            await asyncio.sleep(BEGINNING_S)
+            site.kill(site.entries[0])
+            await submitted
+            await asyncio.sleep(down_s / 3)
+            runner = max(site.runners, key=lambda each: len(each.listed_ends))
+            agent = site.agents[site.runners.index(runner)]
+            site.kill(agent)
+            context.found = list(runner.listed_ends)
+            site.start_process(agent)
+            await asyncio.sleep(down_s * 2 / 3)
+            site.start_process(site.entries[0])
+            await asyncio.sleep(RESTARTED_JOBS_S)
+
+    asyncio.run(run())
+
+
+@when(
+    "agent {number:d} is killed while a job of {tasks:d} tasks of"
+    " {work_ms:d} ms is run"
+)
+def play_killed_agent(
+    context: Context, number: int, tasks: int, work_ms: int
+) -> None:
+    site = context.site
+
+    async def run() -> None:
+        async with asyncio.timeout(LIMIT_S), site:
+            await site.settle()
+            runner = site.runners[number]
+            begun = len(runner.runs)
+            job = asyncio.create_task(
+                site.submit(
+                    site.entries[0], JOB, make_job(tasks, work_ms), 5.0
+                )
+            )
+            await wait_for(lambda: len(runner.runs) > begun)
+            site.kill(site.agents[number])
+            await wait_for(lambda: runner.listed_ends)
+            context.found = list(runner.listed_ends)
+            polls = runner.lists
+            site.start_process(site.agents[number])
+            await wait_for(lambda: runner.lists > polls)
+            await asyncio.sleep(FORGOTTEN_WITHIN_S)
+            context.left = list(runner.listed_ends)
+            await job
+
+    asyncio.run(run())
+
+
+@then("the agent found ends after its restart")
+def check_found(context: Context) -> None:
+    assert any(run.outcome == "done" for run in context.found), context.found
+
+
+@then("its runner has no ends left to forget after 1 s")
+def check_none_left(context: Context) -> None:
+    assert not context.left, context.left
+
+
+@then("no task started after an end that was taken note of")
+def check_noted_ends(context: Context) -> None:
+    again = [
+        (one, two)
+        for one, two in context.site.pairs_of_runs()
+        if one.outcome == "done" and one.is_noted
+    ]
+    assert not again, again
--- a/src/fulmarscale/agent/completions.py
+++ b/src/fulmarscale/agent/completions.py
@@ -142,12 +142,6 @@
         self._pending_since.clear()
         self._requires_lease_expiry = False
 
-    def release_without_entry(self) -> None:
-        """Remove the completions whose entry is unknown."""
-        for position, completion in list(self._pending.items()):
-            if completion.entry is None:
-                self._release(position)
-
     def reset(self) -> None:
         """Remove everything, for another incarnation of the target."""
         self.release_all()
--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -34,7 +34,6 @@
         "expected",
         "has_changes",
         "has_confined_queues",
-        "has_durable_jobs",
         "latest_start_at",
         "must_send",
         "number",
@@ -53,11 +52,6 @@
         self.opened_at = now
         self.expected: set[ExpectedRun] = set()
         """Unresolved runs that the entry requested on earlier streams."""
-        self.has_durable_jobs = True
-        """Whether any durable jobs may exist, as far as the entry knows.
-
-        True until its first message.
-        """
         self.has_confined_queues = False
         """Whether the entry needs the loads by queue."""
         self.sent_positions: set[int] = set()
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -359,7 +359,6 @@
             return []
         session.received_sequence = message.sequence
         session.site_revision = message.site_revision
-        session.has_durable_jobs = message.has_durable_jobs
         session.has_confined_queues = message.has_confined_queues
         session.backlog = message.backlog
         session.latest_start_at = now + message.slack_s
@@ -1064,7 +1063,7 @@
         self._completions.acknowledge(ack)
 
     def _release_completions(self, now: float) -> None:
-        """Release completions that can't count or that no job waits for."""
+        """Release completions that can't count any more."""
         self._completions.expire_unacknowledged(now)
         if (
             self._completions.requires_lease_expiry
@@ -1072,9 +1071,6 @@
         ):
             self._completions.release_all()
             self._mark_changed()
-        sessions = self._sessions.values()
-        if sessions and not any(each.has_durable_jobs for each in sessions):
-            self._completions.release_without_entry()
 
     def _take_unsent_completions(
         self, session: EntrySession, now: float
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -38,6 +38,7 @@
 from fulmarscale.entry.durable.record import RECORD_TABLE
 from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.durable.rows import RowWrite
+from fulmarscale.entry.durable.unowned_ends import UnownedEndReview
 from fulmarscale.entry.durable.write_queue import INCONCLUSIVE_STATUSES
 from fulmarscale.entry.jobs.job_service import DurableJobs
 from fulmarscale.errors import FulmarError
@@ -141,6 +142,13 @@
             JobId, list[asyncio.Future[StorageOutcome]]
         ] = {}
         """Callers that wait for a job's end, or for its cancellation."""
+        self._unowned_ends = UnownedEndReview(
+            rows,
+            is_active=self._activated.is_set,
+            poll=self._poll_for_jobs,
+            owns=self._manager.has_job,
+            acknowledge=runner.acknowledge_completions,
+        )
 
     @property
     def manager(self) -> DurableJobManager:
@@ -156,6 +164,7 @@
         """Start the periodic decisions and the search for durable jobs."""
         self._tasks.run_forever(self._tick_forever)
         self._tasks.run_forever(self._poll_until_answered)
+        self._tasks.run_forever(self._unowned_ends.run)
 
     async def close(self) -> None:
         """Stop all background tasks."""
@@ -263,6 +272,8 @@
             )
 
         self._decide(apply_completion)
+        if not self._manager.has_job(completion.task.job_id):
+            self._unowned_ends.add(agent, completion)
 
     def advance_owner_epoch(
         self, job_id: JobId, crashes: tuple[tuple[int, int], ...]
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -115,7 +115,8 @@
     entry: EntryId | None = None
     """The entry that requested the run.
 
-    None if only an earlier incarnation of the agent knew it.
+    None if only an earlier incarnation of the agent knew it. The job need not
+    be durable then.
     """
     request_number: int = 0
     """The number of the start request."""
@@ -178,7 +179,11 @@
     acks: tuple[CompletionAck, ...] = ()
     """Acknowledgements of completions that the agent keeps."""
     has_durable_jobs: bool = False
-    """Whether any durable jobs may exist, as far as the entry knows."""
+    """Whether any durable jobs may exist, as far as the entry knows.
+
+    Read only by agents of versions before the entry acknowledged ends of
+    unknown runs.
+    """
     is_probe: bool = False
     """Whether this is a capacity probe: the agent replies at once."""
     has_confined_queues: bool = False
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -167,6 +167,8 @@
         """The runs of all incarnations, in the order of their starts."""
         self.idle_polls = 0
         """Requests for the list of runs while there were none."""
+        self.lists = 0
+        """Requests for the list of runs."""
         self.response_s: Callable[[], float] = lambda: 0.0
         """Returns the time that a request takes, in seconds."""
         self.late_s: Callable[[], float | None] = lambda: None
@@ -198,6 +200,11 @@
         """Whether its process runs."""
         return self._incarnation is not None
 
+    @property
+    def listed_ends(self) -> list[RunRecord]:
+        """The ends that its agent has not let it forget."""
+        return [] if self._incarnation is None else self._incarnation.ended
+
     async def start(self, first_heartbeat_s: float = 0.0) -> None:
         """Begin an incarnation, which listens at once.
 
@@ -357,6 +364,7 @@
     async def _list_runs(
         self, incarnation: _Incarnation, body: dict[str, Any]
     ) -> StubResponse:
+        self.lists += 1
         incarnation.acknowledge(body["lastSeen"])
         if "untilMs" in body:
             incarnation.extend_lease(body["untilMs"])
