Restart at the notice what a leaving target can't end

Cause: remainingMs and coldLeftMs of a heartbeat were not decoded, so runs that outlast their target were lost with it, and their tasks started again only once the loss was known.

Change: the times are decoded (anything but a number from 0 on counts as not known), dated by the agent's clock (agent/target_times.py) and carried at the end of TargetReport. A run that is expected to end after its target may is stopped at the notice if another target has capacity for it, and its task starts again once its end is confirmed. Nothing new starts on a draining target, as before. No speed is learned from a cold target. The store's rows of agents don't carry the times.

--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -38,6 +38,7 @@
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import Step
+from fulmarscale.runs.model import TargetState
 from fulmarscale.runs.site_config import Queue
 
 if TYPE_CHECKING:
@@ -80,6 +81,8 @@
         self._runs_s = runs_s
         self.speed = speed
         """Speed of its runs; 1 takes the true run times of the tasks."""
+        self.notices: list[tuple[float, float]] = []
+        """When it announced its end, and the announced end."""
         self.unanswered_share = 0.0
         """Share of the requests that get no response and are late."""
         self.on_completion: list[Callable[[], None]] = []
@@ -544,6 +547,8 @@
                 target.unanswered_share = fault.share
             case "crash":
                 target.crash(fault.for_s)
+            case "leave":
+                self._give_notice(target, fault)
             case "slow":
                 target.work_factor = fault.x
                 self.slowed_targets.add(target.name)
@@ -553,9 +558,22 @@
                 target.is_hung = True
             case _:
                 raise ValueError(f"unknown kind of fault: {fault.kind}")
-        if fault.kind != "crash":
+        if fault.kind not in ("crash", "leave"):
             self.clock.call_in(fault.for_s, end)
 
+    def _give_notice(self, target: BenchTarget, fault: FaultKind) -> None:
+        """Announce that a target leaves, and end it; another takes over."""
+
+        def leave() -> None:
+            target.crash(fault.for_s)
+            target.state = TargetState.READY
+            target.leaves_at = None
+
+        target.state = TargetState.DRAINING
+        target.leaves_at = self.clock.now + fault.x
+        target.notices.append((self.clock.now, target.leaves_at))
+        self.clock.call_in(fault.x, leave)
+
     def _restart_entry(self, entry: EntryNode, down_s: float) -> None:
         """Kill an entry and start a new process after a while."""
         assert isinstance(entry, BenchEntry)
--- a/features/support/dispatch_workload.py
+++ b/features/support/dispatch_workload.py
@@ -61,7 +61,7 @@
 
     kind: str
     """`burst`, `unanswered`, `crash`, `slow`, `failing`, `hanging`,
-    `power_loss`, `entry_kill`, `agent_kill` or `crashing_tasks`."""
+    `power_loss`, `entry_kill`, `agent_kill`, `leave` or `crashing_tasks`."""
     at_s: float
     """Start, in seconds from the first job."""
     for_s: float = 5.0
@@ -71,7 +71,8 @@
     x: float = 2.0
     """Strength: a factor on the load or on run times.
 
-    For tasks that crash targets, the time from their start to the crash.
+    For tasks that crash targets, the time from their start to the crash; for
+    targets that leave, the time from the notice to the end.
     """
     job_kind: str = ""
     """The kind of jobs of a burst or with crashing tasks; empty for all."""
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -171,6 +171,8 @@
         )
         self.capacity = Resources(cores * 1000, 65536, 0)
         self.state = TargetState.READY
+        self.leaves_at: float | None = None
+        """When it ends; none unless it has given notice of it."""
         self.is_up = True
         self.is_dark = False
         """Whether it is down because its machine has no power."""
@@ -260,6 +262,7 @@
             self.state,
             self.capacity,
             self.labels,
+            self.leaves_at,
         )
 
     def start(
--- a/src/fulmarscale/cli/site_agent.py
+++ b/src/fulmarscale/cli/site_agent.py
@@ -10,6 +10,8 @@
 import click
 
 from fulmarscale.agent.run_process import RunProcess
+from fulmarscale.agent.target_times import date_report
+from fulmarscale.agent.target_times import undate_report
 from fulmarscale.cli._common import ExitCode
 from fulmarscale.cli._common import make_stop_event
 from fulmarscale.cli._common import read_settings
@@ -26,6 +28,7 @@
 from fulmarscale.platform.runner import RunnerClient
 from fulmarscale.platform.store import RowStoreClient
 from fulmarscale.platform.table_follower import make_site_follower
+from fulmarscale.runs.clock import boottime_s
 from fulmarscale.settings import SiteAgentSettings
 from fulmarscale.settings import split_address
 
@@ -65,7 +68,14 @@
     process = RunProcess(settings.name, settings.data_centre, runner, log)
 
     def on_heartbeat(heartbeat: Heartbeat) -> None:
-        process.record_heartbeat(heartbeat.report, heartbeat.sequence)
+        report = date_report(
+            heartbeat.report,
+            process.guard.target,
+            heartbeat.remaining_s,
+            heartbeat.cold_left_s,
+            boottime_s(),
+        )
+        process.record_heartbeat(report, heartbeat.sequence)
         target = process.guard.target
         if (
             target is not None
@@ -75,7 +85,9 @@
                 target.incarnation, heartbeat.address, heartbeat.clock_ms
             )
             registrar.update_target(
-                target, heartbeat.address, runner.fencing_token
+                undate_report(target),
+                heartbeat.address,
+                runner.fencing_token,
             )
 
     heartbeats = AsgiServer(
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -63,6 +63,10 @@
         """The sequence number of the last message to it."""
         self.target: TargetReport | None = None
         """The last report of its target; none while the target is down."""
+        self.leaves_at: float | None = None
+        """When its target may end, by the entry's clock; none if not known."""
+        self.is_cold = False
+        """Whether its target is slow, as it has only just started."""
         self.is_stopping = False
         """Whether the agent shuts down and starts nothing more."""
         self.site_revision = 0
@@ -172,6 +176,7 @@
         self.token = message.token
         self.last_message_at = now
         self.target = message.target
+        self._date_target(message.token.time_s, now)
         self.is_stopping = message.is_stopping
         self.site_revision = message.site_revision
         self.others_backlog = message.others_backlog
@@ -191,6 +196,22 @@
             available_before
         )
 
+    def _date_target(self, sent_at: float, now: float) -> None:
+        """Convert the times in the target's report to the entry's clock.
+
+        :param sent_at: the agent's time when it sent the report.
+        :param now: the entry's time.
+        """
+        target = self.target
+        self.leaves_at = None
+        self.is_cold = False
+        if target is None:
+            return
+        if target.leaves_at is not None:
+            self.leaves_at = now + target.leaves_at - sent_at
+        if target.cold_until is not None:
+            self.is_cold = sent_at < target.cold_until
+
     def _update_free(self) -> None:
         """Recompute the free capacity from the last report and new starts."""
         free = self.capacity - self._used
--- a/src/fulmarscale/entry/jobs/run_monitor.py
+++ b/src/fulmarscale/entry/jobs/run_monitor.py
@@ -10,6 +10,7 @@
 from fulmarscale.entry.jobs.estimates import SLOW_FACTOR
 from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.entry.jobs.stragglers import evaluate_run
+from fulmarscale.entry.jobs.stragglers import is_cut_off
 from fulmarscale.entry.jobs.stragglers import MIN_ELAPSED_S
 from fulmarscale.entry.jobs.stragglers import move_pays
 from fulmarscale.entry.jobs.stragglers import RunCondition
@@ -104,12 +105,15 @@
         view = self._fleet.find(task.agent)
         if view is None or view.target is None or task.stop_sent:
             return
-        if now - task.assigned_at < MIN_ELAPSED_S:
-            return
         expected_s = self._expected_s(job, task)
-        condition = evaluate_run(task, expected_s, now)
+        condition = self._evaluate_run(task, view, expected_s, now)
         if condition is RunCondition.HEALTHY:
             return
+        if (
+            condition is RunCondition.CUT_OFF
+            and not self._fleet.has_healthy_capacity(job, task, now)
+        ):
+            return
         if condition is RunCondition.SLOW and not self._is_worth_moving(
             job, task, view, now
         ):
@@ -132,6 +136,24 @@
             expected_s=round(expected_s, 3),
         )
 
+    def _evaluate_run(
+        self, task: Task, view: AgentView, expected_s: float, now: float
+    ) -> RunCondition:
+        """Evaluate a run, and whether its target stays until its end.
+
+        :param task: the task of the run.
+        :param view: the agent of its target.
+        :param expected_s: the expected duration of the run, in seconds.
+        :param now: the entry's time.
+        """
+        if view.leaves_at is not None and is_cut_off(
+            task, expected_s, view.leaves_at, now
+        ):
+            return RunCondition.CUT_OFF
+        if now - task.assigned_at < MIN_ELAPSED_S:
+            return RunCondition.HEALTHY
+        return evaluate_run(task, expected_s, now)
+
     def _expected_s(self, job: Job, task: Task) -> float:
         """Return the expected duration of a task's run, in seconds.
 
@@ -201,7 +223,9 @@
     def _shows_speed(self, agent: str, now: float) -> bool:
         """Return whether runs on a target show the speed that it keeps."""
         view = self._fleet.find(agent)
-        return view is not None and not view.slowness.is_slow(now)
+        if view is None or view.is_cold:
+            return False
+        return not view.slowness.is_slow(now)
 
     def _is_worth_moving(
         self, job: Job, task: Task, view: AgentView, now: float
--- a/src/fulmarscale/entry/jobs/stragglers.py
+++ b/src/fulmarscale/entry/jobs/stragglers.py
@@ -6,6 +6,8 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from fulmarscale.entry.jobs.job import MIN_PERCENT
+
 if TYPE_CHECKING:
     from fulmarscale.entry.jobs.job import Task
 
@@ -46,6 +48,8 @@
     """The task would finish sooner in a new run on another target."""
     STALLED = "stands_still"
     """The run has reported no progress for too long."""
+    CUT_OFF = "target_leaves"
+    """Its target will end before the run does."""
 
 
 def evaluate_run(task: Task, expected_s: float, now: float) -> RunCondition:
@@ -80,6 +84,23 @@
     return gained_s > now - task.assigned_at
 
 
+def is_cut_off(
+    task: Task, expected_s: float, leaves_at: float, now: float
+) -> bool:
+    """Return whether a target ends before a run on it does.
+
+    :param task: the task of the run.
+    :param expected_s: the expected duration of the whole run, in seconds.
+    :param leaves_at: when the target may end.
+    :param now: the entry's time.
+    """
+    if task.percent >= MIN_PERCENT:
+        ends_at = now + _remaining_s(task, now)
+    else:
+        ends_at = task.assigned_at + expected_s
+    return ends_at > leaves_at
+
+
 def _remaining_s(task: Task, now: float) -> float:
     """Return the time that a run needs to its end at its present speed.
 
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -198,7 +198,7 @@
     Not logged when the agent merely lacked free capacity.
     """
     RUN_MOVED = 523, Importance.WARNING
-    """A run makes no progress or is far too slow.
+    """A run makes no progress, is far too slow or outlasts its target.
 
     It is being stopped so that its task can start at another agent.
     """
--- a/src/fulmarscale/platform/heartbeats.py
+++ b/src/fulmarscale/platform/heartbeats.py
@@ -39,6 +39,10 @@
     """Sequence number; increases with each heartbeat of one incarnation."""
     clock_ms: int
     """The runner's monotonic clock when the heartbeat was sent."""
+    remaining_s: float | None = None
+    """Least time until the runner ends; none if it isn't known."""
+    cold_left_s: float | None = None
+    """How long the runner remains slow; none if it isn't known."""
 
 
 class HeartbeatApp:
@@ -74,7 +78,12 @@
             return
         self._on_heartbeat(
             Heartbeat(
-                report, message.address, message.call_seq, message.clock_ms
+                report,
+                message.address,
+                message.call_seq,
+                message.clock_ms,
+                message.remaining_s,
+                message.cold_left_s,
             )
         )
         await respond(send, 200, b"{}")
--- a/src/fulmarscale/platform/wire.py
+++ b/src/fulmarscale/platform/wire.py
@@ -43,6 +43,24 @@
 """Prefix of keys in the operators' table; a closed data centre follows."""
 
 
+MAX_DURATION_S: Final = 3600.0
+"""Longest time that a runner is believed to announce."""
+
+
+def decode_duration_s(value: msgspec.Raw) -> float | None:
+    """Decode an optional number of milliseconds.
+
+    :param value: its JSON; empty if the field was missing.
+    :returns: seconds, at most MAX_DURATION_S; none if it isn't a number or
+        is negative, as the rest of the message is still of use.
+    """
+    try:
+        duration_s = decode_json(value, float) / 1000
+    except msgspec.MsgspecError:
+        return None
+    return min(duration_s, MAX_DURATION_S) if duration_s >= 0 else None
+
+
 class WireStruct(msgspec.Struct, frozen=True, rename="camel"):
     """Base class of the platform's messages; ignores unknown fields."""
 
@@ -159,6 +177,20 @@
     Together with the runner's id it identifies the incarnation.
     """
     labels: tuple[str, ...] = ()
+    remaining_ms: msgspec.Raw = msgspec.Raw()
+    """Least time until the runner ends; sent while it drains."""
+    cold_left_ms: msgspec.Raw = msgspec.Raw()
+    """How much longer the runner remains slow after its start."""
+
+    @property
+    def remaining_s(self) -> float | None:
+        """Least time until the runner ends; none if it isn't known."""
+        return decode_duration_s(self.remaining_ms)
+
+    @property
+    def cold_left_s(self) -> float | None:
+        """How long the runner remains slow; none if it isn't known."""
+        return decode_duration_s(self.cold_left_ms)
 
     def decode(self, runner_id: str) -> TargetReport:
         """Convert to the internal type.
--- a/src/fulmarscale/runs/model.py
+++ b/src/fulmarscale/runs/model.py
@@ -140,6 +140,10 @@
     """The target's total resources."""
     labels: tuple[str, ...] = ()
     """The target's kind and rack."""
+    leaves_at: float | None = None
+    """When the target may end, by its agent's clock; none if not known."""
+    cold_until: float | None = None
+    """When it has warmed up after its start; none if it has."""
 
 
 class RunOutcome(Enum):
