Bound what a process holds of its clients' requests

Change: one protocol (bounded_connection) for all HTTP listeners of entry and agent on both paths; bytes pass the meter before the parser; bytes that are not decided come out of one budget a process, an eighth of memory_mb. A body is claimed whole before it is collected, and not collected without queue, method or room (up to 16 KiB may be, as a route may be added meanwhile; platform.feature demands that). Streams check and claim the length that a message announces. SIGTERM refuses what has not arrived. The own path leaves h11 for the same protocol.

Shown: features/hostile_clients.feature, crowd and bounds fixed first.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -869,6 +869,7 @@
         "control": "10.1.0.13:8166",
     },
     "internalPorts": [7720, 7735],
+    "limits": {"memoryMb": 300},
     "platform": {"address": "10.200.1.7:8169"},
 }
 
--- a/features/support/process_site.py
+++ b/features/support/process_site.py
@@ -55,7 +55,6 @@
         }
     ],
     "services": [{"name": SERVICE, "enforcesCapacity": False}],
-    "limits": {"maxBodyBytes": 262144},
 }
 
 
@@ -68,9 +67,22 @@
     :param folder: where settings and logs are written.
     :param entries: the number of entries.
     :param agents: the number of agents.
+    :param max_body_bytes: the limit of a body, in the site's configuration.
+    :param connections: the limit of callers' connections; none for the
+        default.
     """
 
-    def __init__(self, folder: Path, entries: int, agents: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        entries: int,
+        agents: int,
+        *,
+        max_body_bytes: int = 262144,
+        connections: int | None = None,
+    ) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._connections = connections
         self.store = RowStoreStandIn()
         self.runners: list[RunnerStandIn] = []
         self.entries = [f"entry-{number}" for number in range(entries)]
@@ -86,7 +98,9 @@
 
     async def __aenter__(self) -> Self:
         await self.store.start()
-        config = base64.b64encode(msgspec.json.encode(SITE_CONFIG)).decode()
+        limits = {"maxBodyBytes": self._max_body_bytes}
+        content = msgspec.json.encode({**SITE_CONFIG, "limits": limits})
+        config = base64.b64encode(content).decode()
         self.store.put("op", "config", config)
         for number, agent in enumerate(self.agents):
             control_address = _free_address()
@@ -106,10 +120,31 @@
                 entry,
                 caller_address=self.caller_addresses[entry],
                 ready_address=_free_address(),
+                **(
+                    {"connections": self._connections}
+                    if self._connections
+                    else {}
+                ),
             )
             self.start_process(entry)
         return self
 
+    def listeners(self, name: str) -> dict[str, str]:
+        """Return IP:port of a process's listeners, by what they serve."""
+        path = self._folder / f"{name}.json"
+        settings = msgspec.json.decode(path.read_bytes())
+        addresses = {"metrics": f"{HOST}:{settings['metrics_port']}"}
+        for listener, key in (
+            ("callers", "caller_address"),
+            ("readiness", "ready_address"),
+            ("heartbeats", "heartbeat_address"),
+        ):
+            if key in settings:
+                addresses[listener] = settings[key]
+        if "stream_port" in settings:
+            addresses["streams"] = f"{HOST}:{settings['stream_port']}"
+        return addresses
+
     async def __aexit__(self, *_: object) -> None:
         for name in list(self.processes):
             self.kill(name)
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from fulmarscale.agent.run_actions import RunAction
     from fulmarscale.agent.run_target_client import RunTargetClient
+    from fulmarscale.http_admission import RequestAdmission
     from fulmarscale.ids import EntryId
     from fulmarscale.logs import EventLog
     from fulmarscale.runs.messages import AgentMessage
@@ -95,12 +96,13 @@
         data_centre: str,
         target: RunTargetClient,
         log: EventLog,
+        admission: RequestAdmission | None = None,
     ) -> None:
         super().__init__(log)
         incarnation = SystemRandom().getrandbits(INCARNATION_BITS)
         self._guard = RunGuard(name, data_centre, incarnation)
         self._target = target
-        self._server = RunStreamServer(self)
+        self._server = RunStreamServer(self, admission)
         self._sessions: dict[int, MessageQueue[AgentMessage]] = {}
         """The outgoing messages of each stream, by its number."""
         self._session_number = 0
--- /dev/null
+++ b/src/fulmarscale/bounded_connection.py
@@ -0,0 +1,620 @@
+"""HTTP connections that hold a bounded part of what clients send.
+
+All servers of the programs use this protocol. It splits what arrives at the
+ends of requests, counts the bytes that a connection holds against the
+process's budget, and refuses clients that exceed a bound.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Final
+from typing import TYPE_CHECKING
+
+from fulmarscale.http_admission import Holder
+from fulmarscale.http_connection import CONNECTION_EXTENSION
+from fulmarscale.http_connection import MAX_PIPELINED_REQUESTS
+from fulmarscale.http_connection import ObservableConnection
+from fulmarscale.http_limits import Bound
+from fulmarscale.http_limits import RequestMeter
+from fulmarscale.request_budget import MIN_HELD_S
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from uvicorn.config import Config
+    from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
+    from uvicorn.server import ServerState
+
+    from fulmarscale.http_admission import RequestAdmission
+
+READ_BYTES: Final = 64 << 10
+"""The most bytes that are read from a connection at once."""
+
+WRITE_BUFFER_BYTES: Final = 16 << 10
+"""Bytes of answers that wait for a client, above which it gets no more."""
+
+LINGER_S: Final = 2.0
+"""How long a refused client may take to read its answer and to close."""
+
+REST_S: Final = 4.0
+"""How long the rest of a body may arrive after its request was answered."""
+
+STOP_RECEIVE_S: Final = 1.0
+"""How long a request may go on to arrive once the process is to stop.
+
+Answers that are not read are dropped as late as this, too.
+"""
+
+SPARE_CONNECTIONS: Final = 32
+"""Connections above the limit that get an answer before they are closed."""
+
+REASONS: Final = {
+    400: b"Bad Request",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    503: b"Service Unavailable",
+}
+
+
+def begin_body(scope: Mapping[str, Any]) -> bool:
+    """Claim the room for a request's body before it is collected.
+
+    :param scope: the request's ASGI scope; without the extension there is
+        room.
+    :returns: whether the process has room for the whole body.
+    """
+    connection = _connection(scope)
+    return connection is None or connection.begin_body()
+
+
+def is_body_too_large(scope: Mapping[str, Any]) -> bool:
+    """Return whether a request's body exceeds the listener's limit.
+
+    :param scope: the request's ASGI scope.
+    """
+    connection = _connection(scope)
+    return connection is not None and connection.is_body_too_large
+
+
+def hold_more(scope: Mapping[str, Any], size: int) -> bool:
+    """Claim bytes for what a request was decoded to, until its response.
+
+    :param scope: the request's ASGI scope; without the extension there is
+        room.
+    :param size: the bytes beyond those of the request itself.
+    :returns: whether the process has room for them.
+    """
+    connection = _connection(scope)
+    return connection is None or connection.hold_more(size)
+
+
+def _connection(scope: Mapping[str, Any]) -> BoundedConnection | None:
+    extension = scope.get("extensions", {}).get(CONNECTION_EXTENSION, {})
+    return extension.get("connection")
+
+
+class _Request:
+    """What a connection holds of one request until its response."""
+
+    __slots__ = (
+        "expected_bytes",
+        "is_complete",
+        "is_denied",
+        "is_discarding",
+        "limit",
+        "reserved_bytes",
+        "size",
+    )
+
+    def __init__(self, head_bytes: int, expected: int, limit: int) -> None:
+        self.size = head_bytes
+        """Bytes of the head and the collected body."""
+        self.limit = limit + head_bytes
+        """The most of these bytes."""
+        self.expected_bytes = min(expected, limit) + head_bytes
+        """The bytes that it may come to."""
+        self.is_discarding = expected > limit
+        """Whether the body exceeds its limit and is dropped."""
+        self.is_complete = False
+        self.is_denied = False
+        """Whether there was no room for the complete request."""
+        self.reserved_bytes = 0
+        """Bytes that were claimed before they have arrived."""
+
+
+class BoundedConnection(ObservableConnection, Holder):
+    """An HTTP connection with bounds on what it receives and holds.
+
+    :param admission: decides on the bytes of all connections.
+    :param max_body_bytes: returns the limit of a body.
+    """
+
+    def __init__(
+        self,
+        config: Config,
+        server_state: ServerState,
+        app_state: dict[str, Any],
+        _loop: asyncio.AbstractEventLoop | None = None,
+        *,
+        admission: RequestAdmission,
+        max_body_bytes: Callable[[], int],
+    ) -> None:
+        super().__init__(config, server_state, app_state, _loop)
+        self.holder_id = admission.next_id()
+        self._admission = admission
+        self._max_body_bytes = max_body_bytes
+        self._meter = RequestMeter(admission.limits)
+        self._requests: dict[RequestResponseCycle, _Request] = {}
+        """The requests whose head is complete and that are not answered."""
+        self._unparsed = bytearray()
+        """What has arrived behind the most pipelined requests."""
+        self._present: _Request | None = None
+        """The request whose body arrives; none while a head does."""
+        self._discarded_bytes = 0
+        """Bytes of the present request's body that were dropped."""
+        self._has_completed = False
+        """Whether the parser has completed a request in the last piece."""
+        self._begun_at = 0.0
+        """When the present request began, later by delays of this process."""
+        self._checked_at = 0.0
+        """When the time of the present request was last checked."""
+        self._is_stalled = False
+        """Whether answers wait for the client to read."""
+        self._stalled_at = 0.0
+        """When the client last read of them."""
+        self._stalled_bytes = 0
+        """Bytes of these answers then."""
+        self._refusal: Bound | None = None
+        self._is_answered = False
+        """Whether the refused request has had a response."""
+        self._is_lingering = False
+        self._has_requested = False
+        self._active_at = 0.0
+        self._claimed_bytes = 0
+
+    @property
+    def rank(self) -> tuple[int, float] | None:
+        """Order in which connections make room, the first one first.
+
+        Those that never sent a request, then those whose request arrives
+        slowly, then those at rest. None for one that makes no room.
+        """
+        if self.transport.is_closing():
+            return None
+        if self._is_lingering:
+            return 0, self._active_at
+        if self._requests or self._unparsed:
+            return None
+        if self._meter.has_begun:
+            age_s = self.loop.time() - self._begun_at
+            return (1, self._begun_at) if age_s >= MIN_HELD_S else None
+        return 2 if self._has_requested else 0, self._active_at
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Prepare to read, and make room for the connection."""
+        super().connection_made(transport)
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._active_at = self.loop.time()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+        limit = self.limit_concurrency
+        if limit is not None and len(self.connections) >= limit:
+            self._make_room(limit)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Drop what the connection holds."""
+        self._unset_keepalive_if_required()
+        super().connection_lost(exc)
+        self._requests.clear()
+        self._unparsed.clear()
+        self._admission.release(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Take what has arrived."""
+        self._unset_keepalive_if_required()
+        if self._refusal is not None:
+            self._discard(len(data))
+        elif self._unparsed:
+            self._unparsed += data
+            self._claim()
+        else:
+            self._parse(data)
+
+    def on_message_begin(self) -> None:
+        """Begin a request and add the extension to its scope."""
+        super().on_message_begin()
+        extension = self.scope["extensions"][CONNECTION_EXTENSION]
+        extension["connection"] = self  # type: ignore[index]
+
+    def on_headers_complete(self) -> None:
+        """Tell the framing of the body, and start or queue the request."""
+        length = 0
+        is_chunked = False
+        for name, value in self.headers:
+            if name == b"content-length":
+                length = int(value)
+            elif name == b"transfer-encoding":
+                is_chunked = True
+        limit = self._max_body_bytes()
+        # A body in chunks may come to any length up to the limit.
+        self._present = _Request(
+            self._meter.received_bytes, limit if is_chunked else length, limit
+        )
+        self._discarded_bytes = 0
+        self._has_requested = True
+        super().on_headers_complete()
+        self._requests[self.cycle] = self._present
+        self._meter.begin_body(length, is_chunked=is_chunked)
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of a body, up to the listener's limit."""
+        request = self._present
+        if (
+            request is None
+            or request.is_discarding
+            or self.cycle.response_complete
+        ):
+            self._discarded_bytes += len(body)
+            return
+        request.size += len(body)
+        if request.size > request.limit:
+            request.is_discarding = True
+            self.cycle.body.clear()
+            self.cycle.message_event.set()
+            return
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Complete the request."""
+        self._has_completed = True
+        super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """Go on with what waits behind the answered request."""
+        answered = self._handled
+        if answered is not None:
+            self._requests.pop(answered, None)
+        self._active_at = self.loop.time()
+        super().on_response_complete()
+        if self.transport.get_write_buffer_size() > 0:
+            self._watch_stall()
+        if self._unparsed:
+            self.flow.pause_reading()
+            self.loop.call_soon(self._parse_unparsed)
+        elif self._refusal is not None and not self._requests:
+            self._send_refusal()
+        if self._claimed_bytes:
+            self._claim()
+
+    def pause_writing(self) -> None:
+        """Hold back answers, and expect the client to read."""
+        super().pause_writing()
+        self._watch_stall()
+
+    def resume_writing(self) -> None:
+        """Go on with the answers."""
+        super().resume_writing()
+        self._is_stalled = False
+
+    def shutdown(self) -> None:
+        """Close once what has arrived is answered."""
+        super().shutdown()
+        if not self.transport.is_closing() or self._pending_bytes:
+            self.loop.call_later(STOP_RECEIVE_S, self._stop)
+
+    def give_way(self) -> None:
+        """Refuse the incomplete request, as others need its bytes."""
+        self._claimed_bytes = 0
+        self._refuse(Bound.BUDGET)
+
+    def check(self, now: float, late_s: float) -> bool:
+        """Refuse a request that arrives, or a client that reads, too slowly.
+
+        :param now: the event loop's time.
+        :param late_s: how long the process was held up.
+        :returns: whether the connection has to be checked again.
+        """
+        if self.parser is None:
+            return False
+        limits = self._admission.limits
+        if self._is_stalled and not self._check_stall(now, late_s):
+            return not self.transport.is_closing()
+        if not self._meter.has_begun or self._refusal is not None:
+            return self._is_stalled
+        if self.flow.read_paused:
+            self._begun_at += late_s + now - self._checked_at
+        else:
+            self._begun_at += late_s
+        self._checked_at = now
+        if self._present is not None and self.cycle.response_complete:
+            if now - max(self._active_at, self._begun_at) > REST_S:
+                self._record(Bound.RECEIVE_TIME)
+                self.transport.abort()
+                return False
+            return True
+        allowed_s = limits.receive_time_s(self._meter.received_bytes)
+        if now - self._begun_at > allowed_s:
+            self._refuse(Bound.RECEIVE_TIME)
+            return False
+        return True
+
+    def _check_stall(self, now: float, late_s: float) -> bool:
+        """Abort the connection of a client that reads no answer.
+
+        :returns: whether it reads its answers.
+        """
+        pending_bytes = self._pending_bytes
+        if pending_bytes == 0:
+            self._is_stalled = False
+            return True
+        if pending_bytes < self._stalled_bytes:
+            self._stalled_at = now
+            self._stalled_bytes = pending_bytes
+        self._stalled_at += late_s
+        grace_s = self._admission.limits.receive_grace_s
+        if now - self._stalled_at > grace_s:
+            self._record(Bound.SEND_TIME)
+            self.transport.abort()
+        return False
+
+    @property
+    def _pending_bytes(self) -> int:
+        """Bytes of answers that wait for the client to read."""
+        return self.transport.get_write_buffer_size()
+
+    def _parse(self, data: bytes) -> None:
+        """Pass what has arrived to the parser, one part at a time."""
+        meter = self._meter
+        position = 0
+        size = len(data)
+        while position < size:
+            if len(self.pipeline) > MAX_PIPELINED_REQUESTS:
+                self._unparsed += data[position:]
+                self.flow.pause_reading()
+                break
+            if not meter.has_begun:
+                self._begun_at = self._checked_at = self.loop.time()
+            end, bound = meter.advance(data, position)
+            if bound is not None:
+                self._refuse(bound)
+                return
+            is_whole = position == 0 and end == size
+            piece = data if is_whole else memoryview(data)[position:end]
+            self._has_completed = False
+            super().data_received(piece)  # type: ignore[arg-type]
+            if self.parser is None or self.transport.is_closing():
+                return
+            if meter.awaits_framing or self._has_completed != meter.has_ended:
+                self._refuse(Bound.FRAMING)
+                return
+            if self._has_completed:
+                self._complete()
+            position = end
+        if self._discarded_bytes > self._admission.limits.discarded_bytes:
+            self._refuse(Bound.DISCARDED)
+        elif meter.has_begun or self._unparsed:
+            self._claim()
+
+    def _complete(self) -> None:
+        """Count a complete request; without room, it is not to be run."""
+        request, self._present = self._present, None
+        self._discarded_bytes = 0
+        if request is None or self.cycle.response_complete:
+            if self._claimed_bytes:
+                self._claim()
+            return
+        request.is_complete = True
+        request.reserved_bytes = 0
+        if not self._claim():
+            request.is_denied = True
+            request.size = 0
+            self.cycle.body.clear()
+
+    def _parse_unparsed(self) -> None:
+        """Go on with what has arrived behind the pipelined requests."""
+        if self.parser is None or not self._unparsed:
+            return
+        if len(self.pipeline) > MAX_PIPELINED_REQUESTS // 2:
+            return
+        data = bytes(self._unparsed)
+        self._unparsed.clear()
+        self.flow.resume_reading()
+        self._parse(data)
+
+    def _claim(self) -> bool:
+        """Claim the bytes that the connection holds now.
+
+        Without room, an incomplete request is refused.
+
+        :returns: whether there is room.
+        """
+        is_incomplete = self._refusal is None and (
+            bool(self._unparsed) or self._meter.has_begun
+        )
+        size = len(self._unparsed)
+        if is_incomplete:
+            self._admission.watch(self)
+            if self._present is None:
+                size += self._meter.received_bytes
+        for cycle, request in self._requests.items():
+            if not cycle.response_complete:
+                size += max(request.size, request.reserved_bytes)
+        if size == self._claimed_bytes:
+            return True
+        if size == 0:
+            self._claimed_bytes = 0
+            self._admission.release(self)
+            return True
+        if self._admission.claim(self, size, is_complete=not is_incomplete):
+            self._claimed_bytes = size
+            return True
+        if is_incomplete:
+            self._refuse(Bound.BUDGET)
+        return False
+
+    def begin_body(self) -> bool:
+        """Claim the room for the body of the request that is handled.
+
+        :returns: whether there is room.
+        """
+        request = self._handled_request
+        if request is None:
+            return self._refusal is None
+        if request.is_complete:
+            return not request.is_denied
+        size = self._claimed_bytes - request.size + request.expected_bytes
+        if not self._admission.claim(self, size, is_complete=False):
+            return False
+        request.reserved_bytes = request.expected_bytes
+        self._claimed_bytes = size
+        return True
+
+    def hold_more(self, size: int) -> bool:
+        """Claim bytes beyond those of the request that is handled.
+
+        :param size: the bytes.
+        :returns: whether there is room.
+        """
+        request = self._handled_request
+        if request is None:
+            return False
+        request.size += size
+        if self._claim():
+            return True
+        request.size -= size
+        return False
+
+    @property
+    def is_body_too_large(self) -> bool:
+        """Whether the body of the request that is handled is too large."""
+        request = self._handled_request
+        return request is not None and request.is_discarding
+
+    @property
+    def _handled_request(self) -> _Request | None:
+        if self._handled is None:
+            return None
+        return self._requests.get(self._handled)
+
+    def _refuse(self, bound: Bound) -> None:
+        """Refuse what arrives on the connection, and close it.
+
+        Requests before it are answered first.
+        """
+        if self._refusal is not None or self.parser is None:
+            return
+        self._record(bound)
+        self._refusal = bound
+        self._unparsed.clear()
+        if self._present is not None:
+            # It has not arrived as a whole, so that it was not decided.
+            self._present = None
+            cycle = self.cycle
+            self._requests.pop(cycle, None)
+            if self.pipeline and self.pipeline[0][0] is cycle:
+                self.pipeline.popleft()
+            if cycle.response_started and not cycle.response_complete:
+                self.transport.abort()
+                return
+            self._is_answered = cycle.response_complete
+            cycle.disconnected = True
+            cycle.body.clear()
+            cycle.message_event.set()
+        if self._requests:
+            self.flow.resume_reading()
+            self._claim()
+            return
+        self._admission.release(self)
+        self._claimed_bytes = 0
+        self._send_refusal()
+
+    def _send_refusal(self) -> None:
+        """Send the refusal and close, after the client could read it."""
+        bound = self._refusal
+        if bound is None or self._is_lingering or self.transport.is_closing():
+            return
+        self._is_lingering = True
+        if not self._is_answered:
+            self._write_refusal(bound.status)
+        self.flow.resume_reading()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.loop.call_later(LINGER_S, self.transport.abort)
+
+    def _write_refusal(self, status: int) -> None:
+        content = b"HTTP/1.1 %d %b\r\n" % (status, REASONS[status])
+        if status == Bound.BUDGET.status:
+            content += b"retry-after: 1\r\n"
+        content += (
+            b"content-type: application/json\r\ncontent-length: 2\r\n"
+            b"connection: close\r\n\r\n{}"
+        )
+        self.transport.write(content)
+
+    def _discard(self, size: int) -> None:
+        """Drop what a refused client sends, up to a bound."""
+        self._discarded_bytes += size
+        if self._discarded_bytes > self._admission.limits.discarded_bytes:
+            self.transport.abort()
+
+    def _record(self, bound: Bound) -> None:
+        self._admission.record_refusal(
+            bound,
+            self._meter.received_bytes,
+            self.loop.time() - self._begun_at if self._begun_at else 0.0,
+            self.client,
+        )
+
+    def _watch_stall(self) -> None:
+        """Expect the client to read, and note that it has read so far."""
+        self._is_stalled = True
+        self._stalled_at = self.loop.time()
+        self._stalled_bytes = self._pending_bytes
+        self._admission.watch(self)
+
+    def _make_room(self, limit: int) -> None:
+        """Close the connection that was of the least use.
+
+        :param limit: the limit of connections.
+        """
+        least: BoundedConnection | None = None
+        least_rank: tuple[int, float] | None = None
+        for each in self.connections:
+            if each is self or not isinstance(each, BoundedConnection):
+                continue
+            rank = each.rank
+            if rank is not None and (least_rank is None or rank < least_rank):
+                least, least_rank = each, rank
+        if least is not None:
+            self._admission.record_refusal(
+                Bound.CONNECTIONS,
+                least._meter.received_bytes,
+                self.loop.time() - least._active_at,
+                least.client,
+            )
+            least.transport.abort()
+            self.connections.discard(least)
+        elif len(self.connections) > limit + SPARE_CONNECTIONS:
+            self._admission.record_refusal(
+                Bound.CONNECTIONS, 0, 0.0, self.client
+            )
+            self.transport.abort()
+
+    def _stop(self) -> None:
+        """Refuse what has not arrived, and drop what is not read."""
+        if self.parser is None:
+            return
+        if self._meter.has_begun:
+            self._refuse(Bound.STOPPING)
+        if self._is_lingering or (self._pending_bytes and not self._requests):
+            self.transport.abort()
+        else:
+            self.loop.call_later(STOP_RECEIVE_S, self._stop)
--- a/src/fulmarscale/cli/entry.py
+++ b/src/fulmarscale/cli/entry.py
@@ -17,8 +17,10 @@
 from fulmarscale.entry.http import HttpApi
 from fulmarscale.entry.process import EntryProcess
 from fulmarscale.entry.routes import make_app
+from fulmarscale.http_admission import RequestAdmission
 from fulmarscale.http_server import EmbeddedServer
 from fulmarscale.http_server import KEEP_ALIVE_S
+from fulmarscale.http_server import make_protocol
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.http_table import HttpTableClient
@@ -29,7 +31,9 @@
     from pathlib import Path
 
 
-def make_server(http_api: HttpApi, settings: EntrySettings) -> EmbeddedServer:
+def make_server(
+    http_api: HttpApi, settings: EntrySettings, admission: RequestAdmission
+) -> EmbeddedServer:
     """Create the HTTP server for callers and operators."""
     host, port = split_address(settings.http_address)
     tls = settings.tls
@@ -38,7 +42,7 @@
         host=host,
         port=port,
         loop="asyncio",
-        http="h11",
+        http=make_protocol(admission, lambda: settings.input.body_bytes),
         lifespan="off",
         access_log=False,
         log_config=None,
@@ -59,9 +63,11 @@
     table = HttpTableClient(
         platform.url, platform.timeout_s, platform.authority
     )
-    process = EntryProcess(settings, table, log)
+    admission = RequestAdmission(settings.requests, settings.memory_mb, log)
+    process = EntryProcess(settings, table, log, admission)
+    process.metrics.add_admission(admission)
     http_api = HttpApi(process, settings, log)
-    server = make_server(http_api, settings)
+    server = make_server(http_api, settings, admission)
     stop = make_stop_event()
     await process.start()
     server_task = asyncio.create_task(server.serve())
@@ -71,6 +77,7 @@
     server.request_shutdown()
     await server_task
     await process.close()
+    admission.close()
     return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
 
 
--- a/src/fulmarscale/cli/site_agent.py
+++ b/src/fulmarscale/cli/site_agent.py
@@ -16,6 +16,7 @@
 from fulmarscale.cli._common import settings_options
 from fulmarscale.cli._common import wait_for_any
 from fulmarscale.cli._settings_watcher import SettingsWatcher
+from fulmarscale.http_admission import RequestAdmission
 from fulmarscale.http_server import AsgiServer
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
@@ -23,6 +24,7 @@
 from fulmarscale.platform.agent_registration import AgentRegistrar
 from fulmarscale.platform.asgi import MetricsApp
 from fulmarscale.platform.heartbeats import HeartbeatApp
+from fulmarscale.platform.heartbeats import MAX_BODY_BYTES
 from fulmarscale.platform.runner import RunnerClient
 from fulmarscale.platform.store import RowStoreClient
 from fulmarscale.platform.table_follower import make_site_follower
@@ -62,7 +64,11 @@
     runner = RunnerClient(log)
     address = f"{settings.address}:{settings.stream_port}"
     registrar = AgentRegistrar(store, settings.name, address, log)
-    process = RunProcess(settings.name, settings.data_centre, runner, log)
+    admission = RequestAdmission(settings.requests, settings.memory_mb, log)
+    process = RunProcess(
+        settings.name, settings.data_centre, runner, log, admission
+    )
+    process.metrics.add_admission(admission)
 
     def on_heartbeat(heartbeat: Heartbeat) -> None:
         process.record_heartbeat(heartbeat.report, heartbeat.sequence)
@@ -81,9 +87,14 @@
     heartbeats = AsgiServer(
         HeartbeatApp(on_heartbeat, log),
         *split_address(settings.heartbeat_address),
+        admission=admission,
+        max_body_bytes=lambda: MAX_BODY_BYTES,
     )
     metrics = AsgiServer(
-        MetricsApp(process.metrics), settings.address, settings.metrics_port
+        MetricsApp(process.metrics),
+        settings.address,
+        settings.metrics_port,
+        admission=admission,
     )
     follower = make_site_follower(store, process.adopt_site_config, log)
     heartbeats.start()
@@ -112,6 +123,7 @@
         watcher,
     ):
         await component.close()
+    admission.close()
     return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
 
 
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -16,6 +16,7 @@
 from fulmarscale.cli._common import wait_for_any
 from fulmarscale.cli._settings_watcher import SettingsWatcher
 from fulmarscale.entry.jobs.process import DispatchProcess
+from fulmarscale.http_admission import RequestAdmission
 from fulmarscale.http_server import AsgiServer
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
@@ -57,18 +58,25 @@
     watcher = SettingsWatcher(path, settings, apply_settings, log)
     watcher.start()
     process = DispatchProcess(settings.name, settings.data_centre, store, log)
+    admission = RequestAdmission(settings.requests, settings.memory_mb, log)
+    process.metrics.add_admission(admission)
     ready = AsgiServer(
-        ReadinessApp(process), *split_address(settings.ready_address)
+        ReadinessApp(process),
+        *split_address(settings.ready_address),
+        admission=admission,
     )
     ingress = AsgiServer(
         IngressApp(process, log),
         *split_address(settings.caller_address),
         settings.connections,
+        admission,
+        lambda: process.site.max_body_bytes,
     )
     metrics = AsgiServer(
         MetricsApp(process.metrics, {CRASHES_PATH: process.render_crashes}),
         settings.address,
         settings.metrics_port,
+        admission=admission,
     )
     followers = (
         make_site_follower(
@@ -98,6 +106,7 @@
         watcher,
     ):
         await component.close()
+    admission.close()
     return ExitCode.INVARIANT if process.failed.is_set() else ExitCode.OK
 
 
--- a/src/fulmarscale/entry/http.py
+++ b/src/fulmarscale/entry/http.py
@@ -17,6 +17,8 @@
 from litestar.exceptions import HTTPException
 import msgspec
 
+from fulmarscale.bounded_connection import begin_body
+from fulmarscale.bounded_connection import is_body_too_large
 from fulmarscale.entry.request_validation import find_contract_by_key
 from fulmarscale.entry.request_validation import parse_bearer_key
 from fulmarscale.entry.request_validation import parse_job
@@ -110,12 +112,21 @@
         declared = request.headers.get("content-length", "0")
         if declared.isdigit() and int(declared) > limits.body_bytes:
             raise self._body_too_large()
+        if is_body_too_large(request.scope):
+            raise self._body_too_large()
+        if not begin_body(request.scope):
+            raise FulmarError(
+                ResultCode.TOO_MANY_REQUESTS,
+                "there is no room for the request body",
+            )
         body = bytearray()
         try:
             async with asyncio.timeout(limits.body_timeout_s):
                 async for chunk in request.stream():
                     body += chunk
-                    if len(body) > limits.body_bytes:
+                    if len(body) > limits.body_bytes or is_body_too_large(
+                        request.scope
+                    ):
                         raise self._body_too_large()
         except TimeoutError as error:
             raise FulmarError(
--- a/src/fulmarscale/entry/process.py
+++ b/src/fulmarscale/entry/process.py
@@ -58,6 +58,7 @@
     from fulmarscale.control.actions import ChangeResult
     from fulmarscale.control.actions import RowChange
     from fulmarscale.entry.inputs import EntryInput
+    from fulmarscale.http_admission import RequestAdmission
     from fulmarscale.ids import CustomerName
     from fulmarscale.ids import SubmissionId
     from fulmarscale.logs import EventLog
@@ -103,7 +104,11 @@
     """
 
     def __init__(
-        self, settings: EntrySettings, table: TableClient, log: EventLog
+        self,
+        settings: EntrySettings,
+        table: TableClient,
+        log: EventLog,
+        admission: RequestAdmission | None = None,
     ) -> None:
         self._settings = settings
         self._table = table
@@ -120,7 +125,7 @@
             member, settings.timings, settings.limits, random
         )
         self._server = StreamServer(
-            self, settings.secret, server_tls(settings.tls)
+            self, settings.secret, server_tls(settings.tls), admission
         )
         self._metrics = EntryMetrics(self._core, time.monotonic)
         self._peer_streams: dict[str, PeerStream] = {}
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -58,6 +58,13 @@
 
     `events` has their number by event.
     """
+    CLIENT_REFUSED = 110, Importance.WARNING
+    """A client exceeded a bound and its connection is closed.
+
+    `bound` is the kind of bound, `bytes` what had arrived of the request,
+    `age_s` the time since its first byte. `omitted` clients before it were
+    not logged.
+    """
     LEASE_GAINED = 200, Importance.CHANGE
     """The entry's lease was confirmed; it may accept and start work."""
     LEASE_LOST = 201, Importance.WARNING
--- a/src/fulmarscale/http_limits.py
+++ b/src/fulmarscale/http_limits.py
@@ -53,6 +53,8 @@
     """A chunk's size, or the extensions of all chunks of a body."""
     TRAILER_BYTES = "trailer_bytes", 431
     TRAILER_LINES = "trailer_lines", 431
+    MESSAGE_BYTES = "message_bytes", 413
+    """The longest message of a stream."""
     FRAMING = "framing", 400
     """Where a part ends is not clear."""
     DISCARDED = "discarded", 413
--- a/src/fulmarscale/http_server.py
+++ b/src/fulmarscale/http_server.py
@@ -4,20 +4,33 @@
 
 import asyncio
 from contextlib import contextmanager
+from functools import partial
 from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
 import uvicorn
 
-from fulmarscale.http_connection import ObservableConnection
+from fulmarscale.bounded_connection import BoundedConnection
+from fulmarscale.http_admission import RequestAdmission
+from fulmarscale.http_limits import RequestLimits
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
 KEEP_ALIVE_S: Final = 75
 """How long an idle connection of a client stays open."""
 
+OPERATOR_CONNECTIONS: Final = 128
+"""The most concurrent connections of a listener that isn't for callers.
+
+One client each uses them, at most every second.
+"""
+
+MAX_BODY_BYTES: Final = 1 << 20
+"""Limit of a body on a listener that has no limit of its own."""
+
 
 class EmbeddedServer(uvicorn.Server):
     """A uvicorn server that leaves signal handling to the program.
@@ -53,11 +66,21 @@
     :param host: the IP address to listen on.
     :param port: the port to listen on.
     :param connections: the limit of concurrent connections, above which
-        requests are answered with 503; none for no limit.
+        requests are answered with 503. Before that, those that are idle are
+        closed.
+    :param admission: decides on the bytes of requests, for all listeners of
+        the process; none for one of its own.
+    :param max_body_bytes: returns the limit of a body.
     """
 
     def __init__(
-        self, app: Any, host: str, port: int, connections: int | None = None
+        self,
+        app: Any,
+        host: str,
+        port: int,
+        connections: int = OPERATOR_CONNECTIONS,
+        admission: RequestAdmission | None = None,
+        max_body_bytes: Callable[[], int] = lambda: MAX_BODY_BYTES,
     ) -> None:
         self._server = EmbeddedServer(
             uvicorn.Config(
@@ -65,7 +88,10 @@
                 host=host,
                 port=port,
                 loop="asyncio",
-                http=ObservableConnection,
+                http=make_protocol(
+                    admission or RequestAdmission(RequestLimits()),
+                    max_body_bytes,
+                ),
                 interface="asgi3",
                 lifespan="off",
                 access_log=False,
@@ -91,3 +117,18 @@
         self.drain()
         if self._task is not None:
             await asyncio.gather(self._task, return_exceptions=True)
+
+
+def make_protocol(
+    admission: RequestAdmission, max_body_bytes: Callable[[], int]
+) -> Any:
+    """Return the protocol of a server, for uvicorn's configuration.
+
+    :param admission: decides on the bytes of requests.
+    :param max_body_bytes: returns the limit of a body.
+    """
+    return partial(
+        BoundedConnection,
+        admission=admission,
+        max_body_bytes=max_body_bytes,
+    )
--- a/src/fulmarscale/metrics.py
+++ b/src/fulmarscale/metrics.py
@@ -15,6 +15,7 @@
 
 from fulmarscale.burn import BURN_WINDOWS
 from fulmarscale.burn import RollingCounts
+from fulmarscale.runs.metrics import collect_admission
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +24,7 @@
     from prometheus_client import Metric
 
     from fulmarscale.entry.core import EntryCore
+    from fulmarscale.http_admission import RequestAdmission
 
 WINDOW_METRIC = "fulmarscale_promise_window_answers"
 """Gauge from which the burn report reads the answers in each window."""
@@ -123,6 +125,17 @@
         yield family
 
 
+class AdmissionCollector(Collector):
+    """Exports the counters and gauges of the admission of requests."""
+
+    def __init__(self, admission: RequestAdmission) -> None:
+        self._admission = admission
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield the current values."""
+        return collect_admission(self._admission)
+
+
 class EntryMetrics:
     """The metrics registry of an entry."""
 
@@ -204,6 +217,10 @@
         """Count a rejected request by its numbered result code."""
         self._rejections.labels(str(code)).inc()
 
+    def add_admission(self, admission: RequestAdmission) -> None:
+        """Add the metrics of the admission of requests."""
+        self._registry.register(AdmissionCollector(admission))
+
     def render(self) -> bytes:
         """Return all metrics in the text exposition format."""
         return generate_latest(self._registry)
--- a/src/fulmarscale/platform/asgi.py
+++ b/src/fulmarscale/platform/asgi.py
@@ -6,6 +6,9 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from fulmarscale.bounded_connection import begin_body
+from fulmarscale.bounded_connection import is_body_too_large
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
@@ -22,24 +25,40 @@
     """The client disconnected before its request was read."""
 
 
-async def read_body(receive: Any, max_body_bytes: int) -> bytes | None:
+class NoRoomError(Exception):
+    """The process has no room for the request's body."""
+
+
+async def read_body(
+    scope: Mapping[str, Any], receive: Any, max_body_bytes: int
+) -> bytes | None:
     """Read a request's body.
 
+    :param scope: the ASGI scope.
     :param receive: the ASGI receive callable.
     :param max_body_bytes: the maximum length, in bytes.
     :returns: the body; none if it exceeds the maximum.
     :raises DisconnectedError: if the client disconnected.
+    :raises NoRoomError: if there is no room; nothing was collected.
     """
-    body = b""
+    if is_body_too_large(scope):
+        return None
+    if not begin_body(scope):
+        raise NoRoomError
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise DisconnectedError
-        body += message.get("body", b"")
-        if len(body) > max_body_bytes:
+        part = message.get("body", b"")
+        has_more = message.get("more_body", False)
+        if not has_more and not body and len(part) <= max_body_bytes:
+            return part
+        body += part
+        if len(body) > max_body_bytes or is_body_too_large(scope):
             return None
-        if not message.get("more_body", False):
-            return body
+        if not has_more:
+            return bytes(body)
 
 
 class MetricsApp:
--- a/src/fulmarscale/platform/heartbeats.py
+++ b/src/fulmarscale/platform/heartbeats.py
@@ -10,6 +10,8 @@
 
 from fulmarscale.decoding import decode_json
 from fulmarscale.events import Event
+from fulmarscale.platform.asgi import DisconnectedError
+from fulmarscale.platform.asgi import NoRoomError
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
 from fulmarscale.platform.wire import WireHeartbeat
@@ -55,13 +57,22 @@
     ) -> None:
         """Handle a request."""
         path = scope["path"]
-        body = await read_body(receive, MAX_BODY_BYTES)
+        if not path.startswith((HEARTBEAT_PATH, DEREGISTER_PATH)):
+            await respond(send, 404)
+            return
+        try:
+            body = await read_body(scope, receive, MAX_BODY_BYTES)
+        except DisconnectedError:
+            return
+        except NoRoomError:
+            await respond(send, 503)
+            return
         if path.startswith(DEREGISTER_PATH):
             # The runner has drained; its last heartbeat has already reported
             # that.
             await respond(send, 200)
             return
-        if not path.startswith(HEARTBEAT_PATH) or body is None:
+        if body is None:
             await respond(send, 404)
             return
         try:
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from fulmarscale.bounded_connection import hold_more
 from fulmarscale.decoding import decode_json
 from fulmarscale.entry.durable.record import DurableJobState
 from fulmarscale.entry.jobs.actions import JobOutcome
@@ -20,6 +21,7 @@
 from fulmarscale.events import Event
 from fulmarscale.http_connection import has_client_left
 from fulmarscale.platform.asgi import DisconnectedError
+from fulmarscale.platform.asgi import NoRoomError
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
 from fulmarscale.platform.wire import WireJob
@@ -43,6 +45,15 @@
 configuration every 1.5 s while it responds.
 """
 
+FEW_STEPS: Final = 16
+"""Steps of a job up to which the bytes of its body stand for them."""
+
+EARLY_BODY_BYTES: Final = 16 << 10
+"""Limit of a body that is collected before its request has a queue."""
+
+STEP_BYTES: Final = 1024
+"""Memory allowed for a decoded step."""
+
 UNAVAILABLE: Final = 503
 GONE: Final = 410
 
@@ -90,23 +101,19 @@
         self, scope: dict[str, Any], receive: Any, send: Any
     ) -> None:
         """Handle a request."""
-        max_body_bytes = self._job_service.site.max_body_bytes
-        try:
-            body = await read_body(receive, max_body_bytes)
-        except DisconnectedError:
-            return
-        # The body may have taken long to arrive.
-        site = self._job_service.site
         headers = dict(scope["headers"])
-        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
-        if not site.is_known:
-            await self._reject(
-                send, scope, 503, "the site's configuration is not known yet"
-            )
-            return
-        queue = site.find_queue(host, scope["path"])
+        queue = self._find_queue(scope, headers)
+        early_body: bytes | None = b""
+        has_read = queue is None
+        if has_read:
+            # The route may be added while a body arrives.
+            try:
+                early_body = await _read_early(scope, receive, headers)
+            except DisconnectedError:
+                return
+            queue = self._find_queue(scope, headers)
         if queue is None:
-            await self._reject_unknown_queue(send, scope)
+            await self._reject_without_queue(send, scope)
             return
         name = scope["path"].removeprefix(queue.path_prefix)
         method = scope["method"]
@@ -121,18 +128,71 @@
             await self._reject(
                 send, scope, 405, "the method is not allowed on this path"
             )
-        elif body is None:
+        elif early_body is None:
+            await self._reject(
+                send, scope, UNAVAILABLE, "the route was added too late"
+            )
+        elif has_read:
+            await self._submit(
+                scope, receive, send, queue, headers, [early_body]
+            )
+        else:
+            await self._receive_job(scope, receive, send, queue, headers)
+
+    def _find_queue(
+        self, scope: dict[str, Any], headers: dict[bytes, bytes]
+    ) -> Queue | None:
+        """Return a request's queue; none if there is none."""
+        site = self._job_service.site
+        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
+        return site.find_queue(host, scope["path"]) if site.is_known else None
+
+    async def _receive_job(
+        self,
+        scope: dict[str, Any],
+        receive: Any,
+        send: Any,
+        queue: Queue,
+        headers: dict[bytes, bytes],
+    ) -> None:
+        """Receive a job's body and submit it."""
+        site = self._job_service.site
+        try:
+            body = await read_body(scope, receive, site.max_body_bytes)
+        except DisconnectedError:
+            return
+        except NoRoomError:
+            await self._reject(
+                send, scope, UNAVAILABLE, "there is no room for the body"
+            )
+            return
+        if self._job_service.site is not site:
+            # The configuration has changed while the body arrived.
+            changed = self._find_queue(scope, headers)
+            if changed is None:
+                await self._reject_without_queue(send, scope)
+                return
+            queue = changed
+        if body is None:
             await self._reject(
                 send,
                 scope,
                 413,
                 "the request body exceeds the configured limit",
             )
-        else:
-            wait_s = _parse_wait_s(headers.get(DEADLINE_HEADER))
-            await self._submit(
-                scope, receive, send, queue, JobId(name), body, wait_s
-            )
+            return
+        await self._submit(scope, receive, send, queue, headers, [body])
+
+    async def _reject_without_queue(
+        self, send: Any, scope: dict[str, Any]
+    ) -> None:
+        """Respond to a request for which there is no queue."""
+        if self._job_service.site.is_known:
+            await self._reject_unknown_queue(send, scope)
+            return
+        await self._reject(
+            send, scope, 503, "the site's configuration is not known yet"
+        )
 
     async def _reject_unknown_queue(
         self, send: Any, scope: dict[str, Any]
@@ -220,18 +280,22 @@
         receive: Any,
         send: Any,
         queue: Queue,
-        job_id: JobId,
-        body: bytes,
-        wait_s: float,
+        headers: dict[bytes, bytes],
+        bodies: list[bytes],
     ) -> None:
         """Submit a job and respond with its outcome.
 
+        The body is taken out of its list, so that nothing holds it while the
+        job runs.
+
         A best-effort job is cancelled once all its callers have disconnected,
         and not begun if its caller has left before the request was read.
         A durable one is stored before the response.
         """
+        job_id = JobId(scope["path"].removeprefix(queue.path_prefix))
+        wait_s = _parse_wait_s(headers.get(DEADLINE_HEADER))
         try:
-            wire_job = decode_json(body, WireJob)
+            wire_job = decode_json(bodies.pop(), WireJob)
             spec = wire_job.decode()
         except (msgspec.MsgspecError, ValueError) as error:
             await self._reject(send, scope, 400, str(error))
@@ -244,6 +308,13 @@
         if unsupported_reason:
             await self._reject(send, scope, UNAVAILABLE, unsupported_reason)
             return
+        if len(spec.steps) > FEW_STEPS and not hold_more(
+            scope, len(spec.steps) * STEP_BYTES
+        ):
+            await self._reject(
+                send, scope, UNAVAILABLE, "there is no room for the steps"
+            )
+            return
         if spec.is_durable:
             answer = await self._job_service.submit_durable(
                 job_id, queue, spec, wait_s
@@ -309,6 +380,23 @@
         await respond(send, status, b"{}", headers)
 
 
+async def _read_early(
+    scope: dict[str, Any], receive: Any, headers: dict[bytes, bytes]
+) -> bytes | None:
+    """Read the body of a request that has no queue yet, if it is small.
+
+    :returns: the body; none if it is too large or there is no room.
+    :raises DisconnectedError: if the client disconnected.
+    """
+    declared = headers.get(b"content-length", b"0")
+    if not declared.isdigit() or int(declared) > EARLY_BODY_BYTES:
+        return None
+    try:
+        return await read_body(scope, receive, EARLY_BODY_BYTES)
+    except NoRoomError:
+        return None
+
+
 async def _wait_for_disconnect(receive: Any) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/src/fulmarscale/runs/metrics.py
+++ b/src/fulmarscale/runs/metrics.py
@@ -16,6 +16,7 @@
 
     from prometheus_client import Metric
 
+    from fulmarscale.http_admission import RequestAdmission
     from fulmarscale.logs import EventLog
 
 DURATION_BUCKETS_S: Final = (
@@ -91,6 +92,11 @@
         self._gauges = gauges
         """Returns the current gauge values by name."""
         self._histograms = histograms
+        self._admission: RequestAdmission | None = None
+
+    def add_admission(self, admission: RequestAdmission) -> None:
+        """Add the metrics of the admission of requests."""
+        self._admission = admission
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -121,9 +127,38 @@
         for kind, value in self._gauges().items():
             gauges.add_metric([kind], value)
         yield gauges
+        if self._admission is not None:
+            yield from collect_admission(self._admission)
         for histogram in self._histograms:
             family = HistogramMetricFamily(
                 histogram.name, histogram.description
             )
             family.add_metric([], histogram.buckets(), histogram.sum_s)
             yield family
+
+
+def collect_admission(admission: RequestAdmission) -> Iterable[Metric]:
+    """Yield the metrics of the admission of requests.
+
+    :param admission: the admission of the process.
+    """
+    from prometheus_client.core import CounterMetricFamily
+    from prometheus_client.core import GaugeMetricFamily
+
+    refused = CounterMetricFamily(
+        "fulmarscale_refused_clients",
+        "Clients that exceeded a bound, by its kind.",
+        labels=["bound"],
+    )
+    for bound, count in admission.refusals.items():
+        refused.add_metric([bound.value], count)
+    yield refused
+    budget = admission.budget
+    held = GaugeMetricFamily(
+        "fulmarscale_request_bytes",
+        "Bytes of requests that are not decided: in use, and the budget.",
+        labels=["kind"],
+    )
+    held.add_metric(["used"], budget.used_bytes)
+    held.add_metric(["budget"], budget.total_bytes)
+    yield held
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -20,13 +20,15 @@
 from grpclib.const import Cardinality
 from grpclib.const import Handler
 from grpclib.exceptions import StreamTerminatedError
-from grpclib.server import Server
 
 from fulmarscale.background import BackgroundTask
+from fulmarscale.http_admission import RequestAdmission
+from fulmarscale.http_limits import RequestLimits
 from fulmarscale.runs.limits import STREAM_TIMEOUT_S
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.settings import split_address
+from fulmarscale.wire.bounded_server import BoundedStreamServer
 from fulmarscale.wire.codec import MessagePackCodec
 from fulmarscale.wire.streams import cancel_tasks
 from fulmarscale.wire.streams import CONNECT_TIMEOUT_S
@@ -120,9 +122,14 @@
 class RunStreamServer:
     """The gRPC server of an agent, to which entries open streams."""
 
-    def __init__(self, handler: EntryStreamHandler) -> None:
+    def __init__(
+        self,
+        handler: EntryStreamHandler,
+        admission: RequestAdmission | None = None,
+    ) -> None:
         self._handler = handler
-        self._server: Server | None = None
+        self._admission = admission or RequestAdmission(RequestLimits())
+        self._server: BoundedStreamServer | None = None
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the handlers of the served methods, for grpclib."""
@@ -137,7 +144,9 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
-        self._server = Server([self], codec=MessagePackCodec())
+        self._server = BoundedStreamServer(
+            self, MessagePackCodec(), self._admission
+        )
         await self._server.start(host, port)
 
     async def close(self) -> None:
--- a/src/fulmarscale/settings.py
+++ b/src/fulmarscale/settings.py
@@ -15,6 +15,7 @@
 from fulmarscale.entry.limits import EntryLimits
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
+from fulmarscale.http_limits import RequestLimits
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -38,6 +39,7 @@
 
 SizeBytes = Annotated[int, msgspec.Meta(gt=0, le=1 << 30)]
 PositiveCount = Annotated[int, msgspec.Meta(gt=0, le=10_000_000)]
+MemoryMb = Annotated[int, msgspec.Meta(gt=0, le=1 << 20)]
 DurationS = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 
 Settings = TypeVar("Settings", bound="BaseSettings")
@@ -123,6 +125,10 @@
     """
     tls: TlsSettings | None = None
     """TLS for HTTP and streams; none for plain text."""
+    memory_mb: MemoryMb | None = None
+    """The VM's memory in MB, which sets the budget of requests."""
+    requests: RequestLimits = RequestLimits()
+    """Bounds of each HTTP request."""
 
 
 class AgentSettings(BaseSettings):
@@ -169,6 +175,10 @@
     """IP:port of the platform's store."""
     connections: PositiveCount = 3_000
     """The most concurrent connections of callers."""
+    memory_mb: MemoryMb | None = None
+    """The VM's memory in MB, which sets the budget of requests."""
+    requests: RequestLimits = RequestLimits()
+    """Bounds of each HTTP request."""
 
 
 class SiteAgentSettings(BaseSettings):
@@ -188,6 +198,10 @@
     """Port of the metrics endpoint."""
     store_address: Address
     """IP:port of the platform's store."""
+    memory_mb: MemoryMb | None = None
+    """The VM's memory in MB, which sets the budget of requests."""
+    requests: RequestLimits = RequestLimits()
+    """Bounds of each HTTP request."""
 
 
 class ClientSettings(BaseSettings):
--- a/src/fulmarscale/wire/streams.py
+++ b/src/fulmarscale/wire/streams.py
@@ -21,10 +21,12 @@
 from grpclib.const import Handler
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
-from grpclib.server import Server
 import msgspec
 
 from fulmarscale.background import BackgroundTask
+from fulmarscale.http_admission import RequestAdmission
+from fulmarscale.http_limits import RequestLimits
+from fulmarscale.wire.bounded_server import BoundedStreamServer
 from fulmarscale.wire.codec import MessagePackCodec
 from fulmarscale.wire.messages import AgentUplink
 from fulmarscale.wire.messages import Announce
@@ -132,12 +134,17 @@
     """The gRPC server of an entry, for streams from agents and entries."""
 
     def __init__(
-        self, handler: StreamServerHandler, secret: str, tls: SSLContext | None
+        self,
+        handler: StreamServerHandler,
+        secret: str,
+        tls: SSLContext | None,
+        admission: RequestAdmission | None = None,
     ) -> None:
+        self._admission = admission or RequestAdmission(RequestLimits())
         self._handler = handler
         self._secret = secret
         self._tls = tls
-        self._server: Server | None = None
+        self._server: BoundedStreamServer | None = None
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the handlers of the gRPC methods, as grpclib requires."""
@@ -158,7 +165,9 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
-        self._server = Server([self], codec=MessagePackCodec())
+        self._server = BoundedStreamServer(
+            self, MessagePackCodec(), self._admission
+        )
         await self._server.start(host, port, ssl=self._tls)
 
     async def close(self) -> None:
