Admit a job of a class by its whole slack

It is judged again at each tick and by a forecast that holds the more urgent demand, so half of the slack rejected jobs that could be on time.

--- a/src/fulmarscale/entry/jobs/class_admission.py
+++ b/src/fulmarscale/entry/jobs/class_admission.py
@@ -11,7 +11,6 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from fulmarscale.entry.jobs.admission import is_satisfiable
 from fulmarscale.entry.jobs.admission import waiting_demand
 from fulmarscale.entry.jobs.room import fitting_tasks
 from fulmarscale.entry.jobs.room import largest_demand
@@ -168,11 +167,14 @@
 def is_admitted(job: Job, forecast: ClassForecast) -> tuple[bool, float]:
     """Judge a job that has just arrived.
 
+    The whole slack counts, as the job is judged again at each tick and the
+    forecast already has the more urgent jobs that arrive later.
+
     :returns: whether it is likely to be on time or can start at once, and
         its predicted wait in seconds.
     """
     wait_s = forecast.wait_s(job)
-    return is_satisfiable(job, wait_s), wait_s
+    return wait_s <= job.latest_start_at - job.arrived_at, wait_s
 
 
 def may_wait(
