Entries hand back to a restarted agent which starts may still be carried out

Cause: which starts a target may still carry out was known to one process of its agent. The next one told an empty list before it had reached the target, and entries took that for "none".

Entries now keep what a former process has told until the new one reports its target, which then rejects the former's fencing tokens, 15 s at most. They hand it back to the new process, with the starts of their own that have not begun, and the new process tells all entries. Each message says how much of the 15 s is left, so that repeated restarts don't prolong it. Runs that the target lists and the process did not start are told as well until they have ended. A message that has none of them carries one more empty field; in calm no message is sent that wasn't before.

Three examples in runs.feature failed on (two runs at the same time) and hold now: an agent that had told, one killed 0.1 s after the start, an entry that had no word from the former agent.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -122,6 +122,46 @@
     And 9 s pass
     Then no task ever had two runs at the same time
 
+  # Guards against a second run of a task whose first start only a former process
+  # of the agent knew of, and may still be carried out.
+  Scenario Outline: A start is known though its agent has started again: killed after <known> s
+    Given a simulated site of 2 entries and 2 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.0 s late
+    When job "a" of 12 tasks of 3000 ms is submitted to entry 0
+    And 0.02 s pass
+    And simulated target 0 rejects all requests for 5.5 s
+    And <known> s pass
+    And agent 0 is killed and restarts after 0.05 s
+    And 0.3 s pass
+    And the caller of job "a" disconnects from entry 0
+    And 1.3 s pass
+    And job "a" of 12 tasks of 3000 ms is submitted to entry 1
+    And 12 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 1
+
+    Examples:
+      | known |
+      | 0.1   |
+      | 0.5   |
+
+  Scenario: A start is known to an entry that had no word of it from the former agent
+    Given a simulated site of 3 entries and 2 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.0 s late
+    When targets 0 to 0 become unreachable from entry 1
+    And job "a" of 12 tasks of 3000 ms is submitted to entry 0
+    And 0.02 s pass
+    And simulated target 0 rejects all requests for 5.5 s
+    And 0.6 s pass
+    And entry 0 is killed
+    And agent 0 is killed and restarts after 0.05 s
+    And targets 0 to 0 become reachable from entry 1 again
+    And 1.6 s pass
+    And job "a" of 12 tasks of 3000 ms is submitted to entry 1
+    And 12 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 1
+
   # Guards against a caller that sends a job again which may still begin.
   Scenario: A job of which a start may still be executed ends as failed
     Given a simulated site of 1 entries and 2 targets of 16 cores
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -33,6 +33,7 @@
 from fulmarscale.agent.run_actions import SendMessage
 from fulmarscale.agent.run_actions import StartRun
 from fulmarscale.agent.run_actions import StopRun
+from fulmarscale.agent.unconfirmed_starts import UnconfirmedStarts
 from fulmarscale.errors import check_invariant
 from fulmarscale.events import Event
 from fulmarscale.runs.limits import ACTIVE_PING_S
@@ -147,6 +148,7 @@
         self._requested_expiry = float("-inf")
         """The same if the target granted no lease longer than requested."""
         self._completions = UnacknowledgedCompletions()
+        self._unconfirmed = UnconfirmedStarts()
         self._crashes = CrashRecorder()
         self._runs: dict[TaskKey, Run] = {}
         self._orphans: dict[TaskKey, int] = {}
@@ -372,6 +374,10 @@
             echoed_at = self._echoes.get(message.entry, float("-inf"))
             self._echoes[message.entry] = max(echoed_at, echo.time_s)
         session.expected.update(message.expected)
+        if not self._listed_clock_ms and self._unconfirmed.record(
+            message.unconfirmed, now
+        ):
+            self._notify_all()
         for ack in message.acks:
             self._acknowledge_completion(ack, session)
         for task in message.stops:
@@ -516,6 +522,7 @@
         self._listed_at = now
         if not self._is_target_available:
             self._is_target_available = True
+            self._unconfirmed.clear()
             # The request was sent with an old reading of its clock, or that
             # of a former incarnation.
             self._extend_lease(now, MAX_LEASE_S)
@@ -1130,6 +1137,7 @@
                 task=str(item.task),
                 run=item.number,
             )
+            self._notify_all()
         self._orphans[item.task] = item.number
         highest, _ = self._run_numbers.get(item.task, (0, now))
         self._run_numbers[item.task] = (max(highest, item.number), now)
@@ -1365,6 +1373,9 @@
             for other in self._sessions.values()
             if other is not session
         )
+        unconfirmed = self._unconfirmed.left_s(
+            self._runs.values(), self._orphans, now
+        )
         message = AgentMessage(
             name=self._name,
             token=AgentToken(self._incarnation, now),
@@ -1385,7 +1396,8 @@
                 self._queue_loads() if session.has_confined_queues else ()
             ),
             probation_s=self._probation.remaining_s(now),
-            unconfirmed=self._unconfirmed_starts(now),
+            unconfirmed=tuple(unconfirmed),
+            unconfirmed_left_s=tuple(unconfirmed.values()),
         )
         session.reports = []
         session.has_changes = False
@@ -1397,16 +1409,6 @@
             session.site_revision = site.revision
         self._actions.append(SendMessage(session.number, message))
 
-    def _unconfirmed_starts(self, now: float) -> tuple[TaskKey, ...]:
-        """Return the tasks whose starts may still be carried out."""
-        return tuple(
-            sorted(
-                run.task
-                for run in self._runs.values()
-                if run.phase is RunPhase.STOPPING and run.may_begin(now)
-            )
-        )
-
     def _progress_of(
         self, entry: EntryId, now: float
     ) -> tuple[RunProgress, ...]:
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -7,11 +7,13 @@
 
 from fulmarscale.entry.jobs.estimates import SLOW_FACTOR
 from fulmarscale.entry.jobs.estimates import Slowness
+from fulmarscale.entry.jobs.unconfirmed_starts import ReportedStarts
 from fulmarscale.runs.limits import ECHO_GAP_S
 from fulmarscale.runs.limits import IDLE_PING_S
 from fulmarscale.runs.limits import LATE_START_S
 from fulmarscale.runs.limits import MAX_STATE_AGE_S
 from fulmarscale.runs.limits import PROBE_TIMEOUT_S
+from fulmarscale.runs.messages import UnconfirmedStart
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import TargetState
 
@@ -84,8 +86,10 @@
 
         They are removed once an acknowledgement is queued.
         """
-        self._unconfirmed: frozenset[TaskKey] = frozenset()
+        self._reported_starts = ReportedStarts()
         """Tasks of any entry whose starts the target may still carry out."""
+        self.unconfirmed: tuple[UnconfirmedStart, ...] = ()
+        """Starts of the agent's former processes, for the next message."""
         self.expected: tuple[ExpectedRun, ...] = ()
         """Runs from an earlier stream, for the first message of this one."""
         self._free = Resources()
@@ -166,8 +170,15 @@
         available_before = self.available
         was_usable = now - self.last_message_at <= MAX_STATE_AGE_S
         is_target_unchanged = was_usable and message.target == self.target
-        unconfirmed_before = self._unconfirmed
-        self._unconfirmed = frozenset(message.unconfirmed)
+        own_starts: tuple[UnconfirmedStart, ...] = ()
+        is_new_process = self._reported_starts.is_of_new_process(message)
+        if is_new_process:
+            own_starts = self._own_unconfirmed(now)
+        is_any_ruled_out = self._reported_starts.update(message, now)
+        if is_new_process:
+            others = self._reported_starts.hand_back(now)
+            self.unconfirmed = own_starts + others
+            self.mark_dirty()
         self.probed_at = None
         self.token = message.token
         self.last_message_at = now
@@ -185,7 +196,7 @@
             if sequence > message.last_sequence
         ]
         self._update_free()
-        if unconfirmed_before - self._unconfirmed:
+        if is_any_ruled_out:
             return True
         return not is_target_unchanged or not self.available.fits(
             available_before
@@ -325,8 +336,19 @@
         """
         if task in self.assigned:
             return True
-        may_begin = now - self.last_message_at <= LATE_START_S
-        return may_begin and task in self._unconfirmed
+        return self._reported_starts.includes(task, now)
+
+    def _own_unconfirmed(self, now: float) -> tuple[UnconfirmedStart, ...]:
+        """Return the requested runs that may still begin.
+
+        :param now: the entry's time.
+        """
+        left_s = self.last_message_at + LATE_START_S - now
+        return tuple(
+            UnconfirmedStart(task, left_s)
+            for task in self.assigned
+            if self.may_begin(task, now)
+        )
 
     def is_lost(self, now: float) -> bool:
         """Return whether the agent may be down.
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -159,6 +159,7 @@
             has_durable_jobs=self._has_durable_jobs,
             is_probe=view.must_probe,
             has_confined_queues=bool(self._fleet.bulkheads.queues),
+            unconfirmed=view.unconfirmed,
         )
         view.has_reported_backlog = backlog.millicores > 0
         if view.must_probe:
@@ -172,5 +173,6 @@
         view.stops = []
         view.acks = []
         view.expected = ()
+        view.unconfirmed = ()
         view.sent_at = now
         return SendEntryMessage(view.session, message)
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -98,6 +98,18 @@
     """The number of the start request."""
 
 
+class UnconfirmedStart(MessagePart):
+    """A start that a target may still carry out, by an agent's former process.
+
+    Entries hand back to an agent that has started again what they know.
+    """
+
+    task: TaskKey
+    """The task."""
+    left_s: float
+    """Time until the target can't carry it out any more."""
+
+
 class DurableCompletion(MessagePart):
     """The completion of a durable job's run, not yet acknowledged.
 
@@ -188,6 +200,8 @@
     """Whether this is a capacity probe: the agent replies at once."""
     has_confined_queues: bool = False
     """Whether the entry confines queues and needs their loads by target."""
+    unconfirmed: tuple[UnconfirmedStart, ...] = ()
+    """Starts by the agent's former processes; sent once to a new process."""
 
 
 class AgentMessage(MessagePart):
@@ -228,7 +242,13 @@
     probation_s: float = 0.0
     """Time until runs of other jobs may start, after one on probation."""
     unconfirmed: tuple[TaskKey, ...] = ()
-    """Tasks of any entry whose start requests got no response.
+    """Tasks of any entry whose runs may begin or go on at the target.
+
+    Their start requests got no response, so that the target may still carry
+    them out, or it lists runs that this process of the agent did not start.
+    """
+    unconfirmed_left_s: tuple[float, ...] = ()
+    """Time until that is ruled out, for each of them.
 
-    The target may still carry them out.
+    Empty from agents of versions that don't tell it.
     """
