--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -112,7 +112,7 @@
     for entry in context.run_site.entries:
         told = [
             view.name
-            for view in entry.dispatcher.agents
+            for view in entry.dispatcher.fleet.views
             if view.has_reported_backlog
         ]
         assert not told, told
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -142,7 +142,7 @@
         self._unowned_ends = UnownedEndReview(
             rows,
             is_active=self._activated.is_set,
-            poll=self._poll_for_jobs,
+            poll=self._search.query,
             owns=self._manager.has_job,
             acknowledge=runner.acknowledge_completions,
         )
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -178,6 +178,7 @@
             has_durable_jobs=self._has_durable_jobs,
             is_probe=view.must_probe,
             has_confined_queues=bool(self._fleet.bulkheads.queues),
+            unconfirmed=view.unconfirmed,
             demands=backlog.demands if site.has_priorities else (),
         )
         view.has_reported_backlog = backlog.millicores > 0
@@ -192,5 +193,6 @@
         view.stops = []
         view.acks = []
         view.expected = ()
+        view.unconfirmed = ()
         view.sent_at = now
         return SendEntryMessage(view.session, message)
