--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -382,9 +382,7 @@
 
         :param now: the entry's time.
         """
-        if now - self.last_message_at <= LATE_START_S:
-            return self.assigned.keys() | self._unconfirmed
-        return set(self.assigned)
+        return self.assigned.keys() | self._reported_starts.tasks(now)
 
     def is_lost(self, now: float) -> bool:
         """Return whether the agent may be down.
--- a/src/fulmarscale/entry/jobs/unconfirmed_starts.py
+++ b/src/fulmarscale/entry/jobs/unconfirmed_starts.py
@@ -66,6 +66,19 @@
         until = max(self._told.get(task, never), self._former.get(task, never))
         return now <= until
 
+    def tasks(self, now: float) -> set[TaskKey]:
+        """Return the tasks of which a run may begin or go on.
+
+        :param now: the entry's time.
+        """
+        if not self._told and not self._former:
+            return set()
+        return {
+            task
+            for task in self._told.keys() | self._former.keys()
+            if self.includes(task, now)
+        }
+
     def hand_back(self, now: float) -> tuple[UnconfirmedStart, ...]:
         """Return what former processes have told, for the present one.
 
