--- a/src/fulmarscale/entry/jobs/admission_control.py
+++ b/src/fulmarscale/entry/jobs/admission_control.py
@@ -92,7 +92,9 @@
 
     def add(self, job: Job) -> None:
         """Add a new job, to be decided once free capacity is known."""
-        self._urgency.record_asked(job, job.arrived_at)
+        if not self._fleet.bulkheads.is_confined(job):
+            # A confined queue takes no capacity from other classes.
+            self._urgency.record_asked(job, job.arrived_at)
         self._undecided[job.job_id] = job
 
     def discard(self, job_id: JobId) -> None:
@@ -215,7 +217,9 @@
     def ends_useless(self, job: Job, forecasts: Forecasts, now: float) -> bool:
         """Return whether a begun job can't end before its answer is useless.
 
-        Some of its tasks still wait, without room for all of them now.
+        Some of its tasks still wait, without room for all of them now. A job
+        whose runs were lost or failed isn't ended, as it is late for another
+        reason than the load.
 
         :param job: a job of which tasks may have started.
         :param forecasts: the forecasts, one of which predicts its wait.
@@ -225,6 +229,8 @@
             return False
         if not self._urgency.applies_to(job) or self._is_starting_up(now):
             return False
+        if any(task.former_run is not None for task in job.tasks):
+            return False
         partition = self._fleet.bulkheads.partition_of(job)
         forecast = forecasts[partition].by_class
         if not cant_be_useful(job, forecast, now):
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -357,6 +357,22 @@
             *(view.unexpired_tasks(now) for view in self._agents.values())
         )
 
+    def in_time(
+        self, job: Job, views: list[AgentView], now: float
+    ) -> list[AgentView]:
+        """Return the agents whose targets end a job's tasks in time.
+
+        :param job: a job with waiting tasks.
+        :param views: the agents on which its tasks may be placed.
+        :param now: the entry's time.
+        :returns: all of them if the speeds don't differ, or if none does.
+        """
+        if not self.speeds.is_uneven or not views:
+            return views
+        task = max(job.waiting, key=lambda task: task.step.declared_s)
+        choice = EndInTimeChoice(job, views, self.speeds, now)
+        return [view for view in views if choice.is_acceptable(task, view)]
+
     def placement(
         self, job: Job, views: list[AgentView], now: float
     ) -> PlacementPass:
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -159,7 +159,8 @@
                 continue
             if not job.is_started and room.held_jobs >= MAX_HELD_JOBS:
                 continue
-            if not self._beginning.may_begin(job, room.views, now):
+            views = self._fleet.in_time(job, room.views, now)
+            if not self._beginning.may_begin(job, views, now):
                 room.held_jobs += 1
                 continue
             if unexpired is None:
@@ -300,7 +301,9 @@
         :param is_exclusive: whether nothing else may start beside the run.
         """
         self._open.set_phase(job, task, TaskPhase.ASSIGNED)
-        self._urgency.record_placed(job, task, now)
+        if not self._fleet.bulkheads.is_confined(job):
+            # A confined queue takes no capacity from other classes.
+            self._urgency.record_placed(job, task, now)
         task.agent = view.name
         task.assigned_at = now
         task.percent = 0
