Don't end begun jobs whose answer would come too late

The platform's rules take only ends of runs as a cause. 504 would have the caller send it again for nothing, and 503 would be untrue, so a begun job goes on in its class until it ends or its caller's deadline passes; few begin without the room for all of their tasks.

--- a/src/fulmarscale/entry/jobs/admission_control.py
+++ b/src/fulmarscale/entry/jobs/admission_control.py
@@ -10,7 +10,6 @@
 from fulmarscale.entry.jobs.admission import Forecast
 from fulmarscale.entry.jobs.admission import is_satisfiable
 from fulmarscale.entry.jobs.bulkheads import Partition
-from fulmarscale.entry.jobs.class_admission import cant_be_useful
 from fulmarscale.entry.jobs.class_admission import ClassForecast
 from fulmarscale.entry.jobs.class_admission import is_admitted
 from fulmarscale.entry.jobs.class_admission import may_wait
@@ -214,30 +213,6 @@
         self._log_hopeless(job, wait_s, now)
         return wait_s
 
-    def ends_useless(self, job: Job, forecasts: Forecasts, now: float) -> bool:
-        """Return whether a begun job can't end before its answer is useless.
-
-        Some of its tasks still wait, without room for all of them now. A job
-        whose runs were lost or failed isn't ended, as it is late for another
-        reason than the load.
-
-        :param job: a job of which tasks may have started.
-        :param forecasts: the forecasts, one of which predicts its wait.
-        :param now: the entry's time.
-        """
-        if job.is_durable or not job.is_waiting:
-            return False
-        if not self._urgency.applies_to(job) or self._is_starting_up(now):
-            return False
-        if any(task.former_run is not None for task in job.tasks):
-            return False
-        partition = self._fleet.bulkheads.partition_of(job)
-        forecast = forecasts[partition].by_class
-        if not cant_be_useful(job, forecast, now):
-            return False
-        self._log_hopeless(job, forecast.wait_s(job), now)
-        return True
-
     def too_late_wait_s(self, job: Job, now: float) -> float | None:
         """Return the wait of a job that would end too late to be useful.
 
--- a/src/fulmarscale/entry/jobs/class_admission.py
+++ b/src/fulmarscale/entry/jobs/class_admission.py
@@ -189,14 +189,3 @@
     if now + wait_s <= job.latest_start_at:
         return True, wait_s
     return forecast.has_room(job), wait_s
-
-
-def cant_be_useful(job: Job, forecast: ClassForecast, now: float) -> bool:
-    """Return whether a begun job can't end while its answer is useful.
-
-    While there is room for its rest it is finished, however late.
-    """
-    if forecast.has_room(job):
-        return False
-    ends_at = now + forecast.wait_s(job) + job.critical_s
-    return ends_at > job.useful_until
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -620,17 +620,6 @@
                 wait_s = self._admission.check_waiting(job, forecasts, now)
                 self._reject(job, wait_s, now)
             return
-        if now >= self._hold_until and (
-            self._admission.ends_useless(job, forecasts, now)
-        ):
-            self._close_job(
-                job,
-                JobOutcome.FAILED,
-                now,
-                "useless",
-                code=ResultCode.ENDS_TOO_LATE,
-            )
-            return
         for task in job.assigned:
             self._monitor.check_run(job, task, now)
 
--- a/src/fulmarscale/errors.py
+++ b/src/fulmarscale/errors.py
@@ -57,11 +57,6 @@
     """A task was given up, as targets crashed each time that it ran."""
     ATTEMPTS_USED_UP = 1010
     """A task has failed as often as its queue allows."""
-    ENDS_TOO_LATE = 1011
-    """A job that had begun was ended, as its answer would come too late.
-
-    Some of its tasks have run. Submitting it again would not help its caller.
-    """
     DEADLINE_PASSED = 2001
     """The deadline passed before the task was started."""
     CANCELLED = 2002
