A job that is cancelled before it is stored never starts

At the entry that is storing the job, the cancellation is stored after the first write. A first write is not repeated under a lease that is gained 60 s later. Cancelling an ended job that was taken over is answered now (before, never). A best-effort job that is cancelled where it runs needs no call to the store any more.

Open: the first durable job of a site, cancelled at an entry that knows of none.

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -63,3 +63,18 @@
     When the store answers its calls
     And a caller asks for a job whose stored owner has no lease
     Then the entry scans the records again
+
+  # Guards against a cancelled job that is stored and started afterwards.
+  Scenario Outline: A job that is cancelled before its first write is applied never starts
+    Given two entries that hold their leases in one store
+    When a job is submitted to entry 0, which gets no answers from the store
+    And the job is cancelled at entry <number>
+    And the store answers entry 0 again
+    Then the cancellation is acknowledged
+    And the job is not started
+    And a query at entry 1 shows <state>
+
+    Examples:
+      | number | state     |
+      | 1      | no job    |
+      | 0      | cancelled |
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -24,6 +24,10 @@
 from fulmarscale.entry.durable.record import shard_of
 from fulmarscale.entry.durable.rows import CommitResult
 from fulmarscale.entry.durable.rows import CommitStatus
+from fulmarscale.entry.durable.rows import Row
+from fulmarscale.entry.durable.rows import RowKey
+from fulmarscale.entry.durable.rows import RowTable
+from fulmarscale.entry.durable.rows import RowWrite
 from fulmarscale.ids import EntryId
 from fulmarscale.platform.http_client import HttpResponse
 from fulmarscale.platform.store import decode_commit
@@ -281,3 +285,122 @@
     record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
     context.manager.process_scan((), (), 20.0)
     context.actions = context.manager.check_owner(record, 20.0)
+
+
+class MemoryRows(RowTable):
+    """One entry's way to a store in memory.
+
+    :param rows: the rows, shared by all entries.
+    """
+
+    def __init__(self, rows: dict[RowKey, Row]) -> None:
+        self._rows = rows
+        self.is_silent = False
+
+    async def commit(self, writes: tuple[RowWrite, ...]) -> CommitResult:
+        """Apply all writes or none."""
+        await asyncio.sleep(0.01)
+        if self.is_silent:
+            return CommitResult(CommitStatus.UNKNOWN)
+        present = [self._rows.get(write.row_key) for write in writes]
+        for write, row in zip(writes, present, strict=True):
+            if (row.version if row else 0) != write.expected_version:
+                rows = tuple(each for each in present if each)
+                return CommitResult(CommitStatus.CONFLICT, 0, rows)
+        versions = (row.version for row in self._rows.values())
+        version = max(versions, default=0) + 1
+        for write in writes:
+            key = write.row_key
+            self._rows.pop(key, None)
+            if write.value is not None:
+                self._rows[key] = Row(key, write.value, version)
+        return CommitResult(CommitStatus.APPLIED, version)
+
+    async def read_row(self, name: RowKey) -> Row | None:
+        """Return one row."""
+        return self._rows.get(name)
+
+    async def read_part(self, table: str, part: str) -> tuple[Row, ...]:
+        """Return all rows of one part of a table."""
+        return tuple(
+            row
+            for key, row in self._rows.items()
+            if (key.table, key.part) == (table, part)
+        )
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """Return the names of the parts that hold rows."""
+        return tuple({key.part for key in self._rows if key.table == table})
+
+
+@given("two entries that hold their leases in one store")
+def hold_leases(context: Context) -> None:
+    shared: dict[RowKey, Row] = {}
+    context.doors = [MemoryRows(shared) for _ in range(2)]
+    context.cancelled_at = None
+
+
+@when(
+    "a job is submitted to entry {number:d}, which gets no answers from the"
+    " store"
+)
+def note_submission(context: Context, number: int) -> None:
+    context.submitted_at = number
+
+
+@when("the job is cancelled at entry {number:d}")
+def note_cancellation(context: Context, number: int) -> None:
+    context.cancelled_at = number
+
+
+@when("the store answers entry {number:d} again")
+def play_cancellation(context: Context, number: int) -> None:
+    async def run() -> None:
+        runners = [Mock(pending=dict) for _ in context.doors]
+        drivers = [
+            DurableJobDriver(EntryId(f"e{n}", 1), door, runners[n], Mock())
+            for n, door in enumerate(context.doors)
+        ]
+        for driver in drivers:
+            driver.start()
+            driver.activate()
+        await asyncio.sleep(0.3)
+        job_id = JobId("a")
+        spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+        context.doors[context.submitted_at].is_silent = True
+        drivers[context.submitted_at].submit_durable(job_id, QUEUE, spec)
+        await asyncio.sleep(0.1)
+        cancelling = asyncio.create_task(
+            drivers[context.cancelled_at].cancel(job_id)
+        )
+        await asyncio.sleep(0.1)
+        context.doors[number].is_silent = False
+        await asyncio.sleep(1.0)
+        context.is_acknowledged = cancelling.done()
+        context.starts = [
+            call
+            for runner in runners
+            for call in runner.start_durable_job.mock_calls
+        ]
+        context.state = await drivers[1].state_of(job_id)
+        cancelling.cancel()
+        for driver in drivers:
+            await driver.close()
+
+    asyncio.run(run())
+
+
+@then("the cancellation is acknowledged")
+def check_acknowledged(context: Context) -> None:
+    assert context.is_acknowledged
+
+
+@then("the job is not started")
+def check_no_start(context: Context) -> None:
+    assert not context.starts, context.starts
+
+
+@then("a query at entry 1 shows {state}")
+def check_shown(context: Context, state: str) -> None:
+    shown = context.state.value if context.state else "no job"
+    assert shown == state, shown
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -33,6 +33,7 @@
 from fulmarscale.entry.durable.record import DurableJobState
 from fulmarscale.entry.durable.record import encode_row
 from fulmarscale.entry.durable.record import JobRow
+from fulmarscale.entry.durable.record import make_tombstone
 from fulmarscale.entry.durable.record import MEMBER_TABLE
 from fulmarscale.entry.durable.record import MemberRow
 from fulmarscale.entry.durable.record import record_key
@@ -189,7 +190,7 @@
         :returns: whether the job exists.
         :raises FulmarError: STORE_UNAVAILABLE; it may have been cancelled.
         """
-        if self._manager.stored_state(job_id) is None:
+        if not self._manager.has_job(job_id):
             return await self._cancel_in_store(job_id)
         future: asyncio.Future[StorageOutcome] = asyncio.Future()
         self._end_waiters.setdefault(job_id, []).append(future)
@@ -217,7 +218,9 @@
         if state is not None:
             return state
         record = await self._read_record(job_id)
-        return None if record is None else record.state
+        if record is None or record.is_tombstone:
+            return None
+        return record.state
 
     async def code_of(self, job_id: JobId) -> ResultCode:
         """Return why a job has failed, whichever entry owns it.
@@ -438,12 +441,16 @@
         """
         for _ in range(MAX_CANCEL_ATTEMPTS):
             row = await self._rows.read_row(record_key(job_id))
-            record = None if row is None else self._decode_record(row)
-            if row is None or record is None:
+            if row is None:
+                if await self._write_tombstone(job_id):
+                    return False
+                continue
+            record = self._decode_record(row)
+            if record is None:
                 return False
             self.activate()
             if record.state is not DurableJobState.OPEN:
-                return True
+                return not record.is_tombstone
             if await self._write_cancellation(row, record):
                 self._log.write(
                     Event.JOB_REVOKED, job=job_id, owner=record.owner.name
@@ -452,6 +459,27 @@
         detail = f"cancellation failed after {MAX_CANCEL_ATTEMPTS} conflicts"
         raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
 
+    async def _write_tombstone(self, job_id: JobId) -> bool:
+        """Keep a job from being stored whose first write may be under way.
+
+        While no durable jobs are known to exist, nothing is written.
+
+        :returns: false if the job has been stored in the meantime.
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        if not self._activated.is_set():
+            return True
+        record = make_tombstone(self._manager.entry)
+        write = RowWrite(record_key(job_id), encode_row(record), 0)
+        answer = await self._rows.commit((write,))
+        if answer.status is CommitStatus.APPLIED:
+            row = JobRow(job_id, record, answer.version)
+            self._decide(self._manager.adopt_tombstone, row)
+        elif answer.status is not CommitStatus.CONFLICT:
+            detail = f"store answered the cancellation: {answer.status.value}"
+            raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
+        return answer.status is CommitStatus.APPLIED
+
     async def _write_cancellation(
         self, row: Row, record: DurableJobRecord
     ) -> bool:
--- a/src/fulmarscale/entry/durable/durable_job.py
+++ b/src/fulmarscale/entry/durable/durable_job.py
@@ -38,6 +38,8 @@
         self, job_id: JobId, record: DurableJobRecord, version: int, now: float
     ) -> None:
         self.job_id = job_id
+        self.created_at = now
+        """When this entry got the job, from a caller or by a takeover."""
         self.record = record
         """The record that the row is to hold."""
         self.stored_record: DurableJobRecord | None = None
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -75,6 +75,13 @@
 the store, at most a second together while the store is available.
 """
 
+FIRST_WRITE_LIMIT_S: Final = 60.0
+"""Time after which a job's first write is not repeated under another lease.
+
+The row of a job that was cancelled meanwhile, which keeps the write from being
+applied, is removed after STATUS_RETENTION_S.
+"""
+
 SCAN_RETRY_DELAY_S: Final = 0.5
 """Delay after a scan of the records that failed."""
 
@@ -109,6 +116,11 @@
         self._is_scanning = False
         self._actions: list[ManagerAction] = []
 
+    @property
+    def entry(self) -> EntryId:
+        """The entry and its incarnation."""
+        return self._entry
+
     @property
     def is_owner(self) -> bool:
         """Whether this entry holds its lease, so that it may own jobs."""
@@ -139,6 +151,8 @@
         job = self._jobs.get(job_id)
         if job is None or job.stored_record is None or not self._is_owner:
             return None
+        if job.stored_record.is_tombstone:
+            return None
         return job.stored_record.state
 
     def pending_of(self, queue: str) -> int:
@@ -163,7 +177,7 @@
         existing = self._jobs.get(job_id)
         if existing is not None:
             if existing.stored_record is not None:
-                self._answer_submitters(job_id, StorageOutcome.STORED)
+                self._answer_stored(job_id, existing.stored_record)
             return self._take_actions(now)
         record = DurableJobRecord(self._entry, queue, spec)
         is_storable = fits_row(record)
@@ -188,7 +202,11 @@
         return self._take_actions(now)
 
     def cancel(self, job_id: JobId, now: float) -> list[ManagerAction]:
-        """Cancel a job that this entry owns, at a caller's request."""
+        """Cancel a job that this entry owns, at a caller's request.
+
+        Its first write may still be pending; the cancellation is then stored
+        after it.
+        """
         job = self._jobs.get(job_id)
         if job is None:
             self._answer_end_waiters(job_id, StorageOutcome.UNKNOWN)
@@ -198,10 +216,19 @@
             job.finalize(DurableJobState.CANCELLED, now)
             self._write_queue.enqueue(job)
             self._log(Event.JOB_REVOKED, job=job_id)
-        elif job.stored_record == job.record:
+        elif (
+            job.stored_record is not None
+            and job.stored_record.state is not DurableJobState.OPEN
+        ):
             self._answer_end_waiters(job_id, StorageOutcome.STORED)
         return self._take_actions(now)
 
+    def adopt_tombstone(self, row: JobRow, now: float) -> list[ManagerAction]:
+        """Own the row of a job that was cancelled before it was stored."""
+        if self._is_owner and row.job_id not in self._jobs:
+            self._take_over(row, now)
+        return self._take_actions(now)
+
     def stored_code(self, job_id: JobId) -> ResultCode | None:
         """Return why a job has failed; none if it isn't owned here."""
         job = self._jobs.get(job_id)
@@ -474,7 +501,8 @@
         If it is applied later, no entry learns that this one owns the job.
         """
         for job_id, job in self._unresolved.items():
-            if job_id in self._jobs:
+            is_outdated = now - job.created_at > FIRST_WRITE_LIMIT_S
+            if job_id in self._jobs or is_outdated:
                 continue
             self._jobs[job_id] = job
             job.mark_dirty(now, is_urgent=True)
@@ -640,7 +668,9 @@
             return
         # An earlier submission of the same job was stored.
         self._jobs.pop(job.job_id)
-        self._answer_submitters(job.job_id, StorageOutcome.STORED)
+        self._answer_stored(job.job_id, record)
+        # It may have been cancelled here, but is not yet in the store.
+        self._answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
         if record is not None and record.owner == self._entry:
             # This entry stored it, before it lost its lease.
             row = JobRow(job.job_id, record, version)
@@ -685,6 +715,7 @@
             )
             # This attempt was not stored, but an earlier one may have been.
             self._answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
+            self._answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
             return
         self._requeue_write(item, now)
 
@@ -717,6 +748,16 @@
                 job.mark_dirty(now, is_urgent=False)
                 self._write_queue.enqueue(job)
 
+    def _answer_stored(
+        self, job_id: JobId, record: DurableJobRecord | None
+    ) -> None:
+        """Answer submitters of a job that has a row already."""
+        is_tombstone = record is not None and record.is_tombstone
+        self._answer_submitters(
+            job_id,
+            StorageOutcome.REFUSED if is_tombstone else StorageOutcome.STORED,
+        )
+
     def _answer_submitters(
         self, job_id: JobId, outcome: StorageOutcome
     ) -> None:
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -19,6 +19,8 @@
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import QueueName
+from fulmarscale.runs.model import ServiceName
 from fulmarscale.runs.model import TargetIncarnation
 from fulmarscale.runs.site_config import Queue
 
@@ -113,6 +115,15 @@
     code: int = ResultCode.OK
     """Why the job has failed: the value of a `ResultCode`."""
 
+    @property
+    def is_tombstone(self) -> bool:
+        """Whether the job was cancelled before any entry had stored it.
+
+        No such job is known; the row keeps a late first write from being
+        applied.
+        """
+        return self.owner_epoch == 0
+
     def ended_as(
         self, state: DurableJobState, code: ResultCode = ResultCode.OK
     ) -> DurableJobRecord:
@@ -135,6 +146,16 @@
         )
 
 
+def make_tombstone(owner: EntryId) -> DurableJobRecord:
+    """Return the record of a job that is cancelled before it is stored.
+
+    :param owner: the entry that removes the row after a while.
+    """
+    queue = Queue(QueueName(""), "", "", ServiceName(""))
+    state = DurableJobState.CANCELLED
+    return DurableJobRecord(owner, queue, JobSpec("", ()), 0, state)
+
+
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """An entry that may own durable jobs; its row is its lease."""
 
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -201,6 +201,9 @@
         """
         durable_jobs = self._job_service.durable_jobs
         if is_cancel:
+            if state is not None and not durable_jobs.owns(job_id):
+                # It was a best-effort job and is cancelled already.
+                return DurableJobState.CANCELLED.value
             is_known = await durable_jobs.cancel(job_id) or state is not None
             return DurableJobState.CANCELLED.value if is_known else ""
         if state is not None and not durable_jobs.owns(job_id):
