Pending jobs of an entry that starts again stay counted

Cause: the new process wrote its lease row with its own counts, none yet, before it had taken its former jobs over; the former row's counts served only as a flag.

Until the takeover is complete (10 s at the most), an entry reports at least its own count of before plus the former row's, in its lease row and to callers. A new job whose first write is pending no longer keeps a takeover from counting as complete. The counts of a removed row are kept from when its removal is sent: the row may be read as removed before the answer comes.

Test first: a scenario of features/durable_bounds.feature failed on the code before (entry e0 reports 0 of 28 in the first sample after its start) and passes.

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -78,3 +78,15 @@
       | number | state     |
       | 1      | no job    |
       | 0      | cancelled |
+
+  # Guards against a new process that counts its own jobs before it has any.
+  Scenario: Waiting jobs count as pending at all times while their owner starts again
+    Given a simulated site of 3 entries, 1 targets and a store
+    When durable job "a" of 10 tasks of 6000 ms is submitted to entry 0
+    And 0.2 s pass
+    And 28 durable jobs of 4 tasks of 300 ms are submitted to entry 0, 20 ms apart
+    And 1.5 s pass
+    And entry 0 is killed and restarts after 0.3 s
+    Then each entry that has read the lease rows reports at least 28 pending jobs for 1.2 s
+    And 35 s pass
+    And entry 1 reports 0 pending jobs
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -14,6 +14,7 @@
 
 from features.support.run_site import QUEUE
 from features.support.run_site import TASK
+from features.support.run_site import TICK_S
 from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
@@ -404,3 +405,23 @@
 def check_shown(context: Context, state: str) -> None:
     shown = context.state.value if context.state else "no job"
     assert shown == state, shown
+
+
+@then(
+    "each entry that has read the lease rows reports at least {least:d}"
+    " pending jobs for {span_s:g} s"
+)
+def check_always_pending(context: Context, least: int, span_s: float) -> None:
+    site = context.run_site
+    began_at = site.clock.now
+    known_since: dict[EntryId, float] = {}
+    while site.clock.now < began_at + span_s:
+        site.advance(0.002)
+        for entry in site.entries:
+            since = known_since.setdefault(entry.entry, site.clock.now)
+            # A process reads the rows first at its first tick.
+            if not entry.is_up or site.clock.now < since + 1.1 * TICK_S:
+                continue
+            count = entry.manager.pending_of(QUEUE.name)
+            passed_s = site.clock.now - began_at
+            assert count >= least, (entry.name, count, round(passed_s, 3))
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -158,11 +158,12 @@
     def pending_of(self, queue: str) -> int:
         """Return the number of a queue's accepted jobs that have not started.
 
-        Jobs of all entries are counted, except that a former owner's jobs are
-        in no count between the removal of its row and their start here.
+        Jobs of all entries are counted, and those of former owners until they
+        are taken over.
         """
         others = self._membership.pending_of(queue)
-        return others + self._own_pending.get(queue, 0)
+        own = self._membership.reported_pending(self._own_pending)
+        return others + own.get(queue, 0)
 
     def submit_durable(
         self, job_id: JobId, queue: Queue, spec: JobSpec, now: float
@@ -448,13 +449,17 @@
 
     @property
     def _is_takeover_complete(self) -> bool:
-        """Whether all jobs to be taken over are stored as this entry's own."""
+        """Whether all jobs to be taken over are stored as this entry's own.
+
+        New jobs may be on their way to the store at any time.
+        """
         is_scanned = not self._needs_scan and not self._is_scanning
         return (
             self._is_owner
             and is_scanned
             and all(
-                job.stored_record is not None for job in self._jobs.values()
+                job.is_new or job.stored_record is not None
+                for job in self._jobs.values()
             )
         )
 
--- a/src/fulmarscale/entry/durable/membership.py
+++ b/src/fulmarscale/entry/durable/membership.py
@@ -49,6 +49,9 @@
 whose rates differ by 2%.
 """
 
+MAX_TAKEOVER_S: Final = 10.0
+"""Time after which former owners' counts are dropped at the latest."""
+
 RETRY_DELAY_S: Final = 0.3
 """Delay after a renewal that was refused or got no answer."""
 
@@ -83,17 +86,23 @@
         self._retry_at = float("-inf")
         self._is_writing = False
         """Whether a renewal is in flight."""
-        self._removing: set[str] = set()
-        """Entries whose rows this entry is removing."""
+        self._removing: dict[str, dict[str, int]] = {}
+        """Entries whose rows this entry is removing, with their counts."""
         self._unconfirmed: set[str] = set()
         """Entries for which the answer to a removal was lost."""
         self._others: dict[str, OtherEntry] = {}
+        self._own_counts: dict[str, int] = {}
+        """Own jobs of which no task has started, by queue."""
         self._inherited_counts: dict[str, int] = {}
         """Pending jobs in former owners' rows, until these are taken over.
 
-        The counts, by queue, are used only as a flag: while there are any, a
-        takeover is awaited, after which the lease is renewed at once.
+        The counts, by queue, include own jobs of before. Less is not reported
+        until the takeover is complete; then the lease is renewed at once.
         """
+        self._inherited_until = float("-inf")
+        """When they are dropped at the latest."""
+        self._former_incarnations: set[int] = set()
+        """Incarnations of this entry whose counts were inherited."""
 
     @property
     def others(self) -> dict[str, OtherEntry]:
@@ -105,6 +114,17 @@
         """Whether a takeover of a former owner's pending jobs is awaited."""
         return bool(self._inherited_counts)
 
+    def reported_pending(self, own: dict[str, int]) -> dict[str, int]:
+        """Return this entry's pending jobs, with those to be taken over.
+
+        :param own: own jobs of which no task has started, by queue.
+        """
+        inherited = self._inherited_counts
+        return {
+            queue: max(own.get(queue, 0), inherited.get(queue, 0))
+            for queue in {**inherited, **own}
+        }
+
     def holds_lease(self, now: float) -> bool:
         """Return whether this entry may own jobs."""
         return now - self._renewed_at < OWNERSHIP_LEASE_S
@@ -144,6 +164,7 @@
                 del self._others[name]
         for row in members:
             if row.name == self._entry.name:
+                self._inherit_own(row.member, now)
                 continue
             previous = self._others.get(row.name)
             if previous is None or previous.version < row.version:
@@ -158,6 +179,9 @@
         :param pending: own jobs of which no task has started, by queue.
         :param now: the entry's time.
         """
+        self._own_counts = pending
+        if self._inherited_counts and now > self._inherited_until:
+            self.clear_inherited()
         if self._is_writing or now < self._retry_at:
             return None
         if now - self._sent_at < RENEWAL_INTERVAL_S:
@@ -165,7 +189,11 @@
         self._is_writing = True
         self._sent_at = now
         self._renewals += 1
-        record = MemberRecord(self._entry.incarnation, self._renewals, pending)
+        record = MemberRecord(
+            self._entry.incarnation,
+            self._renewals,
+            self.reported_pending(pending),
+        )
         name = self._entry.name
         write = RowWrite(
             member_key(name), encode_row(record), self._row_version
@@ -193,7 +221,7 @@
             )
             if successor != self._entry.name:
                 continue
-            self._removing.add(name)
+            self._removing[name] = self._others[name].member.pending
             version = self._others[name].version
             write = RowWrite(member_key(name), None, version)
             removals.append(CommitMember(name, write))
@@ -217,7 +245,7 @@
             self._renewed_at = self._sent_at
             return False
         if answer.status is CommitStatus.CONFLICT:
-            self._handle_conflict(answer.rows)
+            self._handle_conflict(answer.rows, now)
             return False
         self._retry_at = now + RETRY_DELAY_S
         self._sent_at = float("-inf")
@@ -233,12 +261,11 @@
         :param now: the entry's time.
         :returns: whether this entry has removed it.
         """
-        self._removing.discard(name)
+        pending = self._removing.pop(name, {})
         if answer.status is CommitStatus.APPLIED:
             self._unconfirmed.discard(name)
-            removed = self._others.pop(name, None)
-            if removed is not None:
-                self._add_inherited(removed.member.pending)
+            self._others.pop(name, None)
+            self._add_inherited(pending, now)
             return True
         if answer.status is CommitStatus.UNKNOWN:
             if name not in self._others:
@@ -256,7 +283,7 @@
         self._unconfirmed.discard(name)
         return is_own_removal
 
-    def _handle_conflict(self, rows: tuple[Row, ...]) -> None:
+    def _handle_conflict(self, rows: tuple[Row, ...], now: float) -> None:
         """Adopt the version of the row in the store.
 
         The row was written by an earlier incarnation of this entry, or by a
@@ -271,15 +298,25 @@
         stored = decode_member(rows[0].value)
         if stored is None or stored.incarnation != self._entry.incarnation:
             self._renewed_at = float("-inf")
-        if (
-            stored is not None
-            and stored.incarnation != self._entry.incarnation
-        ):
-            self._add_inherited(stored.pending)
+        if stored is not None:
+            self._inherit_own(stored, now)
+
+    def _inherit_own(self, member: MemberRecord, now: float) -> None:
+        """Inherit the counts in this entry's row from before it restarted."""
+        incarnation = member.incarnation
+        if incarnation in {
+            self._entry.incarnation,
+            *self._former_incarnations,
+        }:
+            return
+        self._former_incarnations.add(incarnation)
+        self._add_inherited(member.pending, now)
 
-    def _add_inherited(self, pending: dict[str, int]) -> None:
+    def _add_inherited(self, pending: dict[str, int], now: float) -> None:
         """Add the counts in a former owner's row, and renew at once."""
-        self._inherited_counts = _sum_counts(self._inherited_counts, pending)
+        counts = self._inherited_counts or self._own_counts
+        self._inherited_counts = _sum_counts(counts, pending)
+        self._inherited_until = now + MAX_TAKEOVER_S
         self._sent_at = float("-inf")
 
     def clear_inherited(self) -> None:
