--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -90,3 +90,21 @@
     Then each entry that has read the lease rows reports at least 28 pending jobs for 1.2 s
     And 35 s pass
     And entry 1 reports 0 pending jobs
+
+  # Guards against a lease that can't be renewed as its row is too long.
+  Scenario: A lease row with the counts of very many queues fits into a row
+    Given an entry with a pending job in each of 3000 queues
+    Then its lease row has at most 65536 bytes and counts at least 1000 queues
+
+  # Guards against as many calls at once as there are rows.
+  Scenario: The rows of many cancellations are removed in few calls
+    Given two entries that hold their leases in one store
+    When 120 cancellations of jobs of one part are read by entry 0
+    Then their rows are removed in at most 3 calls, one after another
+
+  # Guards against one part of a table that keeps all jobs from a takeover.
+  Scenario: A part of the table that can't be read holds up no other part
+    Given two entries that hold their leases in one store
+    And each part of the table holds a job of a lost owner
+    When entry 0 starts while part "s0" can't be read
+    Then it runs the jobs of the 7 other parts
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -16,12 +16,18 @@
 from features.support.run_site import TASK
 from features.support.run_site import TICK_S
 from fulmarscale.entry.durable.actions import CommitBatch
+from fulmarscale.entry.durable.actions import CommitMember
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
 from fulmarscale.entry.durable.driver import DurableJobDriver
 from fulmarscale.entry.durable.manager import DurableJobManager
+from fulmarscale.entry.durable.record import cancel_key
+from fulmarscale.entry.durable.record import CANCEL_TABLE
+from fulmarscale.entry.durable.record import decode_member
 from fulmarscale.entry.durable.record import DurableJobRecord
+from fulmarscale.entry.durable.record import encode_row
 from fulmarscale.entry.durable.record import JobRow
+from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import shard_of
 from fulmarscale.entry.durable.rows import CommitResult
 from fulmarscale.entry.durable.rows import CommitStatus
@@ -29,6 +35,8 @@
 from fulmarscale.entry.durable.rows import RowKey
 from fulmarscale.entry.durable.rows import RowTable
 from fulmarscale.entry.durable.rows import RowWrite
+from fulmarscale.errors import FulmarError
+from fulmarscale.errors import ResultCode
 from fulmarscale.ids import EntryId
 from fulmarscale.platform.http_client import HttpResponse
 from fulmarscale.platform.store import decode_commit
@@ -297,6 +305,7 @@
     def __init__(self, rows: dict[RowKey, Row]) -> None:
         self._rows = rows
         self.is_silent = False
+        self.unreadable_part: str | None = None
 
     async def commit(self, writes: tuple[RowWrite, ...]) -> CommitResult:
         """Apply all writes or none."""
@@ -323,6 +332,8 @@
 
     async def read_part(self, table: str, part: str) -> tuple[Row, ...]:
         """Return all rows of one part of a table."""
+        if part == self.unreadable_part:
+            raise FulmarError(ResultCode.STORE_UNAVAILABLE, part)
         return tuple(
             row
             for key, row in self._rows.items()
@@ -337,6 +348,7 @@
 @given("two entries that hold their leases in one store")
 def hold_leases(context: Context) -> None:
     shared: dict[RowKey, Row] = {}
+    context.shared_rows = shared
     context.doors = [MemoryRows(shared) for _ in range(2)]
     context.cancelled_at = None
 
@@ -425,3 +437,95 @@
             count = entry.manager.pending_of(QUEUE.name)
             passed_s = site.clock.now - began_at
             assert count >= least, (entry.name, count, round(passed_s, 3))
+
+
+@given("an entry with a pending job in each of {queues:d} queues")
+def count_queues(context: Context, queues: int) -> None:
+    pending = dict.fromkeys((f"queue-of-{n:012d}" for n in range(queues)), 1)
+    manager = DurableJobManager(EntryId("e1", 1))
+    manager.activate(0.0)
+    actions = manager.tick(pending, 0.0)
+    commits = [a for a in actions if isinstance(a, CommitMember)]
+    context.lease_row = commits[0].write.value
+
+
+@then(
+    "its lease row has at most {size:d} bytes and counts at least {n:d} queues"
+)
+def check_lease_row(context: Context, size: int, n: int) -> None:
+    assert len(context.lease_row) <= size, len(context.lease_row)
+    member = decode_member(context.lease_row)
+    assert member is not None
+    assert len(member.pending) >= n, len(member.pending)
+
+
+@when("{rows:d} cancellations of jobs of one part are read by entry {n:d}")
+def read_cancellations(context: Context, rows: int, n: int) -> None:
+    door = context.doors[n]
+    context.calls, context.at_once = [], []
+
+    async def commit(writes: tuple[RowWrite, ...]) -> CommitResult:
+        if writes[0].row_key.table != CANCEL_TABLE:
+            return CommitResult(CommitStatus.APPLIED, 7)
+        context.at_once.append(1)
+        context.calls.append((len(writes), len(context.at_once)))
+        await asyncio.sleep(0.01)
+        context.at_once.pop()
+        return CommitResult(CommitStatus.APPLIED, 7)
+
+    async def run() -> None:
+        door.commit = commit
+        runner = Mock(pending=dict)
+        driver = DurableJobDriver(EntryId("e0", 1), door, runner, Mock())
+        driver.start()
+        driver.activate()
+        await asyncio.sleep(0.2)
+        ids = [JobId(f"{number:016x}") for number in range(100 * rows)]
+        ids = [job_id for job_id in ids if shard_of(job_id) == "s0"][:rows]
+        spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+        for job_id in ids:
+            driver.submit_durable(job_id, QUEUE, spec)
+        await asyncio.sleep(0.2)
+        cancels = tuple(Row(cancel_key(job_id), b"", 9) for job_id in ids)
+        driver.apply_cancellations(cancels)
+        await asyncio.sleep(0.3)
+        await driver.close()
+
+    asyncio.run(run())
+
+
+@then("their rows are removed in at most {count:d} calls, one after another")
+def check_removals(context: Context, count: int) -> None:
+    assert sum(rows for rows, _ in context.calls) == 120, context.calls
+    assert len(context.calls) <= count, len(context.calls)
+    assert max(at_once for _, at_once in context.calls) == 1, context.calls
+
+
+@given("each part of the table holds a job of a lost owner")
+def fill_parts(context: Context) -> None:
+    spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+    value = encode_row(DurableJobRecord(EntryId("e9", 1), QUEUE, spec))
+    by_part = {shard_of(JobId(f"j{n}")): f"j{n}" for n in range(200)}
+    for version, job in enumerate(by_part.values(), 1):
+        key = record_key(JobId(job))
+        context.shared_rows[key] = Row(key, value, version)
+
+
+@when('entry {number:d} starts while part "{part}" can\'t be read')
+def start_without_part(context: Context, number: int, part: str) -> None:
+    async def run() -> None:
+        door = context.doors[number]
+        door.unreadable_part = part
+        runner = Mock(pending=dict)
+        driver = DurableJobDriver(EntryId("e0", 1), door, runner, Mock())
+        driver.start()
+        await asyncio.sleep(0.5)
+        await driver.close()
+        context.started = runner.start_durable_job.call_count
+
+    asyncio.run(run())
+
+
+@then("it runs the jobs of the {count:d} other parts")
+def check_other_parts(context: Context, count: int) -> None:
+    assert context.started == count, context.started
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -28,6 +28,7 @@
 from fulmarscale.entry.durable.job_search import DurableJobSearch
 from fulmarscale.entry.durable.manager import DurableJobManager
 from fulmarscale.entry.durable.record import cancel_key
+from fulmarscale.entry.durable.record import CANCEL_TABLE
 from fulmarscale.entry.durable.record import decode_member
 from fulmarscale.entry.durable.record import decode_record
 from fulmarscale.entry.durable.record import DurableJobState
@@ -41,6 +42,7 @@
 from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.durable.rows import RowWrite
 from fulmarscale.entry.durable.write_queue import INCONCLUSIVE_STATUSES
+from fulmarscale.entry.durable.write_queue import MAX_BATCH_RECORDS
 from fulmarscale.entry.jobs.job_service import DurableJobs
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
@@ -288,6 +290,7 @@
 
     def apply_cancellations(self, rows: tuple[Row, ...]) -> None:
         """Apply the cancellations that other entries have stored."""
+        removed: dict[str, list[Row]] = {}
         for row in rows:
             job_id = JobId(row.row_key.key)
             if not self._manager.has_job(job_id):
@@ -295,7 +298,9 @@
             self._decide(self._manager.apply_cancellation, job_id, row.version)
             if row.row_key.key not in self._removing_cancel_rows:
                 self._removing_cancel_rows.add(row.row_key.key)
-                self._tasks.run_once(self._remove_cancel_row(row))
+                removed.setdefault(row.row_key.part, []).append(row)
+        for part_rows in removed.values():
+            self._tasks.run_once(self._remove_cancel_rows(part_rows))
 
     def _tick(self) -> None:
         self._decide(self._manager.tick, self._runner.pending())
@@ -409,12 +414,13 @@
         records that were read.
         """
         records: list[JobRow] = []
+        unread: list[str] = []
         try:
             for part in await self._rows.list_parts(RECORD_TABLE):
-                rows = await self._rows.read_part(RECORD_TABLE, part)
-                decoded = decode_job_rows(rows)
-                records += decoded
-                self._log_unreadable(RECORD_TABLE, len(rows) - len(decoded))
+                try:
+                    records += await self._read_records(part)
+                except FulmarError as error:
+                    unread.append(f"{part}: {error.detail}")
             rows = await self._rows.read_part(MEMBER_TABLE, "")
         except FulmarError as error:
             self._log.write(Event.SCAN_FAILED, detail=error.detail)
@@ -422,6 +428,19 @@
             return
         members = self._decode_members(rows)
         self._decide(self._manager.process_scan, tuple(records), members)
+        if unread:
+            self._log.write(Event.SCAN_FAILED, detail="; ".join(unread))
+            self._decide(self._manager.fail_scan)
+
+    async def _read_records(self, part: str) -> list[JobRow]:
+        """Read the records of one part of the job table.
+
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        rows = await self._rows.read_part(RECORD_TABLE, part)
+        decoded = decode_job_rows(rows)
+        self._log_unreadable(RECORD_TABLE, len(rows) - len(decoded))
+        return decoded
 
     def _decode_members(self, rows: tuple[Row, ...]) -> tuple[MemberRow, ...]:
         members = decode_member_rows(rows)
@@ -509,21 +528,29 @@
             self._log.write(Event.ROW_UNREADABLE, detail=row.row_key.key)
         return record
 
-    async def _remove_cancel_row(self, row: Row) -> None:
-        """Remove a cancellation's row once this entry, the owner, has read it.
+    async def _remove_cancel_rows(self, rows: list[Row]) -> None:
+        """Remove cancellations once this entry, the owner, has read them.
+
+        If that fails the rows stay, which only take up space.
 
-        If that fails the row stays, which only takes up space.
+        :param rows: rows of one part.
         """
-        answer = await self._rows.commit(
-            (RowWrite(row.row_key, None, row.version),)
-        )
-        self._removing_cancel_rows.discard(row.row_key.key)
-        if answer.status is not CommitStatus.APPLIED:
-            self._log.write(
-                Event.COMMIT_FAILED,
-                row=row.row_key.key,
-                status=answer.status.value,
+        for first in range(0, len(rows), MAX_BATCH_RECORDS):
+            batch = rows[first : first + MAX_BATCH_RECORDS]
+            answer = await self._rows.commit(
+                tuple(
+                    RowWrite(row.row_key, None, row.version) for row in batch
+                )
             )
+            for row in batch:
+                self._removing_cancel_rows.discard(row.row_key.key)
+            if answer.status is not CommitStatus.APPLIED:
+                self._log.write(
+                    Event.COMMIT_FAILED,
+                    table=CANCEL_TABLE,
+                    records=len(batch),
+                    status=answer.status.value,
+                )
 
 
 def decode_member_rows(rows: tuple[Row, ...]) -> tuple[MemberRow, ...]:
--- a/src/fulmarscale/entry/durable/membership.py
+++ b/src/fulmarscale/entry/durable/membership.py
@@ -16,6 +16,7 @@
 from fulmarscale.entry.durable.actions import CommitMember
 from fulmarscale.entry.durable.record import decode_member
 from fulmarscale.entry.durable.record import encode_row
+from fulmarscale.entry.durable.record import MAX_ROW_BYTES
 from fulmarscale.entry.durable.record import member_key
 from fulmarscale.entry.durable.record import MemberRecord
 from fulmarscale.entry.durable.rows import CommitStatus
@@ -189,17 +190,27 @@
         self._is_writing = True
         self._sent_at = now
         self._renewals += 1
-        record = MemberRecord(
-            self._entry.incarnation,
-            self._renewals,
-            self.reported_pending(pending),
-        )
         name = self._entry.name
-        write = RowWrite(
-            member_key(name), encode_row(record), self._row_version
-        )
+        value = self._encode_row(self.reported_pending(pending))
+        write = RowWrite(member_key(name), value, self._row_version)
         return CommitMember(name, write)
 
+    def _encode_row(self, pending: dict[str, int]) -> bytes:
+        """Return the value of the own row.
+
+        The smallest counts are left out if it would be too long for a row.
+        """
+        while True:
+            record = MemberRecord(
+                self._entry.incarnation, self._renewals, pending
+            )
+            value = encode_row(record)
+            if len(value) <= MAX_ROW_BYTES:
+                return value
+            largest = sorted(pending, key=lambda queue: -pending[queue])
+            kept = largest[: len(largest) * 9 // 10]
+            pending = {queue: pending[queue] for queue in kept}
+
     def remove_expired(self, now: float) -> list[CommitMember]:
         """Return removals of expired rows for which this entry is responsible.
 
