--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -63,3 +63,48 @@
     When the store answers its calls
     And a caller asks for a job whose stored owner has no lease
     Then the entry scans the records again
+
+  # Guards against a cancelled job that is stored and started afterwards.
+  Scenario Outline: A job that is cancelled before its first write is applied never starts
+    Given two entries that hold their leases in one store
+    When a job is submitted to entry 0, which gets no answers from the store
+    And the job is cancelled at entry <number>
+    And the store answers entry 0 again
+    Then the cancellation is acknowledged
+    And the job is not started
+    And a query at entry 1 shows <state>
+
+    Examples:
+      | number | state     |
+      | 1      | no job    |
+      | 0      | cancelled |
+
+  # Guards against a new process that counts its own jobs before it has any.
+  Scenario: Waiting jobs count as pending at all times while their owner starts again
+    Given a simulated site of 3 entries, 1 targets and a store
+    When durable job "a" of 10 tasks of 6000 ms is submitted to entry 0
+    And 0.2 s pass
+    And 28 durable jobs of 4 tasks of 300 ms are submitted to entry 0, 20 ms apart
+    And 1.5 s pass
+    And entry 0 is killed and restarts after 0.3 s
+    Then each entry that has read the lease rows reports at least 28 pending jobs for 1.2 s
+    And 35 s pass
+    And entry 1 reports 0 pending jobs
+
+  # Guards against a lease that can't be renewed as its row is too long.
+  Scenario: A lease row with the counts of very many queues fits into a row
+    Given an entry with a pending job in each of 3000 queues
+    Then its lease row has at most 65536 bytes and counts at least 1000 queues
+
+  # Guards against as many calls at once as there are rows.
+  Scenario: The rows of many cancellations are removed in few calls
+    Given two entries that hold their leases in one store
+    When 120 cancellations of jobs of one part are read by entry 0
+    Then their rows are removed in at most 3 calls, one after another
+
+  # Guards against one part of a table that keeps all jobs from a takeover.
+  Scenario: A part of the table that can't be read holds up no other part
+    Given two entries that hold their leases in one store
+    And each part of the table holds a job of a lost owner
+    When entry 0 starts while part "s0" can't be read
+    Then it runs the jobs of the 7 other parts
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -14,16 +14,29 @@
 
 from features.support.run_site import QUEUE
 from features.support.run_site import TASK
+from features.support.run_site import TICK_S
 from fulmarscale.entry.durable.actions import CommitBatch
+from fulmarscale.entry.durable.actions import CommitMember
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
 from fulmarscale.entry.durable.driver import DurableJobDriver
 from fulmarscale.entry.durable.manager import DurableJobManager
+from fulmarscale.entry.durable.record import cancel_key
+from fulmarscale.entry.durable.record import CANCEL_TABLE
+from fulmarscale.entry.durable.record import decode_member
 from fulmarscale.entry.durable.record import DurableJobRecord
+from fulmarscale.entry.durable.record import encode_row
 from fulmarscale.entry.durable.record import JobRow
+from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import shard_of
 from fulmarscale.entry.durable.rows import CommitResult
 from fulmarscale.entry.durable.rows import CommitStatus
+from fulmarscale.entry.durable.rows import Row
+from fulmarscale.entry.durable.rows import RowKey
+from fulmarscale.entry.durable.rows import RowTable
+from fulmarscale.entry.durable.rows import RowWrite
+from fulmarscale.errors import FulmarError
+from fulmarscale.errors import ResultCode
 from fulmarscale.ids import EntryId
 from fulmarscale.platform.http_client import HttpResponse
 from fulmarscale.platform.store import decode_commit
@@ -281,3 +294,238 @@
     record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
     context.manager.process_scan((), (), 20.0)
     context.actions = context.manager.check_owner(record, 20.0)
+
+
+class MemoryRows(RowTable):
+    """One entry's way to a store in memory.
+
+    :param rows: the rows, shared by all entries.
+    """
+
+    def __init__(self, rows: dict[RowKey, Row]) -> None:
+        self._rows = rows
+        self.is_silent = False
+        self.unreadable_part: str | None = None
+
+    async def commit(self, writes: tuple[RowWrite, ...]) -> CommitResult:
+        """Apply all writes or none."""
+        await asyncio.sleep(0.01)
+        if self.is_silent:
+            return CommitResult(CommitStatus.UNKNOWN)
+        present = [self._rows.get(write.row_key) for write in writes]
+        for write, row in zip(writes, present, strict=True):
+            if (row.version if row else 0) != write.expected_version:
+                rows = tuple(each for each in present if each)
+                return CommitResult(CommitStatus.CONFLICT, 0, rows)
+        versions = (row.version for row in self._rows.values())
+        version = max(versions, default=0) + 1
+        for write in writes:
+            key = write.row_key
+            self._rows.pop(key, None)
+            if write.value is not None:
+                self._rows[key] = Row(key, write.value, version)
+        return CommitResult(CommitStatus.APPLIED, version)
+
+    async def read_row(self, name: RowKey) -> Row | None:
+        """Return one row."""
+        return self._rows.get(name)
+
+    async def read_part(self, table: str, part: str) -> tuple[Row, ...]:
+        """Return all rows of one part of a table."""
+        if part == self.unreadable_part:
+            raise FulmarError(ResultCode.STORE_UNAVAILABLE, part)
+        return tuple(
+            row
+            for key, row in self._rows.items()
+            if (key.table, key.part) == (table, part)
+        )
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """Return the names of the parts that hold rows."""
+        return tuple({key.part for key in self._rows if key.table == table})
+
+
+@given("two entries that hold their leases in one store")
+def hold_leases(context: Context) -> None:
+    shared: dict[RowKey, Row] = {}
+    context.shared_rows = shared
+    context.doors = [MemoryRows(shared) for _ in range(2)]
+    context.cancelled_at = None
+
+
+@when(
+    "a job is submitted to entry {number:d}, which gets no answers from the"
+    " store"
+)
+def note_submission(context: Context, number: int) -> None:
+    context.submitted_at = number
+
+
+@when("the job is cancelled at entry {number:d}")
+def note_cancellation(context: Context, number: int) -> None:
+    context.cancelled_at = number
+
+
+@when("the store answers entry {number:d} again")
+def play_cancellation(context: Context, number: int) -> None:
+    async def run() -> None:
+        runners = [Mock(pending=dict) for _ in context.doors]
+        drivers = [
+            DurableJobDriver(EntryId(f"e{n}", 1), door, runners[n], Mock())
+            for n, door in enumerate(context.doors)
+        ]
+        for driver in drivers:
+            driver.start()
+            driver.activate()
+        await asyncio.sleep(0.3)
+        job_id = JobId("a")
+        spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+        context.doors[context.submitted_at].is_silent = True
+        drivers[context.submitted_at].submit_durable(job_id, QUEUE, spec)
+        await asyncio.sleep(0.1)
+        cancelling = asyncio.create_task(
+            drivers[context.cancelled_at].cancel(job_id)
+        )
+        await asyncio.sleep(0.1)
+        context.doors[number].is_silent = False
+        await asyncio.sleep(1.0)
+        context.is_acknowledged = cancelling.done()
+        context.starts = [
+            call
+            for runner in runners
+            for call in runner.start_durable_job.mock_calls
+        ]
+        context.state = await drivers[1].state_of(job_id)
+        cancelling.cancel()
+        for driver in drivers:
+            await driver.close()
+
+    asyncio.run(run())
+
+
+@then("the cancellation is acknowledged")
+def check_acknowledged(context: Context) -> None:
+    assert context.is_acknowledged
+
+
+@then("the job is not started")
+def check_no_start(context: Context) -> None:
+    assert not context.starts, context.starts
+
+
+@then("a query at entry 1 shows {state}")
+def check_shown(context: Context, state: str) -> None:
+    shown = context.state.value if context.state else "no job"
+    assert shown == state, shown
+
+
+@then(
+    "each entry that has read the lease rows reports at least {least:d}"
+    " pending jobs for {span_s:g} s"
+)
+def check_always_pending(context: Context, least: int, span_s: float) -> None:
+    site = context.run_site
+    began_at = site.clock.now
+    known_since: dict[EntryId, float] = {}
+    while site.clock.now < began_at + span_s:
+        site.advance(0.002)
+        for entry in site.entries:
+            since = known_since.setdefault(entry.entry, site.clock.now)
+            # A process reads the rows first at its first tick.
+            if not entry.is_up or site.clock.now < since + 1.1 * TICK_S:
+                continue
+            count = entry.manager.pending_of(QUEUE.name)
+            passed_s = site.clock.now - began_at
+            assert count >= least, (entry.name, count, round(passed_s, 3))
+
+
+@given("an entry with a pending job in each of {queues:d} queues")
+def count_queues(context: Context, queues: int) -> None:
+    pending = dict.fromkeys((f"queue-of-{n:012d}" for n in range(queues)), 1)
+    manager = DurableJobManager(EntryId("e1", 1))
+    manager.activate(0.0)
+    actions = manager.tick(pending, 0.0)
+    commits = [a for a in actions if isinstance(a, CommitMember)]
+    context.lease_row = commits[0].write.value
+
+
+@then(
+    "its lease row has at most {size:d} bytes and counts at least {n:d} queues"
+)
+def check_lease_row(context: Context, size: int, n: int) -> None:
+    assert len(context.lease_row) <= size, len(context.lease_row)
+    member = decode_member(context.lease_row)
+    assert member is not None
+    assert len(member.pending) >= n, len(member.pending)
+
+
+@when("{rows:d} cancellations of jobs of one part are read by entry {n:d}")
+def read_cancellations(context: Context, rows: int, n: int) -> None:
+    door = context.doors[n]
+    context.calls, context.at_once = [], []
+
+    async def commit(writes: tuple[RowWrite, ...]) -> CommitResult:
+        if writes[0].row_key.table != CANCEL_TABLE:
+            return CommitResult(CommitStatus.APPLIED, 7)
+        context.at_once.append(1)
+        context.calls.append((len(writes), len(context.at_once)))
+        await asyncio.sleep(0.01)
+        context.at_once.pop()
+        return CommitResult(CommitStatus.APPLIED, 7)
+
+    async def run() -> None:
+        door.commit = commit
+        runner = Mock(pending=dict)
+        driver = DurableJobDriver(EntryId("e0", 1), door, runner, Mock())
+        driver.start()
+        driver.activate()
+        await asyncio.sleep(0.2)
+        ids = [JobId(f"{number:016x}") for number in range(100 * rows)]
+        ids = [job_id for job_id in ids if shard_of(job_id) == "s0"][:rows]
+        spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+        for job_id in ids:
+            driver.submit_durable(job_id, QUEUE, spec)
+        await asyncio.sleep(0.2)
+        cancels = tuple(Row(cancel_key(job_id), b"", 9) for job_id in ids)
+        driver.apply_cancellations(cancels)
+        await asyncio.sleep(0.3)
+        await driver.close()
+
+    asyncio.run(run())
+
+
+@then("their rows are removed in at most {count:d} calls, one after another")
+def check_removals(context: Context, count: int) -> None:
+    assert sum(rows for rows, _ in context.calls) == 120, context.calls
+    assert len(context.calls) <= count, len(context.calls)
+    assert max(at_once for _, at_once in context.calls) == 1, context.calls
+
+
+@given("each part of the table holds a job of a lost owner")
+def fill_parts(context: Context) -> None:
+    spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+    value = encode_row(DurableJobRecord(EntryId("e9", 1), QUEUE, spec))
+    by_part = {shard_of(JobId(f"j{n}")): f"j{n}" for n in range(200)}
+    for version, job in enumerate(by_part.values(), 1):
+        key = record_key(JobId(job))
+        context.shared_rows[key] = Row(key, value, version)
+
+
+@when('entry {number:d} starts while part "{part}" can\'t be read')
+def start_without_part(context: Context, number: int, part: str) -> None:
+    async def run() -> None:
+        door = context.doors[number]
+        door.unreadable_part = part
+        runner = Mock(pending=dict)
+        driver = DurableJobDriver(EntryId("e0", 1), door, runner, Mock())
+        driver.start()
+        await asyncio.sleep(0.5)
+        await driver.close()
+        context.started = runner.start_durable_job.call_count
+
+    asyncio.run(run())
+
+
+@then("it runs the jobs of the {count:d} other parts")
+def check_other_parts(context: Context, count: int) -> None:
+    assert context.started == count, context.started
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -28,11 +28,13 @@
 from fulmarscale.entry.durable.job_search import DurableJobSearch
 from fulmarscale.entry.durable.manager import DurableJobManager
 from fulmarscale.entry.durable.record import cancel_key
+from fulmarscale.entry.durable.record import CANCEL_TABLE
 from fulmarscale.entry.durable.record import decode_member
 from fulmarscale.entry.durable.record import decode_record
 from fulmarscale.entry.durable.record import DurableJobState
 from fulmarscale.entry.durable.record import encode_row
 from fulmarscale.entry.durable.record import JobRow
+from fulmarscale.entry.durable.record import make_tombstone
 from fulmarscale.entry.durable.record import MEMBER_TABLE
 from fulmarscale.entry.durable.record import MemberRow
 from fulmarscale.entry.durable.record import record_key
@@ -41,6 +43,7 @@
 from fulmarscale.entry.durable.rows import RowWrite
 from fulmarscale.entry.durable.unowned_ends import UnownedEndReview
 from fulmarscale.entry.durable.write_queue import INCONCLUSIVE_STATUSES
+from fulmarscale.entry.durable.write_queue import MAX_BATCH_RECORDS
 from fulmarscale.entry.jobs.job_service import DurableJobs
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
@@ -198,7 +201,7 @@
         :returns: whether the job exists.
         :raises FulmarError: STORE_UNAVAILABLE; it may have been cancelled.
         """
-        if self._manager.stored_state(job_id) is None:
+        if not self._manager.has_job(job_id):
             return await self._cancel_in_store(job_id)
         future: asyncio.Future[StorageOutcome] = asyncio.Future()
         self._end_waiters.setdefault(job_id, []).append(future)
@@ -226,7 +229,9 @@
         if state is not None:
             return state
         record = await self._read_record(job_id)
-        return None if record is None else record.state
+        if record is None or record.is_tombstone:
+            return None
+        return record.state
 
     async def code_of(self, job_id: JobId) -> ResultCode:
         """Return why a job has failed, whichever entry owns it.
@@ -296,6 +301,7 @@
 
     def apply_cancellations(self, rows: tuple[Row, ...]) -> None:
         """Apply the cancellations that other entries have stored."""
+        removed: dict[str, list[Row]] = {}
         for row in rows:
             job_id = JobId(row.row_key.key)
             if not self._manager.has_job(job_id):
@@ -303,7 +309,9 @@
             self._decide(self._manager.apply_cancellation, job_id, row.version)
             if row.row_key.key not in self._removing_cancel_rows:
                 self._removing_cancel_rows.add(row.row_key.key)
-                self._tasks.run_once(self._remove_cancel_row(row))
+                removed.setdefault(row.row_key.part, []).append(row)
+        for part_rows in removed.values():
+            self._tasks.run_once(self._remove_cancel_rows(part_rows))
 
     def _tick(self) -> None:
         self._decide(self._manager.tick, self._runner.pending())
@@ -417,12 +425,13 @@
         records that were read.
         """
         records: list[JobRow] = []
+        unread: list[str] = []
         try:
             for part in await self._rows.list_parts(RECORD_TABLE):
-                rows = await self._rows.read_part(RECORD_TABLE, part)
-                decoded = decode_job_rows(rows)
-                records += decoded
-                self._log_unreadable(RECORD_TABLE, len(rows) - len(decoded))
+                try:
+                    records += await self._read_records(part)
+                except FulmarError as error:
+                    unread.append(f"{part}: {error.detail}")
             rows = await self._rows.read_part(MEMBER_TABLE, "")
         except FulmarError as error:
             self._log.write(Event.SCAN_FAILED, detail=error.detail)
@@ -430,6 +439,19 @@
             return
         members = self._decode_members(rows)
         self._decide(self._manager.process_scan, tuple(records), members)
+        if unread:
+            self._log.write(Event.SCAN_FAILED, detail="; ".join(unread))
+            self._decide(self._manager.fail_scan)
+
+    async def _read_records(self, part: str) -> list[JobRow]:
+        """Read the records of one part of the job table.
+
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        rows = await self._rows.read_part(RECORD_TABLE, part)
+        decoded = decode_job_rows(rows)
+        self._log_unreadable(RECORD_TABLE, len(rows) - len(decoded))
+        return decoded
 
     def _decode_members(self, rows: tuple[Row, ...]) -> tuple[MemberRow, ...]:
         members = decode_member_rows(rows)
@@ -449,12 +471,16 @@
         """
         for _ in range(MAX_CANCEL_ATTEMPTS):
             row = await self._rows.read_row(record_key(job_id))
-            record = None if row is None else self._decode_record(row)
-            if row is None or record is None:
+            if row is None:
+                if await self._write_tombstone(job_id):
+                    return False
+                continue
+            record = self._decode_record(row)
+            if record is None:
                 return False
             self.activate()
             if record.state is not DurableJobState.OPEN:
-                return True
+                return not record.is_tombstone
             if await self._write_cancellation(row, record):
                 self._log.write(
                     Event.JOB_REVOKED, job=job_id, owner=record.owner.name
@@ -463,6 +489,27 @@
         detail = f"cancellation failed after {MAX_CANCEL_ATTEMPTS} conflicts"
         raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
 
+    async def _write_tombstone(self, job_id: JobId) -> bool:
+        """Keep a job from being stored whose first write may be under way.
+
+        While no durable jobs are known to exist, nothing is written.
+
+        :returns: false if the job has been stored in the meantime.
+        :raises FulmarError: STORE_UNAVAILABLE.
+        """
+        if not self._activated.is_set():
+            return True
+        record = make_tombstone(self._manager.entry)
+        write = RowWrite(record_key(job_id), encode_row(record), 0)
+        answer = await self._rows.commit((write,))
+        if answer.status is CommitStatus.APPLIED:
+            row = JobRow(job_id, record, answer.version)
+            self._decide(self._manager.adopt_tombstone, row)
+        elif answer.status is not CommitStatus.CONFLICT:
+            detail = f"store answered the cancellation: {answer.status.value}"
+            raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
+        return answer.status is CommitStatus.APPLIED
+
     async def _write_cancellation(
         self, row: Row, record: DurableJobRecord
     ) -> bool:
@@ -492,21 +539,29 @@
             self._log.write(Event.ROW_UNREADABLE, detail=row.row_key.key)
         return record
 
-    async def _remove_cancel_row(self, row: Row) -> None:
-        """Remove a cancellation's row once this entry, the owner, has read it.
+    async def _remove_cancel_rows(self, rows: list[Row]) -> None:
+        """Remove cancellations once this entry, the owner, has read them.
 
-        If that fails the row stays, which only takes up space.
+        If that fails the rows stay, which only take up space.
+
+        :param rows: rows of one part.
         """
-        answer = await self._rows.commit(
-            (RowWrite(row.row_key, None, row.version),)
-        )
-        self._removing_cancel_rows.discard(row.row_key.key)
-        if answer.status is not CommitStatus.APPLIED:
-            self._log.write(
-                Event.COMMIT_FAILED,
-                row=row.row_key.key,
-                status=answer.status.value,
+        for first in range(0, len(rows), MAX_BATCH_RECORDS):
+            batch = rows[first : first + MAX_BATCH_RECORDS]
+            answer = await self._rows.commit(
+                tuple(
+                    RowWrite(row.row_key, None, row.version) for row in batch
+                )
             )
+            for row in batch:
+                self._removing_cancel_rows.discard(row.row_key.key)
+            if answer.status is not CommitStatus.APPLIED:
+                self._log.write(
+                    Event.COMMIT_FAILED,
+                    table=CANCEL_TABLE,
+                    records=len(batch),
+                    status=answer.status.value,
+                )
 
 
 def decode_member_rows(rows: tuple[Row, ...]) -> tuple[MemberRow, ...]:
