A task that waits for a better target doesn't end the pass for others

Found by reading the joined code: a task for which only faster targets are in time was taken for proof that no target has room for its label and demand, so no other job of the same demand was placed in that pass.

--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -498,6 +498,15 @@
         """The agent chosen for the previous task."""
         self._batch_size = 0
         """Number of consecutive tasks for which it was chosen."""
+        self._has_declined = False
+
+    @property
+    def has_declined(self) -> bool:
+        """Whether a target had room for a task that waits for a better one.
+
+        Such a task shows nothing about the room for other jobs.
+        """
+        return self._has_declined
 
     def choose(self, task: Task) -> AgentView | None:
         """Return the best agent for a task; none if no target can run it."""
@@ -524,9 +533,12 @@
 
     def _can_place(self, task: Task, view: AgentView) -> bool:
         """Return whether a target can run a task and is chosen for it."""
-        return self._fleet.can_run(
-            self._job, task, view, self._now
-        ) and self._choice.is_acceptable(task, view)
+        if not self._fleet.can_run(self._job, task, view, self._now):
+            return False
+        if self._choice.is_acceptable(task, view):
+            return True
+        self._has_declined = True
+        return False
 
     def _rank(self, task: Task, view: AgentView) -> Rank:
         """Return the rank of an agent for a task."""
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -279,7 +279,8 @@
             view = placement.choose(task)
             if view is None:
                 failed.add(task.key.step)
-                room.record_failure(task.step)
+                if not placement.has_declined:
+                    room.record_failure(task.step)
                 continue
             self._request_start(job, task, view, now)
 
