Take target speeds for unequal from a factor of 1.4 on

Change: the quartiles must differ by a factor of 1.4 (1.3 to end it), and eight targets must be known in place of four, as a faulty one among four moves a quartile. The expected time of young runs is computed only at a notice.

features/unequal.feature: its seven scenarios pass, run one by one.

--- a/src/fulmarscale/entry/jobs/run_monitor.py
+++ b/src/fulmarscale/entry/jobs/run_monitor.py
@@ -105,6 +105,9 @@
         view = self._fleet.find(task.agent)
         if view is None or view.target is None or task.stop_sent:
             return
+        is_young = now - task.assigned_at < MIN_ELAPSED_S
+        if is_young and view.leaves_at is None:
+            return
         expected_s = self._expected_s(job, task)
         condition = self._evaluate_run(task, view, expected_s, now)
         if condition is RunCondition.HEALTHY:
--- a/src/fulmarscale/entry/jobs/target_speeds.py
+++ b/src/fulmarscale/entry/jobs/target_speeds.py
@@ -48,13 +48,13 @@
 MIN_RUNS: Final = 5
 """Runs from which the speed of a target is known."""
 
-MIN_KNOWN_TARGETS: Final = 4
+MIN_KNOWN_TARGETS: Final = 8
 """Known targets from which their speeds are compared."""
 
-LOG_UNEVEN: Final = log(1.25)
+LOG_UNEVEN: Final = log(1.4)
 """Ratio of the quartiles of all speeds from which they differ clearly."""
 
-LOG_EVEN: Final = log(1.15)
+LOG_EVEN: Final = log(1.3)
 """Ratio of the quartiles below which they no longer do.
 
 A few faulty targets move neither quartile.
