Requests that arrive whole pass by the meter; answers keep their order

Random splits also showed three faults of it: what follows a request with Connection: close was taken for malformed, and the complete requests before it got 503 although nothing was wrong; and a malformed request was answered before those ahead of it (as uvicorn does by itself).

Change: a small piece on a connection at rest goes to the parser first; the meter catches up only if it isn't one whole request. Nothing is taken after the last request of a connection. Malformed bytes are refused as all else is, behind earlier answers.

--- a/features/http_limits.feature
+++ b/features/http_limits.feature
@@ -8,5 +8,9 @@
   Scenario: The end of a sound request is found however it is split
     Then any sound requests are told apart in any pieces
 
+  Scenario: Requests get the same responses however they are split
+    Then any requests get the same responses in any pieces
+    And any sound requests get those of a connection without bounds
+
   Scenario: The bytes that are held stay under the budget
     Then any claims leave the budget kept and complete requests served
--- a/features/steps/http_limits_steps.py
+++ b/features/steps/http_limits_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import re
+from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
@@ -10,10 +13,18 @@
 from hypothesis import given as any_of
 from hypothesis import settings
 from hypothesis import strategies
+import uvicorn
 
+from features.support.fake_transport import exchange_bytes
+from fulmarscale.http_admission import RequestAdmission
+from fulmarscale.http_connection import ObservableConnection
 from fulmarscale.http_limits import Bound
 from fulmarscale.http_limits import RequestLimits
 from fulmarscale.http_limits import RequestMeter
+from fulmarscale.http_server import make_protocol
+from fulmarscale.platform.asgi import DisconnectedError
+from fulmarscale.platform.asgi import read_body
+from fulmarscale.platform.asgi import respond
 from fulmarscale.request_budget import HolderId
 from fulmarscale.request_budget import RequestBudget
 
@@ -110,6 +121,87 @@
     check()
 
 
+POOL: Final = (
+    b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
+    b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n0\r\nx: y\r\n\r\n",
+    b"GET /none HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"POST /none HTTP/1.1\r\nContent-Length: 60\r\n\r\n" + b"x" * 60,
+    b"POST /a HTTP/1.1\r\nContent-Length: 60\r\n\r\n" + b"x" * 60,
+    b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"28\r\n%b\r\n" % (b"x" * 40) * 2
+    + b"0\r\n\r\n",
+    b"\r\nGET /b HTTP/1.1\r\n\r\n",
+    b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n",
+    b"BAD\r\n\r\n",
+    b"GET /a HTTP/1.1\r\n" + b"a: b\r\n" * 300 + b"\r\n",
+    b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+)
+SOUND: Final = POOL[:8]
+MAX_BODY_BYTES: Final = 50
+
+
+async def echo(scope: dict[str, Any], receive: Any, send: Any) -> None:
+    """Respond with a request's body."""
+    if scope["path"] == "/none":
+        await respond(send, 404)
+        return
+    try:
+        body = await read_body(scope, receive, MAX_BODY_BYTES)
+    except DisconnectedError:
+        return
+    if body is None:
+        await respond(send, 413)
+    else:
+        await respond(send, 200, b"[%b]" % body)
+
+
+async def answer(
+    pieces: list[bytes], turns: int, make_connection: Any = None
+) -> list[bytes]:
+    """Return the statuses and bodies of all responses."""
+    config = uvicorn.Config(echo, ws="none", lifespan="off", log_config=None)
+    config.load()
+    admission = RequestAdmission(RequestLimits())
+    written = await exchange_bytes(
+        config,
+        make_connection or make_protocol(admission, lambda: MAX_BODY_BYTES),
+        pieces,
+        turns,
+    )
+    assert admission.budget.used_bytes == 0
+    admission.close()
+    return re.findall(rb"HTTP/1.1 (\d+)|(\[[a-z]*\])", written)
+
+
+@then("any requests get the same responses in any pieces")
+def check_responses(context: Context) -> None:
+    @RUN
+    @any_of(
+        strategies.lists(strategies.sampled_from(POOL), max_size=6),
+        strategies.lists(strategies.integers(1, 200), max_size=30),
+        strategies.sampled_from([0, 1, 20]),
+    )
+    def check(sent: list[bytes], sizes: list[int], turns: int) -> None:
+        data = b"".join(sent)
+        whole = asyncio.run(answer([data], 0))
+        assert asyncio.run(answer(split(data, sizes), turns)) == whole
+
+    check()
+
+
+@then("any sound requests get those of a connection without bounds")
+def check_like_before(context: Context) -> None:
+    @RUN
+    @any_of(strategies.lists(strategies.sampled_from(SOUND), max_size=6))
+    def check(sent: list[bytes]) -> None:
+        data = b"".join(sent)
+        plain = asyncio.run(answer([data], 0, ObservableConnection))
+        assert asyncio.run(answer([data], 0)) == plain
+
+    check()
+
+
 @then("any claims leave the budget kept and complete requests served")
 def check_budget(context: Context) -> None:
     claim = strategies.tuples(
--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -11,11 +11,16 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from httptools import HttpParserError
+from httptools import HttpParserUpgrade
+
 from fulmarscale.http_admission import Holder
 from fulmarscale.http_connection import CONNECTION_EXTENSION
 from fulmarscale.http_connection import MAX_PIPELINED_REQUESTS
 from fulmarscale.http_connection import ObservableConnection
 from fulmarscale.http_limits import Bound
+from fulmarscale.http_limits import HEAD_END
+from fulmarscale.http_limits import LINE_END
 from fulmarscale.http_limits import RequestMeter
 from fulmarscale.request_budget import MIN_HELD_S
 
@@ -33,6 +38,15 @@
 READ_BYTES: Final = 64 << 10
 """The most bytes that are read from a connection at once."""
 
+SMALL_BYTES: Final = 4 << 10
+"""Bytes that arrive at once up to which whole requests are not counted.
+
+They can exceed no bound if they also have at most SMALL_LINES lines, nor be
+more than MAX_PIPELINED_REQUESTS.
+"""
+
+SMALL_LINES: Final = 2 * MAX_PIPELINED_REQUESTS
+
 WRITE_BUFFER_BYTES: Final = 16 << 10
 """Bytes of answers that wait for a client, above which it gets no more."""
 
@@ -67,7 +81,7 @@
         room.
     :returns: whether the process has room for the whole body.
     """
-    connection = _connection(scope)
+    connection = connection_of(scope)
     return connection is None or connection.begin_body()
 
 
@@ -76,7 +90,7 @@
 
     :param scope: the request's ASGI scope.
     """
-    connection = _connection(scope)
+    connection = connection_of(scope)
     return connection is not None and connection.is_body_too_large
 
 
@@ -88,11 +102,15 @@
     :param size: the bytes beyond those of the request itself.
     :returns: whether the process has room for them.
     """
-    connection = _connection(scope)
+    connection = connection_of(scope)
     return connection is None or connection.hold_more(size)
 
 
-def _connection(scope: Mapping[str, Any]) -> BoundedConnection | None:
+def connection_of(scope: Mapping[str, Any]) -> BoundedConnection | None:
+    """Return the connection of a request; none if it is not bounded.
+
+    :param scope: the request's ASGI scope.
+    """
     extension = scope.get("extensions", {}).get(CONNECTION_EXTENSION, {})
     return extension.get("connection")
 
@@ -145,6 +163,7 @@
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
         self.holder_id = admission.next_id()
+        self._extensions[CONNECTION_EXTENSION]["connection"] = self
         self._admission = admission
         self._max_body_bytes = max_body_bytes
         self._meter = RequestMeter(admission.limits)
@@ -156,8 +175,10 @@
         """The request whose body arrives; none while a head does."""
         self._discarded_bytes = 0
         """Bytes of the present request's body that were dropped."""
-        self._has_completed = False
-        """Whether the parser has completed a request in the last piece."""
+        self._completions = 0
+        """Requests that the parser has completed in the last piece."""
+        self._heads: list[list[tuple[bytes, bytes]]] | None = None
+        """Headers of the requests in a piece that the meter has not seen."""
         self._begun_at = 0.0
         """When the present request began, later by delays of this process."""
         self._checked_at = 0.0
@@ -168,6 +189,10 @@
         """When the client last read of them."""
         self._stalled_bytes = 0
         """Bytes of these answers then."""
+        self._is_last = False
+        """Whether the last request on the connection has arrived."""
+        self._is_counting = False
+        """Whether the meter follows a request, or the client is refused."""
         self._refusal: Bound | None = None
         self._is_answered = False
         """Whether the refused request has had a response."""
@@ -187,12 +212,15 @@
             return None
         if self._is_lingering:
             return 0, self._active_at
-        if self._requests or self._unparsed:
+        if self._has_complete or self._unparsed:
             return None
         if self._meter.has_begun:
             age_s = self.loop.time() - self._begun_at
             return (1, self._begun_at) if age_s >= MIN_HELD_S else None
-        return 2 if self._has_requested else 0, self._active_at
+        # The timer of a connection at rest began with its rest.
+        timer = self.timeout_keep_alive_task
+        began_at = self._active_at if timer is None else timer.when()
+        return 2 if self._has_requested else 0, began_at
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -219,30 +247,43 @@
 
     def data_received(self, data: bytes) -> None:
         """Take what has arrived."""
-        self._unset_keepalive_if_required()
-        if self._refusal is not None:
+        keep_alive = self.timeout_keep_alive_task
+        if keep_alive is not None:
+            keep_alive.cancel()
+            self.timeout_keep_alive_task = None
+        cycle = self.cycle
+        if (
+            not self._is_counting
+            and len(data) <= SMALL_BYTES
+            and (cycle is None or cycle.response_complete)
+            and data[0] not in LINE_END
+            and data.count(b"\n") <= SMALL_LINES
+        ):
+            self._parse_small(data)
+        elif self._refusal is not None or self._is_last:
             self._discard(len(data))
         elif self._unparsed:
             self._unparsed += data
             self._claim()
         else:
+            self._is_counting = True
             self._parse(data)
-
-    def on_message_begin(self) -> None:
-        """Begin a request and add the extension to its scope."""
-        super().on_message_begin()
-        extension = self.scope["extensions"][CONNECTION_EXTENSION]
-        extension["connection"] = self  # type: ignore[index]
+            self._update_counting()
 
     def on_headers_complete(self) -> None:
         """Tell the framing of the body, and start or queue the request."""
-        length = 0
-        is_chunked = False
-        for name, value in self.headers:
-            if name == b"content-length":
-                length = int(value)
-            elif name == b"transfer-encoding":
-                is_chunked = True
+        super().on_headers_complete()
+        if self._heads is not None:
+            self._heads.append(self.headers)
+            return
+        self._begin_present(*_read_framing(self.headers))
+
+    def _begin_present(self, length: int, is_chunked: bool) -> None:
+        """Count the request whose head is complete from now on.
+
+        :param length: the length of its body, unless that is in chunks.
+        :param is_chunked: whether its body is in chunks.
+        """
         limit = self._max_body_bytes()
         # A body in chunks may come to any length up to the limit.
         self._present = _Request(
@@ -250,12 +291,15 @@
         )
         self._discarded_bytes = 0
         self._has_requested = True
-        super().on_headers_complete()
         self._requests[self.cycle] = self._present
         self._meter.begin_body(length, is_chunked=is_chunked)
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of a body, up to the listener's limit."""
+        if self._heads is not None:
+            self.cycle.body += body
+            self.cycle.message_event.set()
+            return
         request = self._present
         if (
             request is None
@@ -274,22 +318,24 @@
 
     def on_message_complete(self) -> None:
         """Complete the request."""
-        self._has_completed = True
-        super().on_message_complete()
+        self._completions += 1
+        cycle = self.cycle
+        if not cycle.response_complete:
+            cycle.more_body = False
+            cycle.message_event.set()
 
     def on_response_complete(self) -> None:
         """Go on with what waits behind the answered request."""
-        answered = self._handled
-        if answered is not None:
-            self._requests.pop(answered, None)
-        self._active_at = self.loop.time()
+        if self._requests and self._handled is not None:
+            self._requests.pop(self._handled, None)
+            self._active_at = self.loop.time()
         super().on_response_complete()
         if self.transport.get_write_buffer_size() > 0:
             self._watch_stall()
         if self._unparsed:
             self.flow.pause_reading()
             self.loop.call_soon(self._parse_unparsed)
-        elif self._refusal is not None and not self._requests:
+        elif self._refusal is not None and not self._has_complete:
             self._send_refusal()
         if self._claimed_bytes:
             self._claim()
@@ -370,6 +416,105 @@
         """Bytes of answers that wait for the client to read."""
         return self.transport.get_write_buffer_size()
 
+    def _update_counting(self) -> None:
+        """Find out whether a request or a refusal is in progress."""
+        self._is_counting = (
+            self._meter.has_begun
+            or bool(self._unparsed)
+            or self._refusal is not None
+            or self._is_last
+        )
+
+    @property
+    def _has_complete(self) -> bool:
+        """Whether a request that has arrived as a whole is not answered."""
+        handled = self._handled
+        return handled is not None and not (
+            handled.response_complete
+            or handled.disconnected
+            or handled.more_body
+        )
+
+    def _parse_small(self, data: bytes) -> None:
+        """Pass a piece to the parser that can exceed no bound.
+
+        The meter sees it only if it is not just one whole request.
+        """
+        heads = self._heads = []
+        self._completions = 0
+        self._feed(data)
+        self._heads = None
+        if self._refusal is not None or self.transport.is_closing():
+            return
+        if (
+            self._completions == 1
+            and len(heads) == 1
+            and (
+                data[-1] not in LINE_END
+                or data.find(HEAD_END) == len(data) - len(HEAD_END)
+            )
+        ):
+            self._has_requested = True
+            return
+        self._is_counting = True
+        self._catch_up(data, heads)
+        self._update_counting()
+
+    def _feed(self, data: bytes | memoryview) -> None:
+        """Pass bytes to the parser; refuse those that are malformed."""
+        try:
+            self.parser.feed_data(data)
+        except HttpParserError:
+            self._refuse(Bound.FRAMING)
+        except HttpParserUpgrade:
+            # The request is handled without the upgrade.
+            return
+
+    def _catch_up(
+        self, data: bytes, heads: list[list[tuple[bytes, bytes]]]
+    ) -> None:
+        """Let the meter follow a piece that the parser has had already.
+
+        Requests that are complete with it are not counted.
+
+        :param data: the piece.
+        :param heads: the headers of each request in it.
+        """
+        meter = self._meter
+        self._begun_at = self._checked_at = self.loop.time()
+        begun = 0
+        ended = 0
+        position = 0
+        while position < len(data):
+            position, bound = meter.advance(data, position)
+            if bound is None and meter.awaits_framing:
+                if begun == len(heads):
+                    bound = Bound.FRAMING
+                else:
+                    length, is_chunked = _read_framing(heads[begun])
+                    begun += 1
+                    if begun < len(heads) or begun == self._completions:
+                        meter.begin_body(length, is_chunked=is_chunked)
+                    else:
+                        self._begin_present(length, is_chunked)
+            if bound is not None:
+                self._refuse(bound)
+                return
+            ended += meter.has_ended
+            is_last = meter.has_ended and ended == len(heads)
+            if is_last and not self.cycle.keep_alive:
+                self._is_last = True
+                break
+        if begun != len(heads) or ended != self._completions:
+            self._refuse(Bound.FRAMING)
+            return
+        if self._present is not None:
+            self._present.size += meter.body_bytes
+            if self._present.is_discarding:
+                self.cycle.body.clear()
+        if meter.has_begun:
+            self._claim()
+
     def _parse(self, data: bytes) -> None:
         """Pass what has arrived to the parser, one part at a time."""
         meter = self._meter
@@ -388,15 +533,18 @@
                 return
             is_whole = position == 0 and end == size
             piece = data if is_whole else memoryview(data)[position:end]
-            self._has_completed = False
-            super().data_received(piece)  # type: ignore[arg-type]
-            if self.parser is None or self.transport.is_closing():
+            self._completions = 0
+            self._feed(piece)
+            if self._refusal is not None or self.transport.is_closing():
                 return
-            if meter.awaits_framing or self._has_completed != meter.has_ended:
+            if meter.awaits_framing or self._completions != meter.has_ended:
                 self._refuse(Bound.FRAMING)
                 return
-            if self._has_completed:
+            if meter.has_ended:
                 self._complete()
+                if not self.cycle.keep_alive:
+                    self._is_last = True
+                    break
             position = end
         if self._discarded_bytes > self._admission.limits.discarded_bytes:
             self._refuse(Bound.DISCARDED)
@@ -428,6 +576,7 @@
         self._unparsed.clear()
         self.flow.resume_reading()
         self._parse(data)
+        self._update_counting()
 
     def _claim(self) -> bool:
         """Claim the bytes that the connection holds now.
@@ -465,9 +614,11 @@
 
         :returns: whether there is room.
         """
+        if not self._is_counting and not self._requests:
+            return True
         request = self._handled_request
         if request is None:
-            return self._refusal is None
+            return self._has_complete
         if request.is_complete:
             return not request.is_denied
         size = self._claimed_bytes - request.size + request.expected_bytes
@@ -485,7 +636,10 @@
         """
         request = self._handled_request
         if request is None:
-            return False
+            if self.parser is None or self._handled is None:
+                return False
+            request = self._requests[self._handled] = _Request(0, 0, 0)
+            request.is_complete = True
         request.size += size
         if self._claim():
             return True
@@ -495,6 +649,8 @@
     @property
     def is_body_too_large(self) -> bool:
         """Whether the body of the request that is handled is too large."""
+        if not self._requests:
+            return False
         request = self._handled_request
         return request is not None and request.is_discarding
 
@@ -513,22 +669,25 @@
             return
         self._record(bound)
         self._refusal = bound
+        self._is_counting = True
         self._unparsed.clear()
-        if self._present is not None:
+        cycle = self.cycle
+        if cycle is not None and cycle.response_complete:
+            self._is_answered = self._present is not None
+            self._present = None
+        elif cycle is not None and cycle.more_body:
             # It has not arrived as a whole, so that it was not decided.
             self._present = None
-            cycle = self.cycle
             self._requests.pop(cycle, None)
             if self.pipeline and self.pipeline[0][0] is cycle:
                 self.pipeline.popleft()
-            if cycle.response_started and not cycle.response_complete:
+            if cycle.response_started:
                 self.transport.abort()
                 return
-            self._is_answered = cycle.response_complete
             cycle.disconnected = True
             cycle.body.clear()
             cycle.message_event.set()
-        if self._requests:
+        if self._has_complete:
             self.flow.resume_reading()
             self._claim()
             return
@@ -614,7 +773,24 @@
             return
         if self._meter.has_begun:
             self._refuse(Bound.STOPPING)
-        if self._is_lingering or (self._pending_bytes and not self._requests):
+        if self._is_lingering or (
+            self._pending_bytes and not self._has_complete
+        ):
             self.transport.abort()
         else:
             self.loop.call_later(STOP_RECEIVE_S, self._stop)
+
+
+def _read_framing(headers: list[tuple[bytes, bytes]]) -> tuple[int, bool]:
+    """Return the length of a body, and whether it is in chunks.
+
+    :param headers: the headers of a request that the parser has accepted.
+    """
+    length = 0
+    is_chunked = False
+    for name, value in headers:
+        if name == b"content-length":
+            length = int(value)
+        elif name == b"transfer-encoding":
+            is_chunked = True
+    return length, is_chunked
--- a/src/fulmarscale/cli/entry.py
+++ b/src/fulmarscale/cli/entry.py
@@ -42,6 +42,7 @@
         host=host,
         port=port,
         loop="asyncio",
+        ws="none",
         http=make_protocol(admission, lambda: settings.input.body_bytes),
         lifespan="off",
         access_log=False,
--- a/src/fulmarscale/http_connection.py
+++ b/src/fulmarscale/http_connection.py
@@ -51,12 +51,17 @@
     _handled: RequestResponseCycle | None = None
     """The request that is being handled; none before the first."""
 
+    def __init__(self, *arguments: Any, **named_arguments: Any) -> None:
+        super().__init__(*arguments, **named_arguments)
+        self._extensions: dict[str, dict[object, object]] = {
+            CONNECTION_EXTENSION: {"is_closed": self._is_closed}
+        }
+        """The extensions of all requests of the connection."""
+
     def on_message_begin(self) -> None:
         """Begin a request and add the extension to its scope."""
         super().on_message_begin()
-        self.scope["extensions"] = {
-            CONNECTION_EXTENSION: {"is_closed": self._is_closed}
-        }
+        self.scope["extensions"] = self._extensions
 
     def on_headers_complete(self) -> None:
         """Start to handle a request, or queue it behind the former one."""
--- a/src/fulmarscale/http_server.py
+++ b/src/fulmarscale/http_server.py
@@ -92,6 +92,7 @@
                     admission or RequestAdmission(RequestLimits()),
                     max_body_bytes,
                 ),
+                ws="none",
                 interface="asgi3",
                 lifespan="off",
                 access_log=False,
--- a/src/fulmarscale/platform/asgi.py
+++ b/src/fulmarscale/platform/asgi.py
@@ -6,8 +6,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
-from fulmarscale.bounded_connection import begin_body
-from fulmarscale.bounded_connection import is_body_too_large
+from fulmarscale.bounded_connection import connection_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,23 +40,30 @@
     :raises DisconnectedError: if the client disconnected.
     :raises NoRoomError: if there is no room; nothing was collected.
     """
-    if is_body_too_large(scope):
-        return None
-    if not begin_body(scope):
-        raise NoRoomError
-    body = bytearray()
+    connection = connection_of(scope)
+    if connection is not None:
+        if connection.is_body_too_large:
+            return None
+        if not connection.begin_body():
+            raise NoRoomError
+    body: bytes | bytearray = b""
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise DisconnectedError
         part = message.get("body", b"")
-        has_more = message.get("more_body", False)
-        if not has_more and not body and len(part) <= max_body_bytes:
-            return part
-        body += part
-        if len(body) > max_body_bytes or is_body_too_large(scope):
+        # Most bodies come in one part, which is not copied.
+        if not body:
+            body = part
+        elif isinstance(body, bytes):
+            body = bytearray(body) + part
+        else:
+            body += part
+        if len(body) > max_body_bytes:
+            return None
+        if connection is not None and connection.is_body_too_large:
             return None
-        if not has_more:
+        if not message.get("more_body", False):
             return bytes(body)
 
 
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -103,12 +103,11 @@
         """Handle a request."""
         headers = dict(scope["headers"])
         queue = self._find_queue(scope, headers)
-        early_body: bytes | None = b""
-        has_read = queue is None
-        if has_read:
+        bodies: list[bytes | None] = []
+        if queue is None:
             # The route may be added while a body arrives.
             try:
-                early_body = await _read_early(scope, receive, headers)
+                bodies.append(await _read_early(scope, receive, headers))
             except DisconnectedError:
                 return
             queue = self._find_queue(scope, headers)
@@ -128,16 +127,12 @@
             await self._reject(
                 send, scope, 405, "the method is not allowed on this path"
             )
-        elif early_body is None:
+        elif bodies == [None]:
             await self._reject(
                 send, scope, UNAVAILABLE, "the route was added too late"
             )
-        elif has_read:
-            await self._submit(
-                scope, receive, send, queue, headers, [early_body]
-            )
         else:
-            await self._receive_job(scope, receive, send, queue, headers)
+            await self._submit(scope, receive, send, queue, headers, bodies)
 
     def _find_queue(
         self, scope: dict[str, Any], headers: dict[bytes, bytes]
@@ -147,42 +142,6 @@
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         return site.find_queue(host, scope["path"]) if site.is_known else None
 
-    async def _receive_job(
-        self,
-        scope: dict[str, Any],
-        receive: Any,
-        send: Any,
-        queue: Queue,
-        headers: dict[bytes, bytes],
-    ) -> None:
-        """Receive a job's body and submit it."""
-        site = self._job_service.site
-        try:
-            body = await read_body(scope, receive, site.max_body_bytes)
-        except DisconnectedError:
-            return
-        except NoRoomError:
-            await self._reject(
-                send, scope, UNAVAILABLE, "there is no room for the body"
-            )
-            return
-        if self._job_service.site is not site:
-            # The configuration has changed while the body arrived.
-            changed = self._find_queue(scope, headers)
-            if changed is None:
-                await self._reject_without_queue(send, scope)
-                return
-            queue = changed
-        if body is None:
-            await self._reject(
-                send,
-                scope,
-                413,
-                "the request body exceeds the configured limit",
-            )
-            return
-        await self._submit(scope, receive, send, queue, headers, [body])
-
     async def _reject_without_queue(
         self, send: Any, scope: dict[str, Any]
     ) -> None:
@@ -281,18 +240,51 @@
         send: Any,
         queue: Queue,
         headers: dict[bytes, bytes],
-        bodies: list[bytes],
+        bodies: list[bytes | None],
     ) -> None:
-        """Submit a job and respond with its outcome.
+        """Receive a job's body, submit the job, respond with its outcome.
 
-        The body is taken out of its list, so that nothing holds it while the
-        job runs.
+        A body that was received before is in its list, and is taken out of
+        it, so that nothing holds it while the job runs.
 
         A best-effort job is cancelled once all its callers have disconnected,
         and not begun if its caller has left before the request was read.
         A durable one is stored before the response.
         """
+        if not bodies:
+            site = self._job_service.site
+            try:
+                body = await read_body(scope, receive, site.max_body_bytes)
+            except DisconnectedError:
+                return
+            except NoRoomError:
+                await self._reject(
+                    send, scope, UNAVAILABLE, "there is no room for the body"
+                )
+                return
+            if self._job_service.site is not site:
+                # The configuration has changed while the body arrived.
+                changed = self._find_queue(scope, headers)
+                if changed is None:
+                    await self._reject_without_queue(send, scope)
+                    return
+                queue = changed
+            if body is None:
+                await self._reject(
+                    send,
+                    scope,
+                    413,
+                    "the request body exceeds the configured limit",
+                )
+                return
+            bodies.append(body)
+            del body
         job_id = JobId(scope["path"].removeprefix(queue.path_prefix))
+        if not job_id:
+            await self._reject(
+                send, scope, 405, "the method is not allowed on this path"
+            )
+            return
         wait_s = _parse_wait_s(headers.get(DEADLINE_HEADER))
         try:
             wire_job = decode_json(bodies.pop(), WireJob)
