--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -377,12 +377,14 @@
             if self.may_begin(task, now)
         )
 
-    def unexpired_tasks(self, now: float) -> set[TaskKey]:
-        """Return the tasks of which a run may go on, or begin, on the target.
+    def add_unexpired_tasks(self, tasks: set[TaskKey], now: float) -> None:
+        """Add the tasks of which a run may go on, or begin, on the target.
 
+        :param tasks: the set that they are added to.
         :param now: the entry's time.
         """
-        return self.assigned.keys() | self._reported_starts.tasks(now)
+        tasks.update(self.assigned)
+        tasks.update(self._reported_starts.tasks(now))
 
     def is_lost(self, now: float) -> bool:
         """Return whether the agent may be down.
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -353,9 +353,10 @@
 
         :param now: the entry's time.
         """
-        return set().union(
-            *(view.unexpired_tasks(now) for view in self._agents.values())
-        )
+        tasks: set[TaskKey] = set()
+        for view in self._agents.values():
+            view.add_unexpired_tasks(tasks, now)
+        return tasks
 
     def in_time(
         self, job: Job, views: list[AgentView], now: float
