Admit by class with the floors, and test three surges and a failure

A class's wait is the shorter of two: behind more urgent and equal demand, at the rate that more urgent starts leave of what is freed; or in its floor, which turns over at its own run time. Without the split of others' backlog by priority, it is taken as this entry's waiting demand was lately.

features/policy_urgency.feature: 4 passed, with surges of one queue and of all queues, a curve of offered load and lost agents and targets at 2.4 times.

--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -52,6 +52,16 @@
     context.load = load
 
 
+@given(
+    'the workload "{name}" at load {load:f} for {length:d} s without faults'
+)
+def load_workload_without_faults(
+    context: Context, name: str, load: float, length: int
+) -> None:
+    load_named_workload(context, name, load, length)
+    context.workload = msgspec.structs.replace(context.workload, faults=[])
+
+
 @when("the workload is played")
 def play_workload(context: Context) -> None:
     site = _play(context.workload, context.load, SEED)
--- a/src/fulmarscale/entry/jobs/class_admission.py
+++ b/src/fulmarscale/entry/jobs/class_admission.py
@@ -8,6 +8,7 @@
 
 from bisect import bisect_right
 from itertools import accumulate
+from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from fulmarscale.entry.jobs.admission import Load
     from fulmarscale.entry.jobs.estimates import RunTimes
@@ -28,6 +30,10 @@
     from fulmarscale.runs.model import ServiceName
 
 
+MIN_SHARE: Final = 0.01
+"""Least share of the capacity by which a wait is predicted."""
+
+
 class ClassBacklog:
     """The waiting jobs of one class, by their latest start."""
 
@@ -93,6 +99,15 @@
             for service, classes in by_class.items()
         }
         self._rooms: dict[ServiceName, ServiceRoom] = {}
+        for service, classes in by_class.items():
+            first = next(iter(classes.values()))[0]
+            if urgency.applies_to(first):
+                backlogs = self._backlogs[service]
+                urgency.record_waiting(
+                    {each: backlogs[each].total for each in backlogs},
+                    first,
+                    now,
+                )
 
     def wait_s(self, job: Job) -> float:
         """Predict how long a job's last task waits for free capacity.
@@ -103,10 +118,17 @@
         capacity = room.load.capacity
         if capacity <= 0:
             return float("inf")
-        shortfall = self._ahead(job, room.load) - self._usable_free(job, room)
+        free = self._usable_free(job, room)
+        above, equal = self._ahead(job, room.load)
         mean_s = self._run_times.mean_s or job.critical_s
-        share = self._urgency.granted_share(job)
-        return max(0.0, shortfall) * mean_s / (capacity * max(share, 0.01))
+        wait_s = max(0.0, above + equal - free) * mean_s / capacity
+        used = 1.0 - min(1.0, free / capacity)
+        granted = 1.0 - used * (1.0 - self._urgency.granted_share(job))
+        wait_s /= max(granted, MIN_SHARE)
+        # Its class holds its floor beside more urgent demand, and frees it
+        # as its own runs end.
+        floor = max(self._urgency.floor(job), MIN_SHARE)
+        return min(wait_s, equal * job.critical_s / (capacity * floor))
 
     def has_room(self, job: Job) -> bool:
         """Return whether all waiting tasks of a job fit now."""
@@ -130,8 +152,11 @@
             return room.load.free
         return fitting_tasks(demand, room.free) * demand.cpu_millicores
 
-    def _ahead(self, job: Job, load: Load) -> float:
-        """Return the demand up to and including a job's."""
+    def _ahead(self, job: Job, load: Load) -> tuple[float, float]:
+        """Return the demand ahead of a job: of more urgent classes, its own.
+
+        Its own demand is included.
+        """
         priority = job.queue.priority
         backlogs = self._backlogs.get(job.queue.service, {})
         own_class = backlogs.get(priority)
@@ -144,25 +169,18 @@
         # The other entries' jobs of the class are assumed to have latest
         # starts like this entry's.
         earlier = equal / own_class.total if own_class and equal else 1.0
-        return above + equal + self._others_ahead(job, load, earlier)
+        others_above, others_equal = self._others(job, load)
+        return above + others_above, equal + earlier * others_equal
 
-    def _others_ahead(self, job: Job, load: Load, earlier: float) -> float:
-        """Return the demand at other entries that goes ahead of a job.
-
-        :param job: the job.
-        :param load: what is known of other entries.
-        :param earlier: the share of its class that goes ahead of it.
-        """
+    def _others(self, job: Job, load: Load) -> tuple[float, float]:
+        """Return other entries' demand: of more urgent classes, the job's."""
         priority = job.queue.priority
-        if not load.others_by_priority:
-            shares = self._urgency.asked_shares(job)
-            return load.others * (
-                sum(shares[each] for each in shares if each < priority)
-                + earlier * shares.get(priority, 0.0)
-            )
-        others = load.others_by_priority
+        others: Mapping[int, float] = load.others_by_priority
+        if not others:
+            shares = self._urgency.waiting_shares(job)
+            others = {each: load.others * shares[each] for each in shares}
         above = sum(others[each] for each in others if each < priority)
-        return above + earlier * others.get(priority, 0)
+        return above, others.get(priority, 0)
 
 
 def is_admitted(job: Job, forecast: ClassForecast) -> tuple[bool, float]:
--- a/src/fulmarscale/entry/jobs/urgency.py
+++ b/src/fulmarscale/entry/jobs/urgency.py
@@ -42,6 +42,9 @@
 The other tasks run or are done, and their work is lost unless it ends.
 """
 
+STARVED_SHARE: Final = 0.5
+"""Part of its floor below which a class goes ahead of the most urgent one."""
+
 PROMOTED: Final = -1
 """The class of jobs that go ahead of all others."""
 
@@ -121,6 +124,10 @@
         """The work of the jobs that arrived."""
         self._placed: dict[ServiceName, RecentWork] = {}
         """The work of the tasks that were placed."""
+        self._started: dict[ServiceName, RecentWork] = {}
+        """The millicores of these tasks, for whatever time they run."""
+        self._waiting: dict[ServiceName, RecentWork] = {}
+        """The millicores of waiting tasks at each forecast."""
 
     def configure(self, site: SiteConfig) -> None:
         """Adopt the priorities of a site configuration."""
@@ -129,7 +136,12 @@
             for service in {queue.service for queue in site.queues}
             if has_classes(site, service)
         )
-        for known in (self._asked, self._placed):
+        for known in (
+            self._asked,
+            self._placed,
+            self._started,
+            self._waiting,
+        ):
             for service in known.keys() - self._services:
                 del known[service]
 
@@ -144,11 +156,33 @@
             asked = self._asked.setdefault(job.queue.service, RecentWork())
             asked.add(job.queue.priority, work, now)
 
+    def record_waiting(
+        self, demands: dict[int, int], job: Job, now: float
+    ) -> None:
+        """Record the present demand of waiting tasks.
+
+        :param demands: thousandths of a core, by priority.
+        :param job: a job of the service.
+        :param now: the entry's time.
+        """
+        waiting = self._waiting.setdefault(job.queue.service, RecentWork())
+        for priority, demand in demands.items():
+            waiting.add(priority, demand, now)
+
+    def waiting_shares(self, job: Job) -> dict[int, float]:
+        """Return the share of each class in the waiting demand lately."""
+        waiting = self._waiting.get(job.queue.service)
+        return waiting.shares if waiting else {}
+
     def record_placed(self, job: Job, task: Task, now: float) -> None:
         """Record the work of a task that is placed."""
         if self.applies_to(job):
             placed = self._placed.setdefault(job.queue.service, RecentWork())
             placed.add(job.queue.priority, task_work(job, task), now)
+            started = self._started.setdefault(job.queue.service, RecentWork())
+            started.add(
+                job.queue.priority, task.step.demand.cpu_millicores, now
+            )
 
     def asked_shares(self, job: Job) -> dict[int, float]:
         """Return the share of the classes of a job's service in its work."""
@@ -156,33 +190,39 @@
         return asked.shares if asked else {}
 
     def floor(self, job: Job) -> float:
-        """Return the least share of the capacity that a job's class gets."""
+        """Return the least share of the capacity that a job's class holds."""
         return FLOOR_SHARE * self.asked_shares(job).get(
             job.queue.priority, 0.0
         )
 
     def granted_share(self, job: Job) -> float:
-        """Return the share of freed capacity that reaches a job's class.
+        """Return the share of freed capacity that reached a job's class.
 
-        More urgent jobs that arrive later take the rest, as they did lately.
+        More urgent jobs took the rest, and are assumed to go on so.
         """
-        placed = self._placed.get(job.queue.service)
-        above = placed.share_above(job.queue.priority) if placed else 0.0
-        return max(1.0 - above, self.floor(job))
+        started = self._started.get(job.queue.service)
+        above = started.share_above(job.queue.priority) if started else 0.0
+        return 1.0 - above
 
-    def is_below_floor(self, job: Job) -> bool:
-        """Return whether a job's class got less than its floor lately."""
+    def share_of_floor(self, job: Job) -> float:
+        """Return what a job's class got lately, as a part of its floor."""
         placed = self._placed.get(job.queue.service)
-        if placed is None:
-            return False
-        return placed.share(job.queue.priority) < self.floor(job)
+        floor = self.floor(job)
+        if placed is None or floor <= 0:
+            return 1.0
+        return placed.share(job.queue.priority) / floor
+
+    def most_urgent(self, job: Job) -> int:
+        """Return the most urgent priority of the jobs that arrived lately."""
+        return min(self.asked_shares(job), default=job.queue.priority)
 
 
 class UrgencyOrder(WaitingOrder):
     """The most urgent class first, within it the earliest latest start.
 
-    The first job of a class that is below its floor goes ahead of all, as
-    does a begun job whose rest is small. Other begun jobs keep their turn
+    The first job of a class that is below its floor goes next after the most
+    urgent class, or ahead of all if it is far below. A begun job whose rest
+    is small goes ahead of all. Other begun jobs keep their turn
     inside their class. Jobs of services without classes are ordered by their
     latest start.
 
@@ -205,13 +245,23 @@
                 self._urgency.applies_to(job)
                 and key not in promoted
                 and not rank.is_late
-                and self._urgency.is_below_floor(job)
+                and self._urgency.share_of_floor(job) < 1.0
             ):
                 promoted.add(key)
-                rank = rank._replace(priority=PROMOTED)
+                rank = self._promote(job, rank)
             ranks[job.job_id] = rank
         return sorted(ordered, key=lambda job: ranks[job.job_id])
 
+    def _promote(self, job: Job, rank: DemandRank) -> DemandRank:
+        """Return the rank of a job whose class is below its floor."""
+        if self._urgency.share_of_floor(job) < STARVED_SHARE:
+            return rank._replace(priority=PROMOTED)
+        first = self._urgency.most_urgent(job)
+        if rank.priority == first:
+            return rank
+        # Behind the jobs of the most urgent class that can be on time.
+        return DemandRank(first, False, float("inf"))
+
     def _rank(self, job: Job, now: float) -> DemandRank:
         is_late = now > job.latest_start_at and not job.is_started
         if not self._urgency.applies_to(job):
