Spread the return of rejected callers by class

Retry-After was the predicted wait rounded up, so all rejected callers came back in the same second. With classes, each class has a schedule at the rate at which the entry lately started its tasks, and a hash of the job decides between neighbouring seconds.

features/policy_urgency.feature, 'Rejected callers return': passed. Not begun: rejecting in the first second after a loss of all machines.

--- a/features/policy_urgency.feature
+++ b/features/policy_urgency.feature
@@ -32,3 +32,9 @@
     Then no task ever had two runs at once
     And no job of which a task ran is answered as not run
     And every job is answered by its caller's deadline
+
+  Scenario: Rejected callers return in the order of urgency and spread out
+    Given queues of priority 0 and 2, of which an entry starts 100 and 20 cores a second
+    When 40 jobs of 10 cores of each are rejected at once
+    Then each second from 1 to 4 s gets 4 to 16 of the urgent ones
+    And the mean delay is shorter for the urgent ones
--- a/features/steps/urgency_steps.py
+++ b/features/steps/urgency_steps.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
+from statistics import fmean
 from typing import Final
 from typing import TYPE_CHECKING
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -13,6 +16,18 @@
 from features.support.dispatch_score import WINDOW_S
 from features.support.dispatch_site import DispatchSite
 from features.support.dispatch_workload import draw_jobs
+from fulmarscale.entry.jobs.actions import JobOutcome
+from fulmarscale.entry.jobs.job import Job
+from fulmarscale.entry.jobs.returning import ReturnByUrgency
+from fulmarscale.entry.jobs.urgency import Urgency
+from fulmarscale.runs.model import JobId
+from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import QueueName
+from fulmarscale.runs.model import Resources
+from fulmarscale.runs.model import ServiceName
+from fulmarscale.runs.model import Step
+from fulmarscale.runs.site_config import Queue
+from fulmarscale.runs.site_config import SiteConfig
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -100,3 +115,58 @@
 def check_curve(context: Context) -> None:
     earned = context.earned
     assert earned == sorted(earned), earned
+
+
+def make_job(name: str, priority: int, cores: int) -> Job:
+    """Return a job of one task of a queue."""
+    queue = Queue(
+        QueueName(f"p{priority}"), "host", "/", ServiceName("pool"), priority
+    )
+    step = Step(1, Resources(1000 * cores), 0.5)
+    return Job(JobId(name), queue, JobSpec("", (step,)), 0.0, 60.0)
+
+
+@given(
+    "queues of priority 0 and 2, of which an entry starts {urgent:d} and"
+    " {other:d} cores a second"
+)
+def start_tasks(context: Context, urgent: int, other: int) -> None:
+    context.urgency = Urgency()
+    queues = tuple(make_job("", each, 1).queue for each in (0, 2))
+    context.urgency.configure(SiteConfig(queues=queues))
+    for tenth in range(200):
+        for priority, cores in ((0, urgent), (2, other)):
+            job = make_job("run", priority, cores // 10)
+            context.urgency.record_placed(job, job.tasks[0], tenth / 10)
+    context.now = 20.0
+
+
+@when("{count:d} jobs of {cores:d} cores of each are rejected at once")
+def reject_jobs(context: Context, count: int, cores: int) -> None:
+    rule = ReturnByUrgency(context.urgency)
+    context.delays = {
+        priority: [
+            rule.delay_s(
+                make_job(f"{priority}-{number}", priority, cores),
+                JobOutcome.NOT_RUN,
+                0.1,
+                context.now,
+            )
+            for number in range(count)
+        ]
+        for priority in (0, 2)
+    }
+
+
+@then(
+    "each second from 1 to 4 s gets {least:d} to {most:d} of the urgent ones"
+)
+def check_spread(context: Context, least: int, most: int) -> None:
+    counts = Counter(context.delays[0])
+    assert all(least <= counts[each] <= most for each in range(1, 5)), counts
+
+
+@then("the mean delay is shorter for the urgent ones")
+def check_return_order(context: Context) -> None:
+    means = {each: fmean(context.delays[each]) for each in (0, 2)}
+    assert means[0] < means[2], means
--- a/src/fulmarscale/entry/jobs/class_admission.py
+++ b/src/fulmarscale/entry/jobs/class_admission.py
@@ -8,7 +8,6 @@
 
 from bisect import bisect_right
 from itertools import accumulate
-from typing import Final
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -16,6 +15,7 @@
 from fulmarscale.entry.jobs.admission import waiting_demand
 from fulmarscale.entry.jobs.room import fitting_tasks
 from fulmarscale.entry.jobs.room import largest_demand
+from fulmarscale.entry.jobs.urgency import MIN_SHARE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -30,10 +30,6 @@
     from fulmarscale.runs.model import ServiceName
 
 
-MIN_SHARE: Final = 0.01
-"""Least share of the capacity by which a wait is predicted."""
-
-
 class ClassBacklog:
     """The waiting jobs of one class, by their latest start."""
 
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -29,7 +29,7 @@
 from fulmarscale.entry.jobs.outbox import Outbox
 from fulmarscale.entry.jobs.overload import OverloadDetector
 from fulmarscale.entry.jobs.placer import Placer
-from fulmarscale.entry.jobs.returning import retry_after_s
+from fulmarscale.entry.jobs.returning import ReturnByUrgency
 from fulmarscale.entry.jobs.run_monitor import RunMonitor
 from fulmarscale.entry.jobs.run_results import RunResults
 from fulmarscale.entry.jobs.subset import Subset
@@ -106,6 +106,7 @@
             log=self._log,
         )
         self._urgency = Urgency()
+        self._returns = ReturnByUrgency(self._urgency)
         self._placer = Placer(
             self._fleet,
             UrgencyOrder(self._urgency),
@@ -623,13 +624,7 @@
         if now >= self._hold_until and (
             self._admission.ends_useless(job, forecasts, now)
         ):
-            self._close_job(
-                job,
-                JobOutcome.FAILED,
-                now,
-                "useless",
-                code=ResultCode.ENDS_TOO_LATE,
-            )
+            self._results.close_useless(job, now)
             return
         for task in job.assigned:
             self._monitor.check_run(job, task, now)
@@ -707,8 +702,9 @@
             self._actions.append(CloseDurableJob(job.job_id, outcome, code))
             return
         took_s = now - job.arrived_at
+        delay_s = self._returns.delay_s(job, outcome, wait_s, now)
         self._actions.append(
-            AnswerJob(job.job_id, outcome, retry_after_s(wait_s), took_s, code)
+            AnswerJob(job.job_id, outcome, delay_s, took_s, code)
         )
 
     def _stop_runs(self, job: Job) -> None:
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -235,6 +235,19 @@
             code=ResultCode.ATTEMPTS_USED_UP,
         )
 
+    def close_useless(self, job: Job, now: float) -> None:
+        """Close a begun job as failed that would end too late to be useful.
+
+        Its caller must not send it again: it would run again from the start.
+        """
+        self._close_job(
+            job,
+            JobOutcome.FAILED,
+            now,
+            "useless",
+            code=ResultCode.ENDS_TOO_LATE,
+        )
+
     def expire_runs(self, view: AgentView, now: float) -> None:
         """Treat an agent's runs as ended after RUN_EXPIRY_S of silence.
 
--- a/src/fulmarscale/entry/jobs/urgency.py
+++ b/src/fulmarscale/entry/jobs/urgency.py
@@ -30,6 +30,9 @@
 Its share without classes is its share of the work that is asked for.
 """
 
+MIN_SHARE: Final = 0.01
+"""Least share of the capacity by which a wait is predicted."""
+
 SHARE_WINDOW_S: Final = 2.0
 """Time in which recorded work decays to 1/e.
 
@@ -98,6 +101,11 @@
         total = sum(self._work.values())
         return self._work.get(priority, 0.0) / total if total > 0 else 0.0
 
+    def rate(self, priority: int, now: float) -> float:
+        """Return the recent work of one class a second."""
+        decay = exp((self._updated_at - now) / SHARE_WINDOW_S)
+        return decay * self._work.get(priority, 0.0) / SHARE_WINDOW_S
+
     def share_above(self, priority: int) -> float:
         """Return the share of the more urgent classes."""
         return sum(self.share(each) for each in self._work if each < priority)
@@ -204,6 +212,14 @@
         above = started.share_above(job.queue.priority) if started else 0.0
         return 1.0 - above
 
+    def start_rate(self, job: Job, now: float) -> float:
+        """Return the rate at which tasks of a job's class were placed lately.
+
+        :returns: thousandths of a core a second.
+        """
+        started = self._started.get(job.queue.service)
+        return started.rate(job.queue.priority, now) if started else 0.0
+
     def share_of_floor(self, job: Job) -> float:
         """Return what a job's class got lately, as a part of its floor."""
         placed = self._placed.get(job.queue.service)
