--- a/src/fulmarscale/entry/jobs/class_admission.py
+++ b/src/fulmarscale/entry/jobs/class_admission.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from fulmarscale.entry.jobs.admission import is_satisfiable
 from fulmarscale.entry.jobs.admission import waiting_demand
 from fulmarscale.entry.jobs.room import fitting_tasks
 from fulmarscale.entry.jobs.room import largest_demand
@@ -125,6 +126,10 @@
         floor = max(self._urgency.floor(job), MIN_SHARE)
         return min(wait_s, equal * job.critical_s / (capacity * floor))
 
+    def is_most_urgent(self, job: Job) -> bool:
+        """Return whether a job is of the most urgent class."""
+        return self._urgency.is_most_urgent(job)
+
     def has_room(self, job: Job) -> bool:
         """Return whether all waiting tasks of a job fit now."""
         demand = largest_demand(job)
@@ -181,14 +186,15 @@
 def is_admitted(job: Job, forecast: ClassForecast) -> tuple[bool, float]:
     """Judge a job that has just arrived.
 
-    The whole slack counts, as the job is judged again at each tick and the
-    forecast already has the more urgent jobs that arrive later.
-
     :returns: whether it is likely to be on time or can start at once, and
         its predicted wait in seconds.
     """
     wait_s = forecast.wait_s(job)
-    return wait_s <= job.latest_start_at - job.arrived_at, wait_s
+    if forecast.is_most_urgent(job):
+        # Nothing that arrives later goes ahead of it, and it is judged again
+        # at each tick.
+        return wait_s <= job.latest_start_at - job.arrived_at, wait_s
+    return is_satisfiable(job, wait_s), wait_s
 
 
 def may_wait(
--- a/src/fulmarscale/entry/jobs/urgency.py
+++ b/src/fulmarscale/entry/jobs/urgency.py
@@ -126,7 +126,7 @@
     """
 
     def __init__(self) -> None:
-        self._services: frozenset[ServiceName] = frozenset()
+        self._services: dict[ServiceName, int] = {}
         """The services whose queues have different priorities."""
         self._asked: dict[ServiceName, RecentWork] = {}
         """The work of the jobs that arrived."""
@@ -139,24 +139,32 @@
 
     def configure(self, site: SiteConfig) -> None:
         """Adopt the priorities of a site configuration."""
-        self._services = frozenset(
-            service
+        self._services = {
+            service: min(
+                queue.priority
+                for queue in site.queues
+                if queue.service == service
+            )
             for service in {queue.service for queue in site.queues}
             if has_classes(site, service)
-        )
+        }
         for known in (
             self._asked,
             self._placed,
             self._started,
             self._waiting,
         ):
-            for service in known.keys() - self._services:
+            for service in known.keys() - self._services.keys():
                 del known[service]
 
     def applies_to(self, job: Job) -> bool:
         """Return whether a job competes with jobs of other priorities."""
         return job.queue.service in self._services
 
+    def is_most_urgent(self, job: Job) -> bool:
+        """Return whether no class of a job's service is more urgent."""
+        return self._services.get(job.queue.service) == job.queue.priority
+
     def record_asked(self, job: Job, now: float) -> None:
         """Record the work of a job that has arrived."""
         if self.applies_to(job):
