--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -27,6 +27,8 @@
 from fulmarscale.entry.durable.durable_job import DurableJob
 from fulmarscale.entry.durable.durable_job import PendingAck
 from fulmarscale.entry.durable.durable_job import task_number
+from fulmarscale.entry.durable.first_writes import rejection
+from fulmarscale.entry.durable.first_writes import UnresolvedWrites
 from fulmarscale.entry.durable.membership import Membership
 from fulmarscale.entry.durable.record import decode_record
 from fulmarscale.entry.durable.record import DurableJobRecord
@@ -62,26 +64,6 @@
 clocks.
 """
 
-MAX_OPEN_JOBS: Final = 5_000
-"""Limit of open jobs of one entry; further jobs are rejected.
-
-At 10 kB for a job they take 50 MB of the 200 MB of the smallest entry VM.
-"""
-
-FIRST_LEASE_WAIT_S: Final = 1.0
-"""How long after its activation this entry admits jobs without a lease.
-
-An admitted job then waits for the lease. The first lease takes two calls to
-the store, at most a second together while the store is available.
-"""
-
-FIRST_WRITE_LIMIT_S: Final = 60.0
-"""Time after which a job's first write is not repeated under another lease.
-
-The row of a job that was cancelled meanwhile, which keeps the write from being
-applied, is removed after STATUS_RETENTION_S.
-"""
-
 SCAN_RETRY_DELAY_S: Final = 0.5
 """Delay after a scan of the records that failed."""
 
@@ -97,11 +79,7 @@
         self._membership = Membership(entry)
         self._write_queue = WriteQueue()
         self._jobs: dict[JobId, DurableJob] = {}
-        self._unresolved: dict[JobId, DurableJob] = {}
-        """Jobs whose first write was pending when the lease was lost.
-
-        It may still be applied, so it is repeated under the next lease.
-        """
+        self._unresolved = UnresolvedWrites()
         self._own_pending: dict[str, int] = {}
         """Own jobs of which no task has started, by queue."""
         self._is_active = False
@@ -183,10 +161,17 @@
         record = DurableJobRecord(self._entry, queue, spec)
         is_storable = fits_row(record)
         # No attempt to store a record that is too long can have succeeded.
-        rejection = (
-            self._rejection(now) if is_storable else StorageOutcome.REFUSED
+        refusal = (
+            rejection(
+                is_store_available=self._is_store_available,
+                is_owner=self._is_owner,
+                active_s=now - self._active_since,
+                open_jobs=self.open_jobs,
+            )
+            if is_storable
+            else StorageOutcome.REFUSED
         )
-        if rejection is not None:
+        if refusal is not None:
             self._log(
                 Event.JOB_NOT_KEPT,
                 job=job_id,
@@ -195,7 +180,7 @@
                 open_jobs=self.open_jobs,
                 is_storable=is_storable,
             )
-            self._answer_submitters(job_id, rejection)
+            self._answer_submitters(job_id, refusal)
             return self._take_actions(now)
         job = DurableJob(job_id, record, 0, now)
         self._jobs[job_id] = job
@@ -463,22 +448,6 @@
             )
         )
 
-    def _rejection(self, now: float) -> StorageOutcome | None:
-        """Return the outcome for a rejected new job; none if it is admitted.
-
-        While the store is unavailable, an earlier attempt may have been
-        stored by another entry. The outcome is then UNKNOWN, as this entry
-        can't exclude that the job runs.
-        """
-        may_wait_for_lease = now - self._active_since < FIRST_LEASE_WAIT_S
-        if not self._is_store_available:
-            return StorageOutcome.UNKNOWN
-        if not self._is_owner and not may_wait_for_lease:
-            return StorageOutcome.UNKNOWN
-        return (
-            StorageOutcome.REFUSED if self.open_jobs >= MAX_OPEN_JOBS else None
-        )
-
     def _update_ownership(self, now: float) -> None:
         holds_lease = self._membership.holds_lease(now)
         if holds_lease and not self._is_owner:
@@ -496,23 +465,17 @@
             self._answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
             self._answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
             if job.is_new:
-                self._unresolved[job.job_id] = job
+                self._unresolved.add(job)
         self._jobs.clear()
         self._write_queue.clear()
 
     def _repeat_first_writes(self, now: float) -> None:
-        """Write the jobs whose first write was not resolved.
-
-        If it is applied later, no entry learns that this one owns the job.
-        """
-        for job_id, job in self._unresolved.items():
-            is_outdated = now - job.created_at > FIRST_WRITE_LIMIT_S
-            if job_id in self._jobs or is_outdated:
-                continue
-            self._jobs[job_id] = job
-            job.mark_dirty(now, is_urgent=True)
-            self._write_queue.enqueue(job)
-        self._unresolved.clear()
+        """Write the jobs whose first write was not resolved."""
+        for job in self._unresolved.take(now):
+            if job.job_id not in self._jobs:
+                self._jobs[job.job_id] = job
+                job.mark_dirty(now, is_urgent=True)
+                self._write_queue.enqueue(job)
 
     def _take_over(self, row: JobRow, now: float) -> None:
         record = msgspec.structs.replace(
