--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -217,10 +217,7 @@
         if self._meter.has_begun:
             age_s = self.loop.time() - self._begun_at
             return (1, self._begun_at) if age_s >= MIN_HELD_S else None
-        # The timer of a connection at rest began with its rest.
-        timer = self.timeout_keep_alive_task
-        began_at = self._active_at if timer is None else timer.when()
-        return 2 if self._has_requested else 0, began_at
+        return 2 if self._has_requested else 0, self._active_at
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -230,9 +227,7 @@
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._active_at = self.loop.time()
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.timeout_keep_alive, self.timeout_keep_alive_handler
-        )
+        self._set_rest_timer(self._active_at)
         limit = self.limit_concurrency
         if limit is not None and len(self.connections) >= limit:
             self._make_room(limit)
@@ -247,10 +242,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Take what has arrived."""
-        keep_alive = self.timeout_keep_alive_task
-        if keep_alive is not None:
-            keep_alive.cancel()
-            self.timeout_keep_alive_task = None
         cycle = self.cycle
         if (
             not self._is_counting
@@ -326,10 +317,14 @@
 
     def on_response_complete(self) -> None:
         """Go on with what waits behind the answered request."""
+        self.server_state.total_requests += 1
         if self._requests and self._handled is not None:
             self._requests.pop(self._handled, None)
-            self._active_at = self.loop.time()
-        super().on_response_complete()
+        self._active_at = self.loop.time()
+        if not self.transport.is_closing():
+            self.flow.resume_reading()
+            if self.pipeline:
+                self._start_asgi_task(*self.pipeline.pop())
         if self.transport.get_write_buffer_size() > 0:
             self._watch_stall()
         if self._unparsed:
@@ -416,6 +411,33 @@
         """Bytes of answers that wait for the client to read."""
         return self.transport.get_write_buffer_size()
 
+    def _set_rest_timer(self, began_at: float) -> None:
+        """Check later whether the connection has been at rest for too long.
+
+        One timer serves many requests.
+
+        :param began_at: when it began to rest, by the event loop's time.
+        """
+        self.timeout_keep_alive_task = self.loop.call_at(
+            began_at + self.timeout_keep_alive, self._check_rest
+        )
+
+    def _check_rest(self) -> None:
+        """Close the connection if it has been at rest for too long."""
+        if self.transport.is_closing():
+            return
+        now = self.loop.time()
+        cycle = self.cycle
+        is_at_rest = (
+            cycle is None or cycle.response_complete
+        ) and not self._is_counting
+        if not is_at_rest:
+            self._set_rest_timer(now)
+        elif now - self._active_at < self.timeout_keep_alive:
+            self._set_rest_timer(self._active_at)
+        else:
+            self.transport.close()
+
     def _update_counting(self) -> None:
         """Find out whether a request or a refusal is in progress."""
         self._is_counting = (
