--- a/src/fulmarscale/entry/jobs/urgency.py
+++ b/src/fulmarscale/entry/jobs/urgency.py
@@ -127,7 +127,7 @@
 
     def __init__(self) -> None:
         self._services: dict[ServiceName, int] = {}
-        """The services whose queues have different priorities."""
+        """Services with classes, and the priority of their most urgent one."""
         self._asked: dict[ServiceName, RecentWork] = {}
         """The work of the jobs that arrived."""
         self._placed: dict[ServiceName, RecentWork] = {}
