Jobs that have reached their limits per target are tried a few at a time

Cause: a step with max_tasks_per_target was never marked as exhausted, so each such waiting job ranked all agents in each placement pass. Change: a failure for want of room is recorded for these steps too; jobs that their own limit keeps from free room are tried 20 a pass, in turn, and at once when their number of assigned tasks changes (limited_jobs.py).

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -21,6 +21,16 @@
       | 3   | needs the label "rare"          |
       | 300 | needs labels that no target has |
 
+  # Guards against jobs each of which ranks all agents in each pass.
+  Scenario Outline: Waiting jobs that find no room are rejected at once
+    Given a simulated site of 1 entries, 4 targets and a store
+    When 150 jobs are submitted to entry 0 whose <tasks>
+    Then no placement pass of 1 s tries more than 25 of them
+
+    Examples:
+      | tasks                          |
+      | tasks run once on each target  |
+
   # Guards against agents that offer free capacity to a job they can't run.
   Scenario: A job that no target can run is no demand until one can run it
     Given a simulated site of 1 entries, 2 targets and a store
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 from typing import TYPE_CHECKING
 from unittest.mock import Mock
 
@@ -43,6 +44,7 @@
 from fulmarscale.platform.store import encode_transaction
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import Step
 
 if TYPE_CHECKING:
@@ -92,6 +94,68 @@
         )
 
 
+def submit_step(context: Context, job: str, step_: Step) -> None:
+    """Submit a durable job of one step to the first entry."""
+    entry, clock = context.run_site.entries[0], context.run_site.clock
+    spec = JobSpec(f"{step_.declared_s * 1000:.0f}", (step_,), is_durable=True)
+    entry.call_or_defer(
+        lambda: entry._perform_storage(
+            entry.manager.submit_durable(JobId(job), QUEUE, spec, clock.now)
+        )
+    )
+    context.run_site.advance(0.005)
+
+
+@when(
+    "{jobs:d} jobs are submitted to entry 0 whose tasks run once on"
+    " each target"
+)
+def submit_limited(context: Context, jobs: int) -> None:
+    context.run_site.advance(1.0)
+    limited = Step(6, Resources(1, 1, 0), 60.0, max_tasks_per_target=1)
+    for number in range(jobs):
+        submit_step(context, f"j{number}", limited)
+
+
+@when(
+    "{jobs:d} jobs are submitted to entry 0 whose tasks all demand"
+    " other amounts"
+)
+def submit_distinct(context: Context, jobs: int) -> None:
+    site = context.run_site
+    site.advance(1.0)
+    # Two targets are left without memory, the others without cores.
+    for number in range(2):
+        for demand in (Resources(200, 65000, 0), Resources(15900, 64, 0)):
+            name = f"first{number}.{demand.memory_mb}"
+            submit_step(context, name, Step(1, demand, 60.0))
+            site.advance(0.2)
+    for number in range(jobs):
+        demand = Resources(1600, 1000 + number, 0)
+        submit_step(context, f"j{number}", Step(1, demand, 60.0))
+
+
+@then("no placement pass of {span_s:g} s tries more than {most:d} of them")
+def check_attempts(context: Context, span_s: float, most: int) -> None:
+    site, tried = context.run_site, []
+    site.advance(1.0)
+    placer = site.entries[0].dispatcher._placer
+    place, place_job = placer.place, placer._place_job
+
+    def count_pass(*args: Any) -> None:
+        tried.append(0)
+        place(*args)
+
+    def count_job(*args: Any) -> None:
+        tried[-1] += 1
+        place_job(*args)
+
+    placer.place, placer._place_job = count_pass, count_job
+    site.advance(span_s)
+    assert tried, tried
+    assert max(tried) <= most, tried
+
+
 @when(
     "{jobs:d} durable jobs of {tasks:d} tasks of {ms:d} ms are submitted to"
     " entry {number:d}, {gap:d} ms apart"
--- a/src/fulmarscale/entry/jobs/free_room.py
+++ b/src/fulmarscale/entry/jobs/free_room.py
@@ -52,24 +52,33 @@
                 return True
         return False
 
-    def record_failure(self, step: Step) -> None:
+    def record_failure(self, step: Step, *, is_limited: bool) -> bool:
         """Record that no agent can run a task of a step.
 
-        The limit of tasks per target is the job's own and shows nothing for
-        other jobs.
+        :param step: the step.
+        :param is_limited: whether the limit of tasks per target, which is the
+            job's own, may be the cause.
+        :returns: whether it is, so that other jobs may still find room.
         """
         # Tasks have been placed since it was determined.
         self._most_free.pop(step.required_label, None)
-        if step.max_tasks_per_target == 0:
-            self._exhausted.add((step.required_label, step.demand))
+        if is_limited and any(
+            step.demand.fits(view.available)
+            for view in self._with_label(step.required_label)
+        ):
+            return True
+        self._exhausted.add((step.required_label, step.demand))
+        return False
+
+    def _with_label(self, label: str) -> list[AgentView]:
+        """Return the agents whose targets have a label; all if it's empty."""
+        return [
+            view for view in self._views if not label or view.has_label(label)
+        ]
 
     def _sum_up(self, label: str) -> Resources | None:
         """Return the most of each resource that agents with a label have."""
-        free = [
-            view.available
-            for view in self._views
-            if not label or view.has_label(label)
-        ]
+        free = [view.available for view in self._with_label(label)]
         if not free:
             return None
         return Resources(
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -12,6 +12,7 @@
 from fulmarscale.entry.jobs.bulkheads import Partition
 from fulmarscale.entry.jobs.free_room import FreeRoom
 from fulmarscale.entry.jobs.job import TaskPhase
+from fulmarscale.entry.jobs.limited_jobs import LimitedJobs
 from fulmarscale.entry.jobs.unplaceable_jobs import UnplaceableJobs
 from fulmarscale.events import Event
 from fulmarscale.runs.messages import StartRequest
@@ -93,6 +94,7 @@
         self._crashes = crashes
         self._log = log
         self._unplaceable = UnplaceableJobs(fleet, open_jobs, log)
+        self._limited = LimitedJobs()
         self._trials: dict[JobId, Partition] = {}
         """Jobs that run on trial, and where."""
         self._last_start_number = 0
@@ -144,6 +146,7 @@
         queue_rooms: dict[tuple[QueueName, ServiceName], FreeRoom] = {}
         unexpired: set[TaskKey] | None = None
         bulkheads = self._fleet.bulkheads
+        self._limited.begin_pass({job.job_id for job in jobs})
         for job in jobs:
             queue = job.queue
             room = queue_rooms.get((queue.name, queue.service))
@@ -155,7 +158,12 @@
                 room = queue_rooms[queue.name, queue.service] = rooms[key]
             # Other jobs may fail where this one has its runs on probation.
             is_exempt = bulkheads.is_confined(job) and job.is_assigned
-            if not is_exempt and not room.may_fit_any(job.waiting_steps):
+            steps = job.waiting_steps
+            if not self._limited.may_try(job):
+                steps = tuple(
+                    step for step in steps if not step.max_tasks_per_target
+                )
+            if not is_exempt and not room.may_fit_any(steps):
                 continue
             if not job.is_started and room.held_jobs >= MAX_HELD_JOBS:
                 continue
@@ -273,16 +281,23 @@
         placement = self._fleet.placement(job, room.views, now)
         failed: set[int] = set()
         """Steps of which no further task can be placed."""
+        has_reached_limit = False
         for task in job.waiting:
             if task.key.step in failed or task.key in unexpired:
                 continue
             view = placement.choose(task)
             if view is None:
                 failed.add(task.key.step)
-                if not placement.has_declined:
-                    room.record_failure(task.step)
+                if placement.has_declined:
+                    continue
+                is_limited = task.step.max_tasks_per_target > 0 and any(
+                    other.step is task.step for other in job.assigned
+                )
+                if room.record_failure(task.step, is_limited=is_limited):
+                    has_reached_limit = True
                 continue
             self._request_start(job, task, view, now)
+        self._limited.record(job, has_reached_limit=has_reached_limit)
 
     def _request_start(
         self,
