Ends of unknown runs are looked up by part of the table when many are due

Cause: the jobs of unowned ends were looked up one at a time, 18 a second, so the ends of several restarted agents exceeded their agents' limit of 20 s. A part that can't be read is put off and holds up no other.

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -119,3 +119,18 @@
     And each part of the table holds a job of a lost owner
     When entry 0 starts while part "s0" can't be read
     Then it runs the jobs of the 7 other parts
+
+  # Guards against ends that their agents give up before they are looked up.
+  Scenario: The ends of many jobs that no entry knows are acknowledged in time
+    Given two entries that hold their leases in one store
+    And each part of the table holds a job of a lost owner
+    When 600 ends of other jobs and one of each of these are given to entry 0
+    Then all but those of the stored jobs are acknowledged within 5 s
+    And at most 60 calls to the store have been made
+
+  Scenario: A part of the table that can't be read keeps back only its own ends
+    Given two entries that hold their leases in one store
+    And each part of the table holds a job of a lost owner
+    When part "s0" can't be read
+    And 600 ends of other jobs and one of each of these are given to entry 0
+    Then all but those of part "s0" and of the stored jobs are acknowledged
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -36,16 +36,20 @@
 from fulmarscale.entry.durable.rows import RowKey
 from fulmarscale.entry.durable.rows import RowTable
 from fulmarscale.entry.durable.rows import RowWrite
+from fulmarscale.entry.durable.unowned_ends import UnownedEndReview
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.ids import EntryId
 from fulmarscale.platform.http_client import HttpResponse
 from fulmarscale.platform.store import decode_commit
 from fulmarscale.platform.store import encode_transaction
+from fulmarscale.runs.messages import DurableCompletion
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import Step
+from fulmarscale.runs.model import TargetIncarnation
+from fulmarscale.runs.model import TaskKey
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -593,3 +597,77 @@
 @then("it runs the jobs of the {count:d} other parts")
 def check_other_parts(context: Context, count: int) -> None:
     assert context.started == count, context.started
+
+
+@when('part "{part}" can\'t be read')
+def block_part(context: Context, part: str) -> None:
+    context.doors[0].unreadable_part = part
+
+
+@when(
+    "{ends:d} ends of other jobs and one of each of these are given to entry 0"
+)
+def give_ends(context: Context, ends: int) -> None:
+    async def run() -> None:
+        door = context.doors[0]
+        calls = context.calls = []
+        for name in ("read_row", "read_part"):
+            read = getattr(door, name)
+
+            async def count(*args: str, read: Any = read) -> Any:
+                calls.append(args)
+                return await read(*args)
+
+            setattr(door, name, count)
+        context.acked = set()
+        review = UnownedEndReview(
+            "e0",
+            door,
+            is_active=lambda: True,
+            poll=Mock(),
+            owns=lambda _: False,
+            acknowledge=lambda _, acks: context.acked.update(
+                ack.position for ack in acks
+            ),
+        )
+        stored = [JobId(key.key) for key in context.shared_rows]
+        other = [JobId(f"other{number}") for number in range(ends)]
+        context.given = dict(enumerate([*stored, *other], 1))
+        for position, job_id in context.given.items():
+            incarnation = TargetIncarnation("t0", 1)
+            task = TaskKey(job_id, 0, 0, 0)
+            review.add(
+                "a0", DurableCompletion(incarnation, position, task, True)
+            )
+        running = asyncio.create_task(review.run())
+        await asyncio.sleep(5.0)
+        running.cancel()
+
+    asyncio.run(run())
+
+
+def unacknowledged(context: Context) -> set[JobId]:
+    """Return the jobs whose ends have not been acknowledged."""
+    return {
+        job_id
+        for position, job_id in context.given.items()
+        if position not in context.acked
+    }
+
+
+@then("all but those of the stored jobs are acknowledged within 5 s")
+def check_ends(context: Context) -> None:
+    stored = {key.key for key in context.shared_rows}
+    assert unacknowledged(context) == stored, len(unacknowledged(context))
+
+
+@then("at most {most:d} calls to the store have been made")
+def check_call_count(context: Context, most: int) -> None:
+    assert len(context.calls) <= most, len(context.calls)
+
+
+@then('all but those of part "{part}" and of the stored jobs are acknowledged')
+def check_readable_ends(context: Context, part: str) -> None:
+    stored = {key.key for key in context.shared_rows}
+    unread = {job for job in context.given.values() if shard_of(job) == part}
+    assert unacknowledged(context) == stored | unread
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -143,6 +143,7 @@
         ] = {}
         """Callers that wait for a job's end, or for its cancellation."""
         self._unowned_ends = UnownedEndReview(
+            entry.name,
             rows,
             is_active=self._activated.is_set,
             poll=self._search.query,
