Queries cause few scans, and none while an owner starts again

Cause: each query for a job whose stored owner has no lease could start a scan of all records; one for a job of an owner that has just come back made another entry take over all its jobs. Change: no scan for a job that this entry owns or takes over; at most one scan every 2 s for queries, later ones are put together; none in the first 5 s in which the owner's new process has a lease.

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -75,6 +75,23 @@
     And a caller asks for a job whose stored owner has no lease
     Then the entry scans the records again
 
+  # Guards against queries each of which has all records read.
+  Scenario: Many queries for jobs of a lost owner lead to few scans
+    Given an entry that takes over 1 jobs of one part, in rows of 500 bytes
+    When callers ask 100 times in 2 s for a job that is being taken over
+    Then the entry scans the records at most 0 times
+    When callers ask 100 times in 2 s for other jobs of the lost owner
+    Then the entry scans the records at most 2 times
+
+  # Guards against a takeover from an owner that is just starting again.
+  Scenario: A query takes no jobs from an owner that has just started again
+    Given an entry that takes over 0 jobs of one part, in rows of 500 bytes
+    When the owner starts again
+    And callers ask 100 times in 2 s for other jobs of the lost owner
+    Then the entry scans the records at most 0 times
+    When callers ask 100 times in 4 s for other jobs of the lost owner
+    Then the entry scans the records once
+
   # Guards against a cancelled job that is stored and started afterwards.
   Scenario Outline: A job that is cancelled before its first write is applied never starts
     Given two entries that hold their leases in one store
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -18,6 +18,7 @@
 from features.support.run_site import TICK_S
 from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.actions import CommitMember
+from fulmarscale.entry.durable.actions import ScanRecords
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
 from fulmarscale.entry.durable.driver import DurableJobDriver
@@ -28,6 +29,8 @@
 from fulmarscale.entry.durable.record import DurableJobRecord
 from fulmarscale.entry.durable.record import encode_row
 from fulmarscale.entry.durable.record import JobRow
+from fulmarscale.entry.durable.record import MemberRecord
+from fulmarscale.entry.durable.record import MemberRow
 from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import shard_of
 from fulmarscale.entry.durable.rows import CommitResult
@@ -361,7 +364,44 @@
     spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
     record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
     context.manager.process_scan((), (), 20.0)
-    context.actions = context.manager.check_owner(record, 20.0)
+    context.actions = context.manager.check_owner(JobId("new"), record, 20.0)
+
+
+@when("the owner starts again")
+def restart_owner(context: Context) -> None:
+    context.members = (MemberRow("e0", MemberRecord(2, 1, {}), 9),)
+    context.manager.update_members(context.members, 0.3)
+
+
+@when("callers ask {queries:d} times in {span_s:g} s for {which}")
+def ask_often(
+    context: Context, queries: int, span_s: float, which: str
+) -> None:
+    spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+    record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
+    is_own = which == "a job that is being taken over"
+    began_at = context.asked_until = getattr(context, "asked_until", 0.3)
+    context.scans = 0
+    for number in range(queries):
+        now = context.asked_until = began_at + number * span_s / queries
+        job_id = context.job_ids[0] if is_own else JobId(f"new{number}")
+        manager = context.manager
+        actions = manager.check_owner(job_id, record, now)
+        if any(isinstance(action, ScanRecords) for action in actions):
+            context.scans += 1
+            members = getattr(context, "members", ())
+            actions = manager.process_scan((), members, now)
+            assert ScanRecords() not in actions
+
+
+@then("the entry scans the records at most {most:d} times")
+def check_few_scans(context: Context, most: int) -> None:
+    assert context.scans <= most, context.scans
+
+
+@then("the entry scans the records once")
+def check_some_scan(context: Context) -> None:
+    assert context.scans == 1, context.scans
 
 
 class MemoryRows(RowTable):
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -338,7 +338,7 @@
         self.activate()
         record = self._decode_record(row)
         if record is not None:
-            self._decide(self._manager.check_owner, record)
+            self._decide(self._manager.check_owner, job_id, record)
         return record
 
     def _perform(self, actions: list[ManagerAction]) -> None:
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -9,16 +9,12 @@
 
 from __future__ import annotations
 
-from typing import Any
 from typing import Final
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from fulmarscale.entry.durable.action_list import ActionList
 from fulmarscale.entry.durable.actions import AcknowledgeCompletions
-from fulmarscale.entry.durable.actions import AnswerCallers
 from fulmarscale.entry.durable.actions import ChangeOwnerEpoch
-from fulmarscale.entry.durable.actions import LogDurableDecision
 from fulmarscale.entry.durable.actions import ReviewCompletions
 from fulmarscale.entry.durable.actions import ScanRecords
 from fulmarscale.entry.durable.actions import StartJob
@@ -37,6 +33,8 @@
 from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import RecordedCompletion
 from fulmarscale.entry.durable.rows import CommitStatus
+from fulmarscale.entry.durable.scan_schedule import lost_jobs
+from fulmarscale.entry.durable.scan_schedule import ScanSchedule
 from fulmarscale.entry.durable.write_queue import INCONCLUSIVE_STATUSES
 from fulmarscale.entry.durable.write_queue import WriteQueue
 from fulmarscale.errors import ResultCode
@@ -82,9 +80,6 @@
 applied, is removed after STATUS_RETENTION_S.
 """
 
-SCAN_RETRY_DELAY_S: Final = 0.5
-"""Delay after a scan of the records that failed."""
-
 
 class DurableJobManager:
     """Manages the ownership and records of one entry's durable jobs.
@@ -110,11 +105,8 @@
         self._is_owner = False
         self._is_store_available = True
         """Whether the last write was applied or met a version conflict."""
-        self._needs_scan = False
-        """Whether to scan the records for jobs whose owner has no lease."""
-        self._next_scan_at = float("-inf")
-        self._is_scanning = False
-        self._actions: list[ManagerAction] = []
+        self._scans = ScanSchedule(self._membership)
+        self._actions = ActionList()
 
     @property
     def entry(self) -> EntryId:
@@ -136,7 +128,7 @@
         if not self._is_active:
             self._is_active = True
             self._active_since = now
-            self._log(Event.KEEPING_STARTED)
+            self._actions.log(Event.KEEPING_STARTED)
         return self._take_actions(now)
 
     def has_job(self, job_id: JobId) -> bool:
@@ -178,7 +170,7 @@
         existing = self._jobs.get(job_id)
         if existing is not None:
             if existing.stored_record is not None:
-                self._answer_stored(job_id, existing.stored_record)
+                self._actions.answer_stored(job_id, existing.stored_record)
             return self._take_actions(now)
         record = DurableJobRecord(self._entry, queue, spec)
         is_storable = fits_row(record)
@@ -187,7 +179,7 @@
             self._rejection(now) if is_storable else StorageOutcome.REFUSED
         )
         if rejection is not None:
-            self._log(
+            self._actions.log(
                 Event.JOB_NOT_KEPT,
                 job=job_id,
                 is_owner=self._is_owner,
@@ -195,7 +187,7 @@
                 open_jobs=self.open_jobs,
                 is_storable=is_storable,
             )
-            self._answer_submitters(job_id, rejection)
+            self._actions.answer_submitters(job_id, rejection)
             return self._take_actions(now)
         job = DurableJob(job_id, record, 0, now)
         self._jobs[job_id] = job
@@ -210,18 +202,18 @@
         """
         job = self._jobs.get(job_id)
         if job is None:
-            self._answer_end_waiters(job_id, StorageOutcome.UNKNOWN)
+            self._actions.answer_end_waiters(job_id, StorageOutcome.UNKNOWN)
             return self._take_actions(now)
         if job.is_open:
-            self._actions.append(StopJob(job_id))
+            self._actions.add(StopJob(job_id))
             job.finalize(DurableJobState.CANCELLED, now)
             self._write_queue.enqueue(job)
-            self._log(Event.JOB_REVOKED, job=job_id)
+            self._actions.log(Event.JOB_REVOKED, job=job_id)
         elif (
             job.stored_record is not None
             and job.stored_record.state is not DurableJobState.OPEN
         ):
-            self._answer_end_waiters(job_id, StorageOutcome.STORED)
+            self._actions.answer_end_waiters(job_id, StorageOutcome.STORED)
         return self._take_actions(now)
 
     def adopt_tombstone(self, row: JobRow, now: float) -> list[ManagerAction]:
@@ -306,7 +298,7 @@
         elif is_stored:
             # The agent has reconnected since the acknowledgement was sent.
             ack = CompletionAck(completion.incarnation, completion.position)
-            self._actions.append(AcknowledgeCompletions(agent, (ack,)))
+            self._actions.add(AcknowledgeCompletions(agent, (ack,)))
         return self._take_actions(now)
 
     def update_members(
@@ -314,7 +306,7 @@
     ) -> list[ManagerAction]:
         """Update the lease rows of all entries."""
         if self._membership.update_rows(members, now):
-            self._needs_scan = True
+            self._scans.request()
         return self._take_actions(now)
 
     def apply_cancellation(
@@ -338,10 +330,11 @@
         return self._take_actions(now)
 
     def check_owner(
-        self, record: DurableJobRecord, now: float
+        self, job_id: JobId, record: DurableJobRecord, now: float
     ) -> list[ManagerAction]:
-        """Take over a job that was read if its owner is lost."""
-        self._scan_if_ownerless(record)
+        """Take over a job that was read for a query if its owner is lost."""
+        if job_id not in self._jobs:
+            self._scans.request_for_query(record, now)
         return self._take_actions(now)
 
     def resolve_batch(
@@ -378,8 +371,8 @@
         """Process the store's answer to a write of an entry's row."""
         self._is_store_available = answer.status not in INCONCLUSIVE_STATUSES
         if self._membership.resolve_write(name, answer, now):
-            self._log(Event.OWNER_REMOVED, entry=name)
-            self._needs_scan = True
+            self._actions.log(Event.OWNER_REMOVED, entry=name)
+            self._scans.request()
         return self._take_actions(now)
 
     def process_scan(
@@ -398,31 +391,27 @@
             owner without a row has lost its jobs.
         :param now: the entry's time.
         """
-        self._is_scanning = False
+        self._scans.finish()
         if self._membership.update_rows(members, now):
             # A job may have been stored since its shard was read.
-            self._needs_scan = True
-        live_owners = {(row.name, row.member.incarnation) for row in members}
-        taken = 0
-        for row in records:
-            owner = row.record.owner
-            has_live_owner = (owner.name, owner.incarnation) in live_owners
-            if row.job_id in self._jobs or not self._is_owner:
-                continue
-            if has_live_owner and owner != self._entry:
-                continue
-            taken += 1
+            self._scans.request()
+        lost = [
+            row
+            for row in lost_jobs(records, members, self._entry)
+            if row.job_id not in self._jobs and self._is_owner
+        ]
+        for row in lost:
             self._take_over(row, now)
-        if taken:
-            self._actions.append(ReviewCompletions())
-        self._log(Event.RECORDS_SCANNED, records=len(records), taken=taken)
+        if lost:
+            self._actions.add(ReviewCompletions())
+        self._actions.log(
+            Event.RECORDS_SCANNED, records=len(records), taken=len(lost)
+        )
         return self._take_actions(now)
 
     def fail_scan(self, now: float) -> list[ManagerAction]:
         """Schedule another scan, as the records could not be read."""
-        self._is_scanning = False
-        self._needs_scan = True
-        self._next_scan_at = now + SCAN_RETRY_DELAY_S
+        self._scans.fail(now)
         return self._take_actions(now)
 
     def tick(self, pending: dict[str, int], now: float) -> list[ManagerAction]:
@@ -435,15 +424,13 @@
         if not self._is_active:
             return self._take_actions(now)
         self._update_ownership(now)
-        if (
-            self._membership.has_inherited_counts
-            and self._is_takeover_complete
-        ):
+        has_inherited = self._membership.has_inherited_counts
+        if has_inherited and self._is_takeover_complete:
             self._membership.clear_inherited()
         renewal = self._membership.renew_if_due(pending, now)
         if renewal is not None:
-            self._actions.append(renewal)
-        self._actions += self._membership.remove_expired(now)
+            self._actions.add(renewal)
+        self._actions.add(*self._membership.remove_expired(now))
         self._expire_ended_jobs(now)
         return self._take_actions(now)
 
@@ -453,10 +440,9 @@
 
         New jobs may be on their way to the store at any time.
         """
-        is_scanned = not self._needs_scan and not self._is_scanning
         return (
             self._is_owner
-            and is_scanned
+            and self._scans.is_settled
             and all(
                 job.is_new or job.stored_record is not None
                 for job in self._jobs.values()
@@ -483,18 +469,20 @@
         holds_lease = self._membership.holds_lease(now)
         if holds_lease and not self._is_owner:
             self._is_owner = True
-            self._needs_scan = True
-            self._log(Event.OWNERSHIP_GAINED)
+            self._scans.request()
+            self._actions.log(Event.OWNERSHIP_GAINED)
             self._repeat_first_writes(now)
         if holds_lease or not self._is_owner:
             return
         self._is_owner = False
-        self._log(Event.OWNERSHIP_LOST, jobs=len(self._jobs))
+        self._actions.log(Event.OWNERSHIP_LOST, jobs=len(self._jobs))
         for job in self._jobs.values():
             if job.is_open:
-                self._actions.append(StopJob(job.job_id))
-            self._answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
-            self._answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
+                self._actions.add(StopJob(job.job_id))
+            self._actions.answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
+            self._actions.answer_end_waiters(
+                job.job_id, StorageOutcome.UNKNOWN
+            )
             if job.is_new:
                 self._unresolved[job.job_id] = job
         self._jobs.clear()
@@ -515,11 +503,7 @@
         self._unresolved.clear()
 
     def _take_over(self, row: JobRow, now: float) -> None:
-        record = msgspec.structs.replace(
-            row.record,
-            owner=self._entry,
-            owner_epoch=row.record.owner_epoch + 1,
-        )
+        record = row.record.taken_over_by(self._entry)
         job = DurableJob(row.job_id, record, row.version, now)
         self._jobs[row.job_id] = job
         job.completions = dict.fromkeys(record.completions, True)
@@ -529,7 +513,7 @@
             job.finalized_at = now
             return
         self._write_queue.enqueue(job)
-        self._log(
+        self._actions.log(
             Event.JOB_TAKEN_OVER,
             job=row.job_id,
             owner=row.record.owner.name,
@@ -561,7 +545,7 @@
             job.mark_dirty(now, is_urgent=True)
             self._write_queue.enqueue(job)
             return
-        self._log(
+        self._actions.log(
             Event.END_VOIDED,
             job=job.job_id,
             agent=agent,
@@ -571,7 +555,7 @@
         ack = CompletionAck(
             completion.incarnation, completion.position, not is_cancelled
         )
-        self._actions.append(AcknowledgeCompletions(agent, (ack,)))
+        self._actions.add(AcknowledgeCompletions(agent, (ack,)))
 
     def _handle_stored(
         self, item: BatchItem, version: int, now: float
@@ -589,16 +573,16 @@
         if job.is_open and job.cancelled_version > version:
             self._apply_cancellation(job, job.cancelled_version, now)
         elif previous is None and job.is_open:
-            self._actions.append(StartJob(job.job_id, item.record))
+            self._actions.add(StartJob(job.job_id, item.record))
         elif previous is not None and owner_epoch != previous.owner_epoch:
-            self._actions.append(ChangeOwnerEpoch(job.job_id, owner_epoch))
+            self._actions.add(ChangeOwnerEpoch(job.job_id, owner_epoch))
         has_ended = item.record.state is not DurableJobState.OPEN
         if is_first_write:
-            self._answer_submitters(job.job_id, StorageOutcome.STORED)
+            self._actions.answer_submitters(job.job_id, StorageOutcome.STORED)
         if has_ended:
-            self._answer_end_waiters(job.job_id, StorageOutcome.STORED)
+            self._actions.answer_end_waiters(job.job_id, StorageOutcome.STORED)
         if is_first_write or has_ended:
-            self._log(
+            self._actions.log(
                 Event.JOB_STORED,
                 job=job.job_id,
                 state=item.record.state.value,
@@ -618,7 +602,7 @@
             ] = True
             acks_by_agent.setdefault(pending.agent, []).append(ack)
         for agent, acks in acks_by_agent.items():
-            self._actions.append(AcknowledgeCompletions(agent, tuple(acks)))
+            self._actions.add(AcknowledgeCompletions(agent, tuple(acks)))
 
     def _handle_conflict(
         self, item: BatchItem, rows: tuple[Row, ...], now: float
@@ -669,41 +653,29 @@
             self._stop_lost_job(
                 job, "the row is malformed or has another owner", version
             )
-            self._scan_if_ownerless(record)
+            self._scans.request_if_ownerless(record)
             return
         # An earlier submission of the same job was stored.
         self._jobs.pop(job.job_id)
-        self._answer_stored(job.job_id, record)
+        self._actions.answer_stored(job.job_id, record)
         # It may have been cancelled here, but is not yet in the store.
-        self._answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
+        self._actions.answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
         if record is not None and record.owner == self._entry:
             # This entry stored it, before it lost its lease.
             row = JobRow(job.job_id, record, version)
             self._take_over(row, now)
         else:
-            self._scan_if_ownerless(record)
-
-    def _scan_if_ownerless(self, record: DurableJobRecord | None) -> None:
-        """Schedule a scan if a job's stored owner is lost.
-
-        A write of that owner was applied after the last scan.
-        """
-        if (
-            record is not None
-            and record.state is DurableJobState.OPEN
-            and not self._membership.is_live(record.owner)
-        ):
-            self._needs_scan = True
+            self._scans.request_if_ownerless(record)
 
     def _stop_lost_job(
         self, job: DurableJob, reason: str, version: int
     ) -> None:
-        self._log(
+        self._actions.log(
             Event.JOB_LOST, job=job.job_id, reason=reason, version=version
         )
         if job.is_open:
-            self._actions.append(StopJob(job.job_id))
-        self._answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
+            self._actions.add(StopJob(job.job_id))
+        self._actions.answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
         self._jobs.pop(job.job_id, None)
 
     def _handle_refused(self, item: BatchItem, now: float) -> None:
@@ -711,7 +683,7 @@
         job = item.job
         if job.is_new:
             self._jobs.pop(job.job_id)
-            self._log(
+            self._actions.log(
                 Event.JOB_NOT_KEPT,
                 job=job.job_id,
                 is_owner=True,
@@ -719,8 +691,10 @@
                 open_jobs=self.open_jobs,
             )
             # This attempt was not stored, but an earlier one may have been.
-            self._answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
-            self._answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
+            self._actions.answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
+            self._actions.answer_end_waiters(
+                job.job_id, StorageOutcome.UNKNOWN
+            )
             return
         self._requeue_write(item, now)
 
@@ -733,57 +707,27 @@
     def _apply_cancellation(
         self, job: DurableJob, version: int, now: float
     ) -> None:
-        self._actions.append(StopJob(job.job_id))
-        self._log(Event.JOB_REVOKED, job=job.job_id, version=version)
+        self._actions.add(StopJob(job.job_id))
+        self._actions.log(Event.JOB_REVOKED, job=job.job_id, version=version)
         self._acknowledge(tuple(job.pending_acks), job)
         job.pending_acks = []
         job.finalize(DurableJobState.CANCELLED, now)
         job.version = version
         job.stored_record = job.record
         job.is_dirty = False
-        self._answer_end_waiters(job.job_id, StorageOutcome.STORED)
+        self._actions.answer_end_waiters(job.job_id, StorageOutcome.STORED)
 
     def _expire_ended_jobs(self, now: float) -> None:
         for job in list(self._jobs.values()):
-            if (
-                now - job.finalized_at > STATUS_RETENTION_S
-                and not job.is_expired
-            ):
+            is_due = now - job.finalized_at > STATUS_RETENTION_S
+            if is_due and not job.is_expired:
                 job.is_expired = True
                 job.mark_dirty(now, is_urgent=False)
                 self._write_queue.enqueue(job)
 
-    def _answer_stored(
-        self, job_id: JobId, record: DurableJobRecord | None
-    ) -> None:
-        """Answer submitters of a job that has a row already."""
-        is_tombstone = record is not None and record.is_tombstone
-        self._answer_submitters(
-            job_id,
-            StorageOutcome.REFUSED if is_tombstone else StorageOutcome.STORED,
-        )
-
-    def _answer_submitters(
-        self, job_id: JobId, outcome: StorageOutcome
-    ) -> None:
-        self._actions.append(AnswerCallers(job_id, outcome, False))
-
-    def _answer_end_waiters(
-        self, job_id: JobId, outcome: StorageOutcome
-    ) -> None:
-        self._actions.append(AnswerCallers(job_id, outcome, True))
-
     def _take_actions(self, now: float) -> list[ManagerAction]:
         if self._is_owner:
-            self._actions += self._write_queue.flush(now)
-        can_scan = self._is_owner and not self._is_scanning
-        if self._needs_scan and can_scan and now >= self._next_scan_at:
-            self._needs_scan = False
-            self._is_scanning = True
-            self._actions.append(ScanRecords())
-        actions = self._actions
-        self._actions = []
-        return actions
-
-    def _log(self, event: Event, **fields: Any) -> None:
-        self._actions.append(LogDurableDecision(event, fields))
+            self._actions.add(*self._write_queue.flush(now))
+            if self._scans.take_due(now):
+                self._actions.add(ScanRecords())
+        return self._actions.take()
--- a/src/fulmarscale/entry/durable/membership.py
+++ b/src/fulmarscale/entry/durable/membership.py
@@ -65,6 +65,8 @@
         self.version = row.version
         self.changed_at = now
         """When this entry read the last change of the row."""
+        self.live_since = now
+        """When this entry first read the row of this incarnation."""
 
 
 class Membership:
@@ -149,6 +151,15 @@
             other is not None and other.member.incarnation == owner.incarnation
         )
 
+    def live_since(self, name: str) -> float:
+        """Return since when another entry's process has a lease row.
+
+        :param name: the entry's name.
+        :returns: the entry's time; minus infinity if there is no row.
+        """
+        other = self._others.get(name)
+        return float("-inf") if other is None else other.live_since
+
     def update_rows(self, members: tuple[MemberRow, ...], now: float) -> bool:
         """Update the copies of other entries' rows.
 
@@ -169,7 +180,11 @@
                 continue
             previous = self._others.get(row.name)
             if previous is None or previous.version < row.version:
-                self._others[row.name] = OtherEntry(row, now)
+                other = self._others[row.name] = OtherEntry(row, now)
+                if previous is not None and (
+                    previous.member.incarnation == row.member.incarnation
+                ):
+                    other.live_since = previous.live_since
         return is_removed
 
     def renew_if_due(
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -124,6 +124,12 @@
         """
         return self.owner_epoch == 0
 
+    def taken_over_by(self, owner: EntryId) -> DurableJobRecord:
+        """Return the record of the next owner."""
+        return msgspec.structs.replace(
+            self, owner=owner, owner_epoch=self.owner_epoch + 1
+        )
+
     def ended_as(
         self, state: DurableJobState, code: ResultCode = ResultCode.OK
     ) -> DurableJobRecord:
