--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -21,6 +21,17 @@
       | 3   | needs the label "rare"          |
       | 300 | needs labels that no target has |
 
+  # Guards against jobs each of which ranks all agents in each pass.
+  Scenario Outline: Waiting jobs that find no room are rejected at once
+    Given a simulated site of 1 entries, 4 targets and a store
+    When 150 jobs are submitted to entry 0 whose <tasks>
+    Then no placement pass of 1 s tries more than 25 of them
+
+    Examples:
+      | tasks                          |
+      | tasks run once on each target  |
+      | tasks all demand other amounts |
+
   # Guards against agents that offer free capacity to a job they can't run.
   Scenario: A job that no target can run is no demand until one can run it
     Given a simulated site of 1 entries, 2 targets and a store
@@ -64,6 +75,23 @@
     And a caller asks for a job whose stored owner has no lease
     Then the entry scans the records again
 
+  # Guards against queries each of which has all records read.
+  Scenario: Many queries for jobs of a lost owner lead to few scans
+    Given an entry that takes over 1 jobs of one part, in rows of 500 bytes
+    When callers ask 100 times in 2 s for a job that is being taken over
+    Then the entry scans the records at most 0 times
+    When callers ask 100 times in 2 s for other jobs of the lost owner
+    Then the entry scans the records at most 2 times
+
+  # Guards against a takeover from an owner that is just starting again.
+  Scenario: A query takes no jobs from an owner that has just started again
+    Given an entry that takes over 0 jobs of one part, in rows of 500 bytes
+    When the owner starts again
+    And callers ask 100 times in 2 s for other jobs of the lost owner
+    Then the entry scans the records at most 0 times
+    When callers ask 100 times in 4 s for other jobs of the lost owner
+    Then the entry scans the records once
+
   # Guards against a cancelled job that is stored and started afterwards.
   Scenario Outline: A job that is cancelled before its first write is applied never starts
     Given two entries that hold their leases in one store
@@ -108,3 +136,18 @@
     And each part of the table holds a job of a lost owner
     When entry 0 starts while part "s0" can't be read
     Then it runs the jobs of the 7 other parts
+
+  # Guards against ends that their agents give up before they are looked up.
+  Scenario: The ends of many jobs that no entry knows are acknowledged in time
+    Given two entries that hold their leases in one store
+    And each part of the table holds a job of a lost owner
+    When 600 ends of other jobs and one of each of these are given to entry 0
+    Then all but those of the stored jobs are acknowledged within 5 s
+    And at most 60 calls to the store have been made
+
+  Scenario: A part of the table that can't be read keeps back only its own ends
+    Given two entries that hold their leases in one store
+    And each part of the table holds a job of a lost owner
+    When part "s0" can't be read
+    And 600 ends of other jobs and one of each of these are given to entry 0
+    Then all but those of part "s0" and of the stored jobs are acknowledged
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 from typing import TYPE_CHECKING
 from unittest.mock import Mock
 
@@ -17,6 +18,7 @@
 from features.support.run_site import TICK_S
 from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.actions import CommitMember
+from fulmarscale.entry.durable.actions import ScanRecords
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StorageOutcome
 from fulmarscale.entry.durable.driver import DurableJobDriver
@@ -27,6 +29,8 @@
 from fulmarscale.entry.durable.record import DurableJobRecord
 from fulmarscale.entry.durable.record import encode_row
 from fulmarscale.entry.durable.record import JobRow
+from fulmarscale.entry.durable.record import MemberRecord
+from fulmarscale.entry.durable.record import MemberRow
 from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import shard_of
 from fulmarscale.entry.durable.rows import CommitResult
@@ -35,15 +39,20 @@
 from fulmarscale.entry.durable.rows import RowKey
 from fulmarscale.entry.durable.rows import RowTable
 from fulmarscale.entry.durable.rows import RowWrite
+from fulmarscale.entry.durable.unowned_ends import UnownedEndReview
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.ids import EntryId
 from fulmarscale.platform.http_client import HttpResponse
 from fulmarscale.platform.store import decode_commit
 from fulmarscale.platform.store import encode_transaction
+from fulmarscale.runs.messages import DurableCompletion
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
+from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import Step
+from fulmarscale.runs.model import TargetIncarnation
+from fulmarscale.runs.model import TaskKey
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,6 +101,68 @@
         )
 
 
+def submit_step(context: Context, job: str, step_: Step) -> None:
+    """Submit a durable job of one step to the first entry."""
+    entry, clock = context.run_site.entries[0], context.run_site.clock
+    spec = JobSpec(f"{step_.declared_s * 1000:.0f}", (step_,), is_durable=True)
+    entry.call_or_defer(
+        lambda: entry._perform_storage(
+            entry.manager.submit_durable(JobId(job), QUEUE, spec, clock.now)
+        )
+    )
+    context.run_site.advance(0.005)
+
+
+@when(
+    "{jobs:d} jobs are submitted to entry 0 whose tasks run once on"
+    " each target"
+)
+def submit_limited(context: Context, jobs: int) -> None:
+    context.run_site.advance(1.0)
+    limited = Step(6, Resources(1, 1, 0), 60.0, max_tasks_per_target=1)
+    for number in range(jobs):
+        submit_step(context, f"j{number}", limited)
+
+
+@when(
+    "{jobs:d} jobs are submitted to entry 0 whose tasks all demand"
+    " other amounts"
+)
+def submit_distinct(context: Context, jobs: int) -> None:
+    site = context.run_site
+    site.advance(1.0)
+    # Two targets are left without memory, the others without cores.
+    for number in range(2):
+        for demand in (Resources(200, 65000, 0), Resources(15900, 64, 0)):
+            name = f"first{number}.{demand.memory_mb}"
+            submit_step(context, name, Step(1, demand, 60.0))
+            site.advance(0.2)
+    for number in range(jobs):
+        demand = Resources(1600, 1000 + number, 0)
+        submit_step(context, f"j{number}", Step(1, demand, 60.0))
+
+
+@then("no placement pass of {span_s:g} s tries more than {most:d} of them")
+def check_attempts(context: Context, span_s: float, most: int) -> None:
+    site, tried = context.run_site, []
+    site.advance(1.0)
+    placer = site.entries[0].dispatcher._placer
+    place, place_job = placer.place, placer._place_job
+
+    def count_pass(*args: Any) -> None:
+        tried.append(0)
+        place(*args)
+
+    def count_job(*args: Any) -> None:
+        tried[-1] += 1
+        place_job(*args)
+
+    placer.place, placer._place_job = count_pass, count_job
+    site.advance(span_s)
+    assert tried, tried
+    assert max(tried) <= most, tried
+
+
 @when(
     "{jobs:d} durable jobs of {tasks:d} tasks of {ms:d} ms are submitted to"
     " entry {number:d}, {gap:d} ms apart"
@@ -293,7 +364,44 @@
     spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
     record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
     context.manager.process_scan((), (), 20.0)
-    context.actions = context.manager.check_owner(record, 20.0)
+    context.actions = context.manager.check_owner(JobId("new"), record, 20.0)
+
+
+@when("the owner starts again")
+def restart_owner(context: Context) -> None:
+    context.members = (MemberRow("e0", MemberRecord(2, 1, {}), 9),)
+    context.manager.update_members(context.members, 0.3)
+
+
+@when("callers ask {queries:d} times in {span_s:g} s for {which}")
+def ask_often(
+    context: Context, queries: int, span_s: float, which: str
+) -> None:
+    spec = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+    record = DurableJobRecord(EntryId("e0", 1), QUEUE, spec)
+    is_own = which == "a job that is being taken over"
+    began_at = context.asked_until = getattr(context, "asked_until", 0.3)
+    context.scans = 0
+    for number in range(queries):
+        now = context.asked_until = began_at + number * span_s / queries
+        job_id = context.job_ids[0] if is_own else JobId(f"new{number}")
+        manager = context.manager
+        actions = manager.check_owner(job_id, record, now)
+        if any(isinstance(action, ScanRecords) for action in actions):
+            context.scans += 1
+            members = getattr(context, "members", ())
+            actions = manager.process_scan((), members, now)
+            assert ScanRecords() not in actions
+
+
+@then("the entry scans the records at most {most:d} times")
+def check_few_scans(context: Context, most: int) -> None:
+    assert context.scans <= most, context.scans
+
+
+@then("the entry scans the records once")
+def check_some_scan(context: Context) -> None:
+    assert context.scans == 1, context.scans
 
 
 class MemoryRows(RowTable):
@@ -529,3 +637,77 @@
 @then("it runs the jobs of the {count:d} other parts")
 def check_other_parts(context: Context, count: int) -> None:
     assert context.started == count, context.started
+
+
+@when('part "{part}" can\'t be read')
+def block_part(context: Context, part: str) -> None:
+    context.doors[0].unreadable_part = part
+
+
+@when(
+    "{ends:d} ends of other jobs and one of each of these are given to entry 0"
+)
+def give_ends(context: Context, ends: int) -> None:
+    async def run() -> None:
+        door = context.doors[0]
+        calls = context.calls = []
+        for name in ("read_row", "read_part"):
+            read = getattr(door, name)
+
+            async def count(*args: str, read: Any = read) -> Any:
+                calls.append(args)
+                return await read(*args)
+
+            setattr(door, name, count)
+        context.acked = set()
+        review = UnownedEndReview(
+            "e0",
+            door,
+            is_active=lambda: True,
+            poll=Mock(),
+            owns=lambda _: False,
+            acknowledge=lambda _, acks: context.acked.update(
+                ack.position for ack in acks
+            ),
+        )
+        stored = [JobId(key.key) for key in context.shared_rows]
+        other = [JobId(f"other{number}") for number in range(ends)]
+        context.given = dict(enumerate([*stored, *other], 1))
+        for position, job_id in context.given.items():
+            incarnation = TargetIncarnation("t0", 1)
+            task = TaskKey(job_id, 0, 0, 0)
+            review.add(
+                "a0", DurableCompletion(incarnation, position, task, True)
+            )
+        running = asyncio.create_task(review.run())
+        await asyncio.sleep(5.0)
+        running.cancel()
+
+    asyncio.run(run())
+
+
+def unacknowledged(context: Context) -> set[JobId]:
+    """Return the jobs whose ends have not been acknowledged."""
+    return {
+        job_id
+        for position, job_id in context.given.items()
+        if position not in context.acked
+    }
+
+
+@then("all but those of the stored jobs are acknowledged within 5 s")
+def check_ends(context: Context) -> None:
+    stored = {key.key for key in context.shared_rows}
+    assert unacknowledged(context) == stored, len(unacknowledged(context))
+
+
+@then("at most {most:d} calls to the store have been made")
+def check_call_count(context: Context, most: int) -> None:
+    assert len(context.calls) <= most, len(context.calls)
+
+
+@then('all but those of part "{part}" and of the stored jobs are acknowledged')
+def check_readable_ends(context: Context, part: str) -> None:
+    stored = {key.key for key in context.shared_rows}
+    unread = {job for job in context.given.values() if shard_of(job) == part}
+    assert unacknowledged(context) == stored | unread
--- a/src/fulmarscale/entry/jobs/free_room.py
+++ b/src/fulmarscale/entry/jobs/free_room.py
@@ -16,8 +16,9 @@
 
     Starts that are requested during a pass only reduce free capacity. So a
     task that no agent could run shows for the rest of the pass that no other
-    task of the same label and demand can be placed. A task is rejected without
-    looking at each agent, so a pass may cover any number of waiting jobs.
+    task of the same label and at least the same demand can be placed. A task
+    is rejected without looking at each agent, so a pass may cover any number
+    of waiting jobs.
 
     :param views: the agents on which tasks may be placed.
     """
@@ -31,8 +32,11 @@
 
         The amounts may be those of different agents. None without any agent.
         """
-        self._exhausted: set[tuple[str, Resources]] = set()
-        """Labels and demands of which no further task can be placed."""
+        self._exhausted: dict[str, list[Resources]] = {}
+        """The least demands of which no further task can be placed, by label.
+
+        Nor can one that demands at least as much of each resource.
+        """
 
     @property
     def views(self) -> list[AgentView]:
@@ -48,28 +52,45 @@
             most = self._most_free[label]
             if most is None or not step.demand.fits(most):
                 continue
-            if (label, step.demand) not in self._exhausted:
+            exhausted = self._exhausted.get(label, ())
+            if not any(least.fits(step.demand) for least in exhausted):
                 return True
         return False
 
-    def record_failure(self, step: Step) -> None:
+    def record_failure(self, step: Step, *, is_limited: bool) -> bool:
         """Record that no agent can run a task of a step.
 
-        The limit of tasks per target is the job's own and shows nothing for
-        other jobs.
+        :param step: the step.
+        :param is_limited: whether the limit of tasks per target, which is the
+            job's own, may be the cause.
+        :returns: whether it is, so that other jobs may still find room.
         """
         # Tasks have been placed since it was determined.
         self._most_free.pop(step.required_label, None)
-        if step.max_tasks_per_target == 0:
-            self._exhausted.add((step.required_label, step.demand))
+        if is_limited and any(
+            step.demand.fits(view.available)
+            for view in self._with_label(step.required_label)
+        ):
+            return True
+        self._exhausted[step.required_label] = [
+            step.demand,
+            *(
+                least
+                for least in self._exhausted.get(step.required_label, ())
+                if not step.demand.fits(least)
+            ),
+        ]
+        return False
+
+    def _with_label(self, label: str) -> list[AgentView]:
+        """Return the agents whose targets have a label; all if it's empty."""
+        return [
+            view for view in self._views if not label or view.has_label(label)
+        ]
 
     def _sum_up(self, label: str) -> Resources | None:
         """Return the most of each resource that agents with a label have."""
-        free = [
-            view.available
-            for view in self._views
-            if not label or view.has_label(label)
-        ]
+        free = [view.available for view in self._with_label(label)]
         if not free:
             return None
         return Resources(
