Wait for the rack of a task's data while that ends it sooner

The operators' wish: a task takes farFactor times as long on another rack than that of its data, and ran there as soon as its rack had no room.

WaitWhileSooner lets it wait while the predicted wait for its rack, from the rack's capacity and the demand ahead, is shorter than what another rack costs, until its job's latest start, and never longer in all than that cost. It takes effect where the settings give a far_factor above 1 and a job names a rack.

--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -81,6 +81,10 @@
         self._runs_s = runs_s
         self.speed = speed
         """Speed of its runs; 1 takes the true run times of the tasks."""
+        self.racks: dict[str, str] = {}
+        """The rack of each job's data."""
+        self.far_factor = 1.0
+        """Factor on the run times of jobs with data on other racks."""
         self.notices: list[tuple[float, float]] = []
         """When it announced its end, and the announced end."""
         self.unanswered_share = 0.0
@@ -89,7 +93,11 @@
         """Called once when the next run ends."""
 
     def _work_s(self, action: StartRun) -> float:
-        work_s = self._runs_s[action.task.job_id][action.task.index]
+        job_id = action.task.job_id
+        work_s = self._runs_s[job_id][action.task.index]
+        rack = self.racks.get(job_id, "")
+        if rack and rack not in self.labels:
+            work_s *= self.far_factor
         return work_s / self.speed
 
     def _finish(self, task: Any, number: int, outcome: Any) -> None:
@@ -331,6 +339,7 @@
         self, workload: Workload, jobs: list[JobDraw], seed: int
     ) -> None:
         self.workload = workload
+        self.far_factor = workload.far_factor
         self.seed = seed
         self._random = Random(f"{seed}/faults")
         self._jobs = {job.name: job for job in jobs}
@@ -412,7 +421,14 @@
     def make_target(self, name: str, cores: int) -> BenchTarget:
         """Start a target with the next size of the workload."""
         own_cores, speed = next(self._sizes)
-        return BenchTarget(self.clock, name, own_cores, self._runs_s, speed)
+        target = BenchTarget(self.clock, name, own_cores, self._runs_s, speed)
+        if self.workload.targets_per_rack:
+            number = int(name.removeprefix("t"))
+            rack = number // self.workload.targets_per_rack
+            target.labels = (f"rack-{rack}",)
+            target.racks = {job.name: job.rack for job in self._jobs.values()}
+            target.far_factor = self.workload.far_factor
+        return target
 
     def make_agent(
         self,
@@ -473,6 +489,7 @@
             len(job.runs_s),
             Resources(job.millicores, MEMORY_MB, 0),
             job.declared_s,
+            data_rack=job.rack,
         )
         wait_s = self._wait_until_s(job) - self.elapsed_s
         entry.take(JobId(job.name), queue, JobSpec("", (step,)), wait_s)
--- a/features/support/dispatch_workload.py
+++ b/features/support/dispatch_workload.py
@@ -52,6 +52,10 @@
     """Spread of run times within a job."""
     cores_spread: float = 0.2
     """Spread of the demand, as a share of its mean."""
+    data_share: float = 0.0
+    """Share of the jobs whose data is on one rack."""
+    hot_share: float = 0.0
+    """Share of these whose data is on the first rack."""
     declared_off: float = 0.4
     """Spread of the declared run time around the true one."""
 
@@ -96,6 +100,10 @@
     """Delay after which a caller resends a job whose connection broke."""
     deadline_s: float = 3.0
     """How long a caller waits, beyond three times the objective."""
+    targets_per_rack: int = 0
+    """Number of targets of each rack; 0 without racks."""
+    far_factor: float = 1.0
+    """Factor on run times on other racks than that of a job's data."""
     faults: list[FaultKind] = []
 
 
@@ -116,6 +124,8 @@
     """The caller's estimate of a run."""
     worth: float
     """What an answer on time is worth."""
+    rack: str = ""
+    """The rack of its data; empty for none."""
 
     @property
     def longest_run_s(self) -> float:
@@ -143,6 +153,7 @@
     jobs = []
     for kind in workload.kinds:
         random = Random(f"{seed}/{kind.name}")
+        rack_random = Random(f"{seed}/{kind.name}/racks")
         at_s = 0.0
         peak = max((fault.x for fault in _bursts(workload, kind)), default=1.0)
         while True:
@@ -151,8 +162,9 @@
                 break
             is_kept = random.random() * peak <= _factor(workload, kind, at_s)
             job = _draw_job(workload, kind, at_s, len(jobs), random)
+            rack = _draw_rack(workload, kind, rack_random)
             if is_kept:
-                jobs.append(job)
+                jobs.append(msgspec.structs.replace(job, rack=rack))
     return sorted(jobs, key=lambda job: job.arrives_s)
 
 
@@ -174,6 +186,15 @@
     return max(factors, default=1.0)
 
 
+def _draw_rack(workload: Workload, kind: Kind, random: Random) -> str:
+    """Draw the rack of a job's data; empty for none."""
+    if not workload.targets_per_rack or random.random() >= kind.data_share:
+        return ""
+    racks = len(workload.cores) // workload.targets_per_rack
+    is_hot = random.random() < kind.hot_share
+    return f"rack-{0 if is_hot else random.randrange(racks)}"
+
+
 def _draw_job(
     workload: Workload, kind: Kind, at_s: float, number: int, random: Random
 ) -> JobDraw:
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -878,7 +878,7 @@
         self._clock = site.clock
         self.name = name
         self.entry = EntryId(name, incarnation)
-        self.dispatcher = Dispatcher(self.entry, "here")
+        self.dispatcher = Dispatcher(self.entry, "here", site.far_factor)
         self.answers: dict[JobId, AnswerJob] = {}
         """Last answer to the caller of each job."""
         self.answered_at: dict[JobId, float] = {}
@@ -991,6 +991,9 @@
     :param heartbeat_gap_s: delay between the first heartbeats of two targets.
     """
 
+    far_factor = 1.0
+    """Factor on run times on other racks than that of a task's data."""
+
     def __init__(
         self,
         entries: int,
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -57,7 +57,13 @@
 
     watcher = SettingsWatcher(path, settings, apply_settings, log)
     watcher.start()
-    process = DispatchProcess(settings.name, settings.data_centre, store, log)
+    process = DispatchProcess(
+        settings.name,
+        settings.data_centre,
+        store,
+        log,
+        settings.far_factor,
+    )
     admission = RequestAdmission(settings.requests, settings.memory_mb, log)
     process.metrics.add_admission(admission)
     ready = AsgiServer(
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -25,6 +25,7 @@
 from fulmarscale.entry.jobs.fleet import Fleet
 from fulmarscale.entry.jobs.job import Job
 from fulmarscale.entry.jobs.job import TaskPhase
+from fulmarscale.entry.jobs.locality import Locality
 from fulmarscale.entry.jobs.open_jobs import OpenJobs
 from fulmarscale.entry.jobs.outbox import Outbox
 from fulmarscale.entry.jobs.overload import OverloadDetector
@@ -75,7 +76,9 @@
 class Dispatcher:
     """Schedules the jobs of one entry on the targets of a site."""
 
-    def __init__(self, entry: EntryId, data_centre: str) -> None:
+    def __init__(
+        self, entry: EntryId, data_centre: str, far_factor: float = 1.0
+    ) -> None:
         self._entry = entry
         self._site = SiteConfig()
         """The newest known configuration of the site."""
@@ -111,6 +114,7 @@
             UrgencyOrder(self._urgency),
             BeginWithRoomForAll(self._fleet, self._run_times, self._urgency),
             self._urgency,
+            Locality(self._fleet, self._open, self._run_times, far_factor),
             self._open,
             self._crashes,
             self._log,
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -373,18 +373,33 @@
         choice = EndInTimeChoice(job, views, self.speeds, now)
         return [view for view in views if choice.is_acceptable(task, view)]
 
-    def placement(
+    def choice(
         self, job: Job, views: list[AgentView], now: float
+    ) -> TargetChoice:
+        """Return what the targets for a job's tasks are compared by.
+
+        :param job: the job.
+        :param views: the agents on which its tasks may be placed.
+        :param now: the entry's time.
+        """
+        if self.speeds.is_uneven:
+            return EndInTimeChoice(job, views, self.speeds, now)
+        return FreeShareChoice()
+
+    def placement(
+        self,
+        job: Job,
+        choice: TargetChoice,
+        views: list[AgentView],
+        now: float,
     ) -> PlacementPass:
         """Return a placement pass that chooses agents for a job's tasks.
 
         :param job: the job.
+        :param choice: compares the targets.
         :param views: the agents on which its tasks may be placed.
         :param now: the entry's time.
         """
-        choice: TargetChoice = FreeShareChoice()
-        if self.speeds.is_uneven:
-            choice = EndInTimeChoice(job, views, self.speeds, now)
         return PlacementPass(self, choice, job, views, now)
 
     def can_run(
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -25,6 +25,7 @@
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
+    from fulmarscale.entry.jobs.locality import Locality
     from fulmarscale.entry.jobs.open_jobs import OpenJobs
     from fulmarscale.entry.jobs.run_monitor import DecisionLog
     from fulmarscale.entry.jobs.urgency import Urgency
@@ -70,6 +71,7 @@
     :param order: the order in which jobs get free capacity.
     :param beginning: decides which jobs may begin.
     :param urgency: is told the tasks that are placed.
+    :param locality: decides which targets a job's tasks wait for.
     :param open_jobs: the entry's open jobs.
     :param crashes: the known crashes of targets.
     :param log: writes a line about a decision.
@@ -81,6 +83,7 @@
         order: WaitingOrder,
         beginning: BeginningRule,
         urgency: Urgency,
+        locality: Locality,
         open_jobs: OpenJobs,
         crashes: CrashHistory,
         log: DecisionLog,
@@ -89,6 +92,7 @@
         self._order = order
         self._beginning = beginning
         self._urgency = urgency
+        self._locality = locality
         self._open = open_jobs
         self._crashes = crashes
         self._log = log
@@ -270,7 +274,8 @@
         :param unexpired: tasks with an earlier run that may not have ended.
         :param now: the entry's time.
         """
-        placement = self._fleet.placement(job, room.views, now)
+        choice = self._locality.choice(job, room.views, now)
+        placement = self._fleet.placement(job, choice, room.views, now)
         failed: set[int] = set()
         """Steps of which no further task can be placed."""
         for task in job.waiting:
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -91,12 +91,17 @@
     """Connects an entry's dispatcher to callers, agents and the clock."""
 
     def __init__(
-        self, name: str, data_centre: str, rows: RowTable, log: EventLog
+        self,
+        name: str,
+        data_centre: str,
+        rows: RowTable,
+        log: EventLog,
+        far_factor: float = 1.0,
     ) -> None:
         super().__init__(log)
         incarnation = SystemRandom().getrandbits(INCARNATION_BITS)
         entry = EntryId(name, incarnation)
-        self._dispatcher = Dispatcher(entry, data_centre)
+        self._dispatcher = Dispatcher(entry, data_centre, far_factor)
         self._durable_jobs = DurableJobDriver(entry, rows, self, log)
         self._streams: dict[str, AgentStream] = {}
         """Streams to agents, by the agent's name."""
--- a/src/fulmarscale/settings.py
+++ b/src/fulmarscale/settings.py
@@ -179,6 +179,11 @@
     """The VM's memory in MB, which sets the budget of requests."""
     requests: RequestLimits = RequestLimits()
     """Bounds of each HTTP request."""
+    far_factor: Annotated[float, msgspec.Meta(ge=1, le=100)] = 1.0
+    """The ratio of run times on other racks to those near a task's data.
+
+    With 1, tasks never wait for a rack.
+    """
 
 
 class SiteAgentSettings(BaseSettings):
