A late durable job with large tasks gets one target reserved

Cause: since a job that can't be placed ends no pass, small tasks take each part of a target that is freed; tasks that fill most of a target never begin in a lasting overload of a service without priority classes. Change: the first late durable job that hasn't begun, and of whose tasks only one fits on a target, has one target that the entry's other jobs leave alone until it begins (reserved_target.py). One target of an entry at a time. Best- effort jobs get none. Other entries don't know of it and still use the target. The new scenario fails before (wide0 stays open). No trial with several entries.

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -32,6 +32,13 @@
       | tasks run once on each target  |
       | tasks all demand other amounts |
 
+  # Guards against large tasks that never find the room that small ones take.
+  Scenario: Large tasks run although small ones overload the site for long
+    Given a simulated site of 1 entries, 2 targets and a store
+    When 2 jobs of one task of 14.4 cores join an overload of small ones for 12 s
+    Then the store records job "wide0" as completed
+    And the store records job "wide1" as completed
+
   # Guards against agents that offer free capacity to a job they can't run.
   Scenario: A job that no target can run is no demand until one can run it
     Given a simulated site of 1 entries, 2 targets and a store
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -142,6 +142,23 @@
         submit_step(context, f"j{number}", Step(1, demand, 60.0))
 
 
+@when(
+    "{jobs:d} jobs of one task of {cores:g} cores join an overload of small"
+    " ones for {span_s:d} s"
+)
+def overload(context: Context, jobs: int, cores: float, span_s: int) -> None:
+    site = context.run_site
+    site.advance(1.0)
+    wide = Step(1, Resources(round(1000 * cores), 64, 0), 0.5)
+    # Both targets run 20 tasks a second.
+    for number in range(24 * span_s):
+        if number == 48:
+            for job in range(jobs):
+                submit_step(context, f"wide{job}", wide)
+        submit_step(context, f"small{number}", Step(1, TASK, 1.0))
+        site.advance(1 / 24 - 0.005)
+
+
 @then("no placement pass of {span_s:g} s tries more than {most:d} of them")
 def check_attempts(context: Context, span_s: float, most: int) -> None:
     site, tried = context.run_site, []
--- a/src/fulmarscale/entry/jobs/placer.py
+++ b/src/fulmarscale/entry/jobs/placer.py
@@ -13,6 +13,7 @@
 from fulmarscale.entry.jobs.free_room import FreeRoom
 from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.entry.jobs.limited_jobs import LimitedJobs
+from fulmarscale.entry.jobs.reserved_target import ReservedTarget
 from fulmarscale.entry.jobs.unplaceable_jobs import UnplaceableJobs
 from fulmarscale.events import Event
 from fulmarscale.runs.messages import StartRequest
@@ -95,6 +96,7 @@
         self._log = log
         self._unplaceable = UnplaceableJobs(fleet, open_jobs, log)
         self._limited = LimitedJobs()
+        self._reserved = ReservedTarget(fleet, urgency)
         self._trials: dict[JobId, Partition] = {}
         """Jobs that run on trial, and where."""
         self._last_start_number = 0
@@ -147,6 +149,7 @@
         unexpired: set[TaskKey] | None = None
         bulkheads = self._fleet.bulkheads
         self._limited.begin_pass({job.job_id for job in jobs})
+        self._reserved.update(jobs, now)
         for job in jobs:
             queue = job.queue
             room = queue_rooms.get((queue.name, queue.service))
@@ -154,8 +157,13 @@
                 partition = bulkheads.partition_of(job)
                 key = (queue.service, partition)
                 if key not in rooms:
-                    rooms[key] = FreeRoom(self._fleet.usable(job, now))
+                    views = self._fleet.usable(job, now)
+                    rooms[key] = FreeRoom(
+                        self._reserved.without_reserved(views)
+                    )
                 room = queue_rooms[queue.name, queue.service] = rooms[key]
+            if job.job_id == self._reserved.job_id:
+                room = FreeRoom(self._fleet.usable(job, now))
             # Other jobs may fail where this one has its runs on probation.
             is_exempt = bulkheads.is_confined(job) and job.is_assigned
             steps = job.waiting_steps
