The pause of a record that is too large for a call grows

Cause: a stored job's record that outgrows its row was rejected alone every 0.2 s for ever, and held up its shard for as long. Change: the delay is the job's own and doubles up to 30 s; it ends when the job does, as its record is short then.

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -77,6 +77,7 @@
     Given an entry that takes over 60 jobs of one part, in rows of 500 bytes
     When the store answers its calls, those with the first job with status 400
     Then all jobs but the first are stored and started
+    And at most 10 calls hold the first job alone
 
   # Guards against jobs of a lost owner that nobody takes over unless asked.
   Scenario: An entry that nobody asks finds the first durable jobs of others
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -337,6 +337,16 @@
     assert len(context.commits) < 200, len(context.commits)
 
 
+@then("at most {most:d} calls hold the first job alone")
+def check_few_calls(context: Context, most: int) -> None:
+    keys = [
+        [write.row_key.key for write in commit.writes]
+        for commit in context.commits
+    ]
+    count = keys.count([context.job_ids[0]])
+    assert count <= most, count
+
+
 @given("an entry that has found no durable jobs in the store")
 def make_driver(context: Context) -> None:
     context.rows = ListedRows()
--- a/src/fulmarscale/entry/durable/durable_job.py
+++ b/src/fulmarscale/entry/durable/durable_job.py
@@ -57,6 +57,10 @@
         """Whether the next write must not be delayed to form a batch."""
         self.dirty_at = now
         """When the oldest change that is not written was made."""
+        self.delay_s = 0.0
+        """The last delay of a write that was too large; 0 if none was."""
+        self.write_after = float("-inf")
+        """The earliest time of the next write."""
         self.finalized_at = float("inf")
         """When the job ended; infinity while it is open.
 
@@ -91,6 +95,15 @@
         self.is_dirty = True
         self.is_urgent = self.is_urgent or is_urgent
 
+    def delay_write(self, delay_s: float, now: float) -> None:
+        """Delay the next write, unless the job ends before.
+
+        :param delay_s: the delay in seconds.
+        :param now: the entry's time.
+        """
+        self.delay_s = delay_s
+        self.write_after = now + delay_s
+
     def record_completion(
         self, agent: str, completion: DurableCompletion, number: int
     ) -> None:
@@ -157,6 +170,7 @@
         """
         self.record = self.record.ended_as(state, code)
         self.finalized_at = now
+        self.write_after = float("-inf")
         self.mark_dirty(now, is_urgent=True)
 
 
--- a/src/fulmarscale/entry/durable/write_queue.py
+++ b/src/fulmarscale/entry/durable/write_queue.py
@@ -37,6 +37,12 @@
 RETRY_DELAY_S: Final = 0.2
 """Delay after a transaction that was refused or got no answer."""
 
+MAX_TOO_LARGE_DELAY_S: Final = 30.0
+"""Longest delay of a record that is too large for a call of its own.
+
+It may get shorter, and the job may end, whose record is short.
+"""
+
 MAX_BATCH_RECORDS: Final = 50
 """Limit of records in one transaction.
 
@@ -149,8 +155,11 @@
         shard.may_still_apply = False
         batch, shard.batch = shard.batch, ()
         is_too_large = answer.status is CommitStatus.TOO_LARGE
-        if is_refused or (is_too_large and len(batch) == 1):
+        if is_refused:
             shard.retry_at = now + RETRY_DELAY_S
+        if is_too_large and len(batch) == 1:
+            delay_s = min(2 * batch[0].job.delay_s, MAX_TOO_LARGE_DELAY_S)
+            batch[0].job.delay_write(max(RETRY_DELAY_S, delay_s), now)
         if is_too_large:
             shard.max_records = max(1, len(batch) // 2)
         elif answer.status is CommitStatus.APPLIED:
@@ -158,23 +167,24 @@
         return batch
 
     def _take_batch(self, name: str, now: float) -> tuple[BatchItem, ...]:
-        jobs = self._dirty[name]
+        dirty = self._dirty[name]
+        jobs = [job for job in dirty.values() if now >= job.write_after]
         is_due = any(
             job.is_urgent or now - job.dirty_at >= BATCH_DELAY_S
-            for job in jobs.values()
+            for job in jobs
         )
         if not is_due:
             return ()
         batch: list[BatchItem] = []
         sent_bytes = 0
         max_records = self._shards[name].max_records
-        for job in list(jobs.values())[:max_records]:
+        for job in jobs[:max_records]:
             item = _make_item(job)
             sent_bytes += item.write.sent_bytes
             if batch and sent_bytes > MAX_BATCH_BYTES:
                 break
             batch.append(item)
-            del jobs[job.job_id]
+            del dirty[job.job_id]
             job.pending_acks = []
             job.is_dirty = False
             job.is_urgent = False
