--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -32,6 +32,13 @@
       | tasks run once on each target  |
       | tasks all demand other amounts |
 
+  # Guards against large tasks that never find the room that small ones take.
+  Scenario: Large tasks run although small ones overload the site for long
+    Given a simulated site of 1 entries, 2 targets and a store
+    When 2 jobs of one task of 14.4 cores join an overload of small ones for 12 s
+    Then the store records job "wide0" as completed
+    And the store records job "wide1" as completed
+
   # Guards against agents that offer free capacity to a job they can't run.
   Scenario: A job that no target can run is no demand until one can run it
     Given a simulated site of 1 entries, 2 targets and a store
@@ -43,6 +50,16 @@
     Then the store records job "a" as completed
     And no guarantee for durable jobs is violated
 
+  # Guards against jobs set apart each time that an agent restarts.
+  Scenario: Jobs wait for the only target that can run them while its agent restarts
+    Given a simulated site of 1 entries, 3 targets and a store
+    And target 0 is the only one with the label "rare"
+    When durable job "holder" of 10 tasks of 9000 ms needs the label "rare" at entry 0
+    And durable job "a" of 10 tasks of 20 ms needs the label "rare" at entry 0
+    And agent 0 is killed and restarts after 0.3 s
+    And 2 s pass
+    Then entry 0 has set no jobs apart
+
   # Guards against a call that is too large and is repeated for ever.
   Scenario: An entry takes over more large jobs than a call may hold
     Given an entry that takes over 60 jobs of one part, in rows of 40000 bytes
@@ -60,6 +77,7 @@
     Given an entry that takes over 60 jobs of one part, in rows of 500 bytes
     When the store answers its calls, those with the first job with status 400
     Then all jobs but the first are stored and started
+    And at most 10 calls hold the first job alone
 
   # Guards against jobs of a lost owner that nobody takes over unless asked.
   Scenario: An entry that nobody asks finds the first durable jobs of others
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -42,6 +42,7 @@
 from fulmarscale.entry.durable.unowned_ends import UnownedEndReview
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
+from fulmarscale.events import Event
 from fulmarscale.ids import EntryId
 from fulmarscale.platform.http_client import HttpResponse
 from fulmarscale.platform.store import decode_commit
@@ -142,6 +143,23 @@
         submit_step(context, f"j{number}", Step(1, demand, 60.0))
 
 
+@when(
+    "{jobs:d} jobs of one task of {cores:g} cores join an overload of small"
+    " ones for {span_s:d} s"
+)
+def overload(context: Context, jobs: int, cores: float, span_s: int) -> None:
+    site = context.run_site
+    site.advance(1.0)
+    wide = Step(1, Resources(round(1000 * cores), 64, 0), 0.5)
+    # Both targets run 20 tasks a second.
+    for number in range(24 * span_s):
+        if number == 48:
+            for job in range(jobs):
+                submit_step(context, f"wide{job}", wide)
+        submit_step(context, f"small{number}", Step(1, TASK, 1.0))
+        site.advance(1 / 24 - 0.005)
+
+
 @then("no placement pass of {span_s:g} s tries more than {most:d} of them")
 def check_attempts(context: Context, span_s: float, most: int) -> None:
     site, tried = context.run_site, []
@@ -202,6 +220,12 @@
         assert not told, told
 
 
+@then("entry {number:d} has set no jobs apart")
+def check_none_apart(context: Context, number: int) -> None:
+    logs = context.run_site.entries[number].logs
+    assert not [each for each in logs if each.event is Event.JOB_SET_APART]
+
+
 def make_owner() -> DurableJobManager:
     """Return the manager of an entry that holds its lease."""
     manager = DurableJobManager(EntryId("e1", 1))
@@ -313,6 +337,16 @@
     assert len(context.commits) < 200, len(context.commits)
 
 
+@then("at most {most:d} calls hold the first job alone")
+def check_few_calls(context: Context, most: int) -> None:
+    keys = [
+        [write.row_key.key for write in commit.writes]
+        for commit in context.commits
+    ]
+    count = keys.count([context.job_ids[0]])
+    assert count <= most, count
+
+
 @given("an entry that has found no durable jobs in the store")
 def make_driver(context: Context) -> None:
     context.rows = ListedRows()
