--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -109,12 +109,15 @@
             log=self._log,
         )
         self._urgency = Urgency()
+        self._locality = Locality(
+            self._fleet, self._open, self._run_times, far_factor
+        )
         self._placer = Placer(
             self._fleet,
             UrgencyOrder(self._urgency),
             BeginWithRoomForAll(self._fleet, self._run_times, self._urgency),
             self._urgency,
-            Locality(self._fleet, self._open, self._run_times, far_factor),
+            self._locality,
             self._open,
             self._crashes,
             self._log,
@@ -153,6 +156,11 @@
         """The number of open jobs."""
         return len(self._open.jobs)
 
+    @property
+    def locality(self) -> Locality:
+        """What decides how long tasks wait for the rack of their data."""
+        return self._locality
+
     @property
     def fleet(self) -> Fleet:
         """All agents that the entry has had a stream to."""
