--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -87,7 +87,7 @@
         self._was_ready = False
         """Whether the entry was ready at the last tick."""
         self._open = OpenJobs()
-        self._fleet = Fleet(data_centre)
+        self._fleet = Fleet(data_centre, far_factor)
         self._outbox = Outbox(entry, self._fleet)
         self._prober = CapacityProber(self._fleet)
         self._subset = Subset(entry.name, self._fleet)
@@ -115,7 +115,7 @@
             UrgencyOrder(self._urgency),
             BeginWithRoomForAll(self._fleet, self._run_times, self._urgency),
             self._urgency,
-            Locality(self._fleet, self._open, self._run_times, far_factor),
+            Locality(self._fleet, self._open, self._run_times),
             self._open,
             self._crashes,
             self._log,
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -15,6 +15,9 @@
 from fulmarscale.entry.jobs.agent_view import AgentView
 from fulmarscale.entry.jobs.bulkheads import Bulkheads
 from fulmarscale.entry.jobs.open_load import OpenLoad
+from fulmarscale.entry.jobs.placement_wait import NeverWait
+from fulmarscale.entry.jobs.placement_wait import PlacementWait
+from fulmarscale.entry.jobs.placement_wait import WaitWhileSooner
 from fulmarscale.entry.jobs.target_choice import EndInTimeChoice
 from fulmarscale.entry.jobs.target_choice import FreeShareChoice
 from fulmarscale.entry.jobs.target_speeds import TargetSpeeds
@@ -58,9 +61,13 @@
 class Fleet:
     """All agents that an entry has had a stream to."""
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, data_centre: str, far_factor: float = 1.0) -> None:
         self._data_centre = data_centre
         """The entry's data centre."""
+        self.placement_wait: PlacementWait = NeverWait()
+        """Decides how long tasks wait for the rack of their data."""
+        if far_factor > 1.0:
+            self.placement_wait = WaitWhileSooner(far_factor)
         self._closed_data_centres: tuple[str, ...] = ()
         self.bulkheads = Bulkheads()
         """Which queues are confined to which of the targets."""
--- a/src/fulmarscale/entry/jobs/locality.py
+++ b/src/fulmarscale/entry/jobs/locality.py
@@ -6,9 +6,7 @@
 
 from fulmarscale.entry.jobs.placement_wait import NearDataChoice
 from fulmarscale.entry.jobs.placement_wait import NeverWait
-from fulmarscale.entry.jobs.placement_wait import PlacementWait
 from fulmarscale.entry.jobs.placement_wait import RackDemand
-from fulmarscale.entry.jobs.placement_wait import WaitWhileSooner
 
 if TYPE_CHECKING:
     from fulmarscale.entry.jobs.agent_view import AgentView
@@ -25,24 +23,14 @@
     :param fleet: the entry's agents.
     :param open_jobs: the entry's open jobs.
     :param run_times: the measured run times of tasks.
-    :param far_factor: the ratio of a task's run time on other racks to that
-        near its data; 1 if the site has no such difference.
     """
 
     def __init__(
-        self,
-        fleet: Fleet,
-        open_jobs: OpenJobs,
-        run_times: RunTimes,
-        far_factor: float,
+        self, fleet: Fleet, open_jobs: OpenJobs, run_times: RunTimes
     ) -> None:
         self._fleet = fleet
         self._open = open_jobs
         self._run_times = run_times
-        self.wait: PlacementWait = NeverWait()
-        """Decides whether a wait pays."""
-        if far_factor > 1.0:
-            self.wait = WaitWhileSooner(far_factor)
         self._demands: dict[str, list[RackDemand]] = {}
         """What waits for each rack, by its label."""
         self._updated_at = float("-inf")
@@ -58,13 +46,14 @@
         :param now: the entry's time.
         """
         choice = self._fleet.choice(job, views, now)
-        if isinstance(self.wait, NeverWait) or not any(
+        wait = self._fleet.placement_wait
+        if isinstance(wait, NeverWait) or not any(
             step.data_rack for step in job.waiting_steps
         ):
             return choice
         return NearDataChoice(
             choice,
-            self.wait,
+            wait,
             job,
             self._fleet.serving(job.queue.service),
             self._waiting_demands(now),
