Late jobs are compared with the kinds of targets before any is ranked

Cause: the reservation of a target listed all usable agents for each late durable job in each pass. Change: only jobs of whose tasks one alone fits on a known kind of target are looked at further.

--- a/src/fulmarscale/entry/jobs/reserved_target.py
+++ b/src/fulmarscale/entry/jobs/reserved_target.py
@@ -10,15 +10,17 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.entry.jobs.room import fitting_tasks
-from fulmarscale.entry.jobs.room import largest_demand
 from fulmarscale.entry.jobs.target_choice import free_share
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from fulmarscale.entry.jobs.agent_view import AgentView
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.urgency import Urgency
     from fulmarscale.runs.model import JobId
+    from fulmarscale.runs.model import Resources
 
 
 class ReservedTarget:
@@ -48,7 +50,12 @@
         :param ready: jobs whose tasks may be placed, the first job first.
         :param now: the entry's time.
         """
-        late = [job for job in ready if self._is_starved(job, now)]
+        capacities = {view.capacity for view in self._fleet.connected}
+        late = [
+            job
+            for job in ready
+            if self._is_starved(job, now) and _fills_any(job, capacities)
+        ]
         # Keeps the target while it gets free.
         late.sort(key=lambda job: job.job_id != self._job_id)
         former, self._job_id = self._agent, None
@@ -79,11 +86,24 @@
 
     def _able(self, job: Job, now: float) -> list[AgentView]:
         """Return the agents whose targets have room for one such task only."""
-        demand = largest_demand(job)
         labels = {step.required_label for step in job.waiting_steps} - {""}
         return [
             view
             for view in self._fleet.usable(job, now)
-            if fitting_tasks(demand, (view.capacity,)) == 1
+            if _fills_any(job, (view.capacity,))
             and all(view.has_label(label) for label in labels)
         ]
+
+
+def _fills_any(job: Job, capacities: Iterable[Resources]) -> bool:
+    """Return whether a target would have room for one of the tasks only.
+
+    :param job: a job with waiting tasks.
+    :param capacities: the capacities of targets.
+    """
+    demands = {step.demand for step in job.waiting_steps}
+    return any(
+        all(demand.fits(capacity) for demand in demands)
+        and any(fitting_tasks(demand, (capacity,)) == 1 for demand in demands)
+        for capacity in capacities
+    )
