Judge jobs in the first second by the agents that are known

After a loss of all machines nothing was rejected for a second. The agents without a known target are now assumed to be like those with one, and the shares of the classes count only once they cover 2 s.

--- a/features/policy_urgency.feature
+++ b/features/policy_urgency.feature
@@ -26,6 +26,13 @@
     When 0.4, 0.55, 0.7, 0.85 and 1.0 of its jobs are played
     Then the worth served never falls as the load rises
 
+  Scenario: Load "all machines lost at 0.6 of the room and back in a second"
+    Given the workload "power_loss_callers" at load 1.0 for 12 s
+    When the workload is played
+    Then no queue is served better than a more urgent one after 8 s
+    And at least 0.7 of the worth is served in each 2 s after 8 s
+    And no task ever had two runs at once
+
   Scenario: Failure halfway: agents and targets are lost at 2.4 times the load
     Given the workload "surge_faults" at load 1.0 for 10 s
     When the workload is played
--- a/features/steps/urgency_steps.py
+++ b/features/steps/urgency_steps.py
@@ -13,6 +13,7 @@
 from behave import when
 
 from features.support.dispatch_score import score_jobs
+from features.support.dispatch_score import score_windows
 from features.support.dispatch_score import WINDOW_S
 from features.support.dispatch_site import DispatchSite
 from features.support.dispatch_workload import draw_jobs
@@ -51,6 +52,30 @@
     assert served == sorted(served, reverse=True), served
 
 
+@then("no queue is served better than a more urgent one after {at:d} s")
+def check_order_after(context: Context, at: int) -> None:
+    site: DispatchSite = context.sites[0]
+    jobs = [job for job in site.jobs if job.arrives_s >= at]
+    figures = score_jobs(site.workload, jobs, site.completed_at)
+    kinds = sorted(site.workload.kinds, key=lambda kind: kind.priority)
+    served = [figures[f"kind {kind.name}"] for kind in kinds]
+    assert served == sorted(served, reverse=True), served
+
+
+@then(
+    "at least {share:f} of the worth is served in each {window:d} s after"
+    " {at:d} s"
+)
+def check_windows_after(
+    context: Context, share: float, window: int, at: int
+) -> None:
+    site: DispatchSite = context.sites[0]
+    assert window == WINDOW_S
+    served = score_windows(site.workload, site.jobs, site.completed_at)
+    later = {each: served[each] for each in served if each >= at / WINDOW_S}
+    assert all(value >= share for value in later.values()), served
+
+
 @then("the most urgent queue is served at least {share:f} of its worth")
 def check_most_urgent(context: Context, share: float) -> None:
     served = shares(context.sites[0])
--- a/src/fulmarscale/entry/jobs/admission_control.py
+++ b/src/fulmarscale/entry/jobs/admission_control.py
@@ -15,8 +15,11 @@
 from fulmarscale.entry.jobs.class_admission import is_admitted
 from fulmarscale.entry.jobs.class_admission import may_wait
 from fulmarscale.events import Event
+from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from fulmarscale.entry.jobs.estimates import RunTimes
     from fulmarscale.entry.jobs.fleet import Fleet
     from fulmarscale.entry.jobs.job import Job
@@ -54,6 +57,7 @@
     :param run_times: the measured run times of tasks.
     :param waiting: the open jobs with waiting tasks, kept up to date.
     :param urgency: the classes of the services that have any.
+    :param chosen: the agents that the entry keeps streams to, kept up to date.
     :param log: writes a line for each rejection.
     """
 
@@ -63,12 +67,14 @@
         run_times: RunTimes,
         waiting: dict[JobId, Job],
         urgency: Urgency,
+        chosen: Mapping[str, str],
         log: DecisionLog,
     ) -> None:
         self._fleet = fleet
         self._run_times = run_times
         self._waiting = waiting
         self._urgency = urgency
+        self._chosen = chosen
         self._log = log
         self._undecided: dict[JobId, Job] = {}
         """New jobs that may be rejected once all free capacity is known."""
@@ -124,7 +130,12 @@
         return PartitionForecast(
             Forecast(waiting, self._run_times),
             ClassForecast(
-                waiting, self._fleet, self._run_times, self._urgency, now
+                waiting,
+                self._fleet,
+                self._run_times,
+                self._urgency,
+                now,
+                self._known_share() if self._is_starting_up(now) else 1.0,
             ),
         )
 
@@ -199,10 +210,10 @@
         :param is_new: whether it has just arrived.
         :returns: seconds; none if the job may stay.
         """
-        if self._is_starting_up(now):
-            return None
         partition = self._fleet.bulkheads.partition_of(job)
         forecast = forecasts[partition].by_class
+        if not forecast.is_room_known:
+            return None
         if is_new:
             may_stay, wait_s = is_admitted(job, forecast)
         else:
@@ -247,6 +258,14 @@
         ends_at = now + wait_s + job.critical_s
         return None if ends_at <= job.useful_until else wait_s
 
+    def _known_share(self) -> float:
+        """Return the share of the chosen agents whose targets are known."""
+        known = sum(
+            view.target is not None and view.target.state is TargetState.READY
+            for view in self._fleet.connected
+        )
+        return known / max(known, len(self._chosen), 1)
+
     def _is_starting_up(self, now: float) -> bool:
         """Return whether agents may still be missing after the start."""
         return now - self._started_at < STARTUP_S
--- a/src/fulmarscale/entry/jobs/class_admission.py
+++ b/src/fulmarscale/entry/jobs/class_admission.py
@@ -69,6 +69,8 @@
     :param run_times: the measured run times of tasks.
     :param urgency: the classes.
     :param now: the entry's time.
+    :param known_share: the share of the targets that are known; the others
+        are assumed to be like them.
     """
 
     def __init__(
@@ -78,7 +80,9 @@
         run_times: RunTimes,
         urgency: Urgency,
         now: float,
+        known_share: float = 1.0,
     ) -> None:
+        self._known_share = known_share
         self._fleet = fleet
         self._run_times = run_times
         self._urgency = urgency
@@ -105,16 +109,21 @@
                     now,
                 )
 
+    @property
+    def is_room_known(self) -> bool:
+        """Whether any target is known, from which the room is estimated."""
+        return self._known_share > 0
+
     def wait_s(self, job: Job) -> float:
         """Predict how long a job's last task waits for free capacity.
 
         :returns: seconds; infinite if no target is usable.
         """
         room = self._room(job)
-        capacity = room.load.capacity
-        if capacity <= 0:
+        if room.load.capacity <= 0 or self._known_share <= 0:
             return float("inf")
-        free = self._usable_free(job, room)
+        capacity = room.load.capacity / self._known_share
+        free = self._usable_free(job, room) / self._known_share
         above, equal = self._ahead(job, room.load)
         mean_s = self._run_times.mean_s or job.critical_s
         wait_s = max(0.0, above + equal - free) * mean_s / capacity
@@ -130,7 +139,8 @@
         """Return whether all waiting tasks of a job fit now."""
         demand = largest_demand(job)
         room = self._room(job)
-        return fitting_tasks(demand, room.free) >= len(job.waiting)
+        fitting = fitting_tasks(demand, room.free)
+        return fitting >= len(job.waiting) * self._known_share
 
     def _room(self, job: Job) -> ServiceRoom:
         service = job.queue.service
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -121,6 +121,7 @@
             self._run_times,
             self._open.waiting,
             self._urgency,
+            self._streams,
             self._log,
         )
         self._needs_flush = False
--- a/src/fulmarscale/entry/jobs/urgency.py
+++ b/src/fulmarscale/entry/jobs/urgency.py
@@ -77,6 +77,7 @@
     def __init__(self) -> None:
         self._work: dict[int, float] = {}
         self._updated_at = 0.0
+        self._since: float | None = None
 
     def add(self, priority: int, work: float, now: float) -> None:
         """Add work.
@@ -85,12 +86,26 @@
         :param work: millicore-seconds.
         :param now: the entry's time.
         """
+        if self._since is None:
+            self._since = now
         decay = exp((self._updated_at - now) / SHARE_WINDOW_S)
         self._updated_at = now
         for each in self._work:
             self._work[each] *= decay
         self._work[priority] = self._work.get(priority, 0.0) + work
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the records cover enough time to foretell the shares.
+
+        After a loss of all machines, callers that return at once are no
+        sample of those that arrive later.
+        """
+        since = self._since
+        return since is not None and (
+            self._updated_at - since >= SHARE_WINDOW_S
+        )
+
     @property
     def shares(self) -> dict[int, float]:
         """The share of each class; empty before any work."""
@@ -209,8 +224,9 @@
         More urgent jobs took the rest, and are assumed to go on so.
         """
         started = self._started.get(job.queue.service)
-        above = started.share_above(job.queue.priority) if started else 0.0
-        return 1.0 - above
+        if started is None or not started.is_settled:
+            return 1.0
+        return 1.0 - started.share_above(job.queue.priority)
 
     def start_rate(self, job: Job, now: float) -> float:
         """Return the rate at which tasks of a job's class were placed lately.
