--- a/src/fulmarscale/entry/jobs/class_admission.py
+++ b/src/fulmarscale/entry/jobs/class_admission.py
@@ -11,7 +11,6 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from fulmarscale.entry.jobs.admission import is_satisfiable
 from fulmarscale.entry.jobs.admission import waiting_demand
 from fulmarscale.entry.jobs.room import fitting_tasks
 from fulmarscale.entry.jobs.room import largest_demand
@@ -196,7 +195,8 @@
         its predicted wait in seconds.
     """
     wait_s = forecast.wait_s(job)
-    return is_satisfiable(job, wait_s), wait_s
+    # The prediction covers more urgent jobs that arrive later.
+    return wait_s <= job.latest_start_at - job.arrived_at, wait_s
 
 
 def may_wait(
