Bound a connection that is alone, unread answers at SIGTERM, empty lines

Cause and change: - Reading went on while bytes lay behind the most pipelined requests, and a holder that was alone might exceed the budget without end. Reading is paused; alone it may hold the most bytes of one request. - At SIGTERM, answers that nobody reads were waited for up to the general grace of 10 s if further requests waited. Without progress they are dropped in the second round (2 s), in any case in the fourth. - Empty lines after a request counted as the begin of the next: 408 for a connection at rest. They no longer do, and its time at rest counts.

Tests: http_limits has 5 more scenarios.

--- a/features/hostile_clients.feature
+++ b/features/hostile_clients.feature
@@ -72,9 +72,11 @@
     Then the process has ended by itself
 
     Examples:
-      | role  | listener   | fault                  |
-      | entry | callers    | a slow body            |
-      | agent | heartbeats | a slow body            |
+      | role  | listener   | fault                            |
+      | entry | callers    | a slow body                      |
+      | agent | heartbeats | a slow body                      |
+      | entry | callers    | unread answers and small buffers |
+      | entry | metrics    | unread answers and small buffers |
 
   @site.1.1.1
   Scenario Outline: On the own path, a crowd with <fault> leaves the entry's <listener> serving
--- a/features/http_limits.feature
+++ b/features/http_limits.feature
@@ -29,3 +29,22 @@
     And a request comes that lacks 400 bytes of room
     Then the budget counts what the connections hold
     And each accepted request is answered
+
+  # Guards against a process that reads on while nobody else holds anything.
+  Scenario: A connection that is alone holds no more than the budget
+    Given a listener with a budget of 1 MB
+    When one connection sends requests without end behind one being handled
+    Then the budget is kept
+
+  # Guards against connections at rest that stay without end or are refused.
+  Scenario Outline: A connection is at rest after <what>
+    Given a listener with a budget of 1 MB
+    When a connection has sent <what>
+    Then it is at rest, with a limit of time
+
+    Examples:
+      | what                                  |
+      | a request and an empty line           |
+      | a request, and an empty line later    |
+      | a body after the response to its head |
+      | nothing but an empty line             |
--- a/features/steps/bounded_connection_steps.py
+++ b/features/steps/bounded_connection_steps.py
@@ -72,7 +72,9 @@
             return
         if scope["path"] == "/job":
             self.handled += 1
+            left = asyncio.ensure_future(receive())
             await self.may_answer.wait()
+            left.cancel()
         await respond(send, 200)
 
     async def open(self, data: bytes = b"") -> Connection:
@@ -235,3 +237,72 @@
             held += each._meter.received_bytes
     used = listener.admission.budget.used_bytes
     assert used == held, (used, held)
+
+
+@when("one connection sends requests without end behind one being handled")
+def send_behind(context: Context) -> None:
+    async def send() -> None:
+        listener = context.listener
+        quick = make_post(0, "/quick")
+        first = quick + make_post(0) + 40 * quick
+        writer = (await listener.open(first))[1]
+        await wait_until(lambda: listener.handled == 1)
+        listener.held.append((asyncio.StreamReader(), writer))
+        request = make_post(60_000) + bytes(60_000)
+        with suppress(TimeoutError, ConnectionError):
+            for _ in range(1_000):
+                writer.write(request)
+                async with asyncio.timeout(1):
+                    await writer.drain()
+
+    context.run(send())
+
+
+@then("the budget is kept")
+def check_budget_kept(context: Context) -> None:
+    budget = context.listener.admission.budget
+    assert budget.used_bytes <= budget.total_bytes, budget.used_bytes
+
+
+SENT: Final = {
+    "a request and an empty line": (make_post(2, "/quick") + b"{}\r\n", b""),
+    "a request, and an empty line later": (
+        make_post(2, "/quick") + b"{}",
+        b"\r\n",
+    ),
+    "a body after the response to its head": (make_post(2, "/early"), b"{}"),
+    "nothing but an empty line": (b"", b"\r\n"),
+}
+
+
+@when("a connection has sent {what}")
+def send_and_rest(context: Context, what: str) -> None:
+    async def send() -> None:
+        listener = context.listener
+        first, second = SENT[what]
+        reader, writer = await listener.open(first)
+        listener.held.append((reader, writer))
+        await wait_until(lambda: listener.connections)
+        if first:
+            await reader.readuntil(b"\r\n\r\n{}")
+        (connection,) = listener.connections
+        if second:
+            writer.write(second)
+            await wait_until(
+                lambda: connection._is_counting == (second == b"\r\n")
+            )
+
+    context.run(send())
+
+
+@then("it is at rest, with a limit of time")
+def check_rest(context: Context) -> None:
+    (connection,) = context.listener.connections
+    assert not connection._meter.has_begun
+
+    async def check() -> None:
+        connection.timeout_keep_alive = 0
+        connection._check_rest()
+        assert connection.transport.is_closing()
+
+    context.run(check())
--- a/features/steps/hostile_client_steps.py
+++ b/features/steps/hostile_client_steps.py
@@ -31,7 +31,8 @@
 CONNECTIONS: Final = 50
 """The limit of callers' connections, in the settings of the test's site."""
 
-STOP_LIMIT_S: Final = 15.0
+STOP_LIMIT_S: Final = 6.0
+"""The grace after SIGTERM."""
 
 TARGETS: Final = {
     "callers": b"/quick/00000000000000a1",
--- a/features/support/hostile_crowd.py
+++ b/features/support/hostile_crowd.py
@@ -42,6 +42,11 @@
 SETTLE_S: Final = 10.0
 """How long a process may take to close connections, on a slow machine."""
 
+SMALL_BUFFERS: Final = "unread answers and small buffers"
+"""The fault of clients whose system takes few bytes that are not read."""
+
+SMALL_BUFFER_BYTES: Final = 4_096
+
 FRAME_BYTES: Final = 16_384
 """The longest frame of an HTTP/2 connection."""
 
@@ -94,7 +99,7 @@
     elif fault == "bodies in pieces that stop short":
         yield chunked
         yield from _chunks(SMALL_PIECE_BYTES)
-    elif fault == "unread answers":
+    elif fault in ("unread answers", SMALL_BUFFERS):
         yield from _repeat(b"GET %b HTTP/1.1\r\nHost: a\r\n\r\n" % target)
     elif fault == "a slow body":
         yield head + b"Content-Length: 2000\r\n\r\n{"
@@ -119,7 +124,10 @@
 
     async def send(self, *arguments: bytes | str) -> None:
         """Let all clients send at once what `hostile_bytes` yields."""
-        clients = [self._connect() for _ in range(CLIENTS)]
+        has_small = SMALL_BUFFERS in arguments
+        clients = [
+            self._connect(has_small_buffer=has_small) for _ in range(CLIENTS)
+        ]
         await asyncio.gather(
             *(self._send(each, hostile_bytes(*arguments)) for each in clients)
         )
@@ -139,8 +147,14 @@
         for each in self._sockets:
             each.close()
 
-    def _connect(self) -> socket.socket:
-        connection = socket.create_connection(self._address, SETTLE_S)
+    def _connect(self, *, has_small_buffer: bool = False) -> socket.socket:
+        connection = socket.socket()
+        if has_small_buffer:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+            )
+        connection.settimeout(SETTLE_S)
+        connection.connect(self._address)
         connection.setblocking(False)
         self._sockets.append(connection)
         return connection
--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -62,6 +62,10 @@
 Answers that are not read are dropped as late as this, too.
 """
 
+MAX_STOP_ROUNDS: Final = 4
+"""How often STOP_RECEIVE_S passes until answers that are read slowly are
+dropped, too."""
+
 SPARE_CONNECTIONS: Final = 32
 """Connections above the limit that get an answer before they are closed."""
 
@@ -193,6 +197,10 @@
         """Whether the last request on the connection has arrived."""
         self._is_counting = False
         """Whether the meter follows a request, or the client is refused."""
+        self._stop_rounds = 0
+        """How often the connection was checked while the process stops."""
+        self._stop_bytes = 0
+        """Bytes of answers that waited for the client then."""
         self._refusal: Bound | None = None
         self._is_answered = False
         """Whether the refused request has had a response."""
@@ -257,6 +265,7 @@
             self._discard(len(data))
         elif self._unparsed:
             self._unparsed += data
+            self.flow.pause_reading()
             self._claim()
         else:
             self._is_counting = True
@@ -430,9 +439,9 @@
             return
         now = self.loop.time()
         cycle = self.cycle
-        is_at_rest = (
-            cycle is None or cycle.response_complete
-        ) and not self._is_counting
+        is_at_rest = (cycle is None or cycle.response_complete) and not (
+            self._meter.has_begun or self._unparsed
+        )
         if not is_at_rest:
             self._set_rest_timer(now)
         elif now - self._active_at < self.timeout_keep_alive:
@@ -443,7 +452,7 @@
     def _update_counting(self) -> None:
         """Find out whether a request or a refusal is in progress."""
         self._is_counting = (
-            self._meter.has_begun
+            self._meter.received_bytes > 0
             or bool(self._unparsed)
             or self._refusal is not None
             or self._is_last
@@ -632,7 +641,12 @@
         if size == 0:
             self._release()
             return True
-        if self._admission.claim(self, size, complete_size=complete_bytes):
+        if self._admission.claim(
+            self,
+            size,
+            complete_size=complete_bytes,
+            alone_bytes=self._alone_bytes,
+        ):
             self._claimed_bytes = size
             self._complete_bytes = complete_bytes
             return True
@@ -640,6 +654,11 @@
             self._refuse(Bound.BUDGET)
         return False
 
+    @property
+    def _alone_bytes(self) -> int:
+        """The most bytes of one request."""
+        return self._admission.limits.head_bytes + self._max_body_bytes()
+
     def _release(self) -> None:
         """Claim nothing any longer."""
         self._claimed_bytes = self._complete_bytes = 0
@@ -659,7 +678,10 @@
             return not request.is_denied
         size = self._claimed_bytes - request.size + request.expected_bytes
         if not self._admission.claim(
-            self, size, complete_size=self._complete_bytes
+            self,
+            size,
+            complete_size=self._complete_bytes,
+            alone_bytes=self._alone_bytes,
         ):
             return False
         request.reserved_bytes = request.expected_bytes
@@ -810,9 +832,15 @@
             return
         if self._meter.has_begun:
             self._refuse(Bound.STOPPING)
-        if self._is_lingering or (
-            self._pending_bytes and not self._has_complete
-        ):
+        self._stop_rounds += 1
+        former_bytes, pending_bytes = self._stop_bytes, self._pending_bytes
+        self._stop_bytes = pending_bytes
+        is_unread = pending_bytes > 0 and (
+            not self._has_complete
+            or self._stop_rounds >= MAX_STOP_ROUNDS
+            or (self._stop_rounds > 1 and pending_bytes >= former_bytes)
+        )
+        if self._is_lingering or is_unread:
             self.transport.abort()
         else:
             self.loop.call_later(STOP_RECEIVE_S, self._stop)
--- a/src/fulmarscale/http_admission.py
+++ b/src/fulmarscale/http_admission.py
@@ -105,7 +105,14 @@
         """Return the id of a new holder."""
         return HolderId(next(self._ids))
 
-    def claim(self, holder: Holder, size: int, *, complete_size: int) -> bool:
+    def claim(
+        self,
+        holder: Holder,
+        size: int,
+        *,
+        complete_size: int,
+        alone_bytes: int | None = None,
+    ) -> bool:
         """Set the bytes that a holder holds.
 
         Others may be refused for it.
@@ -113,12 +120,18 @@
         :param holder: the holder.
         :param size: all of its bytes, the earlier ones included.
         :param complete_size: those of them that belong to whole requests.
+        :param alone_bytes: the most that it may hold beyond the budget while
+            nobody else holds anything; none for any size.
         :returns: whether there is room; otherwise nothing has changed.
         """
         now = asyncio.get_running_loop().time()
         holder_id = holder.holder_id
         claim = self._budget.claim(
-            holder_id, size, now, complete_size=complete_size
+            holder_id,
+            size,
+            now,
+            complete_size=complete_size,
+            alone_bytes=alone_bytes,
         )
         if claim.is_granted:
             self._holders[holder_id] = holder
--- a/src/fulmarscale/http_limits.py
+++ b/src/fulmarscale/http_limits.py
@@ -162,8 +162,11 @@
 
     @property
     def has_begun(self) -> bool:
-        """Whether any byte of a request that is not complete has arrived."""
-        return self._received_bytes > 0
+        """Whether any byte of a request that is not complete has arrived.
+
+        Empty lines before a request don't begin it.
+        """
+        return self._part is not Part.EMPTY_LINES
 
     @property
     def has_ended(self) -> bool:
--- a/src/fulmarscale/request_budget.py
+++ b/src/fulmarscale/request_budget.py
@@ -85,6 +85,7 @@
         now: float,
         *,
         complete_size: int,
+        alone_bytes: int | None = None,
     ) -> Claim:
         """Set the bytes that a holder holds, if there is room for them.
 
@@ -92,6 +93,8 @@
         :param size: all of its bytes, the earlier ones included.
         :param now: monotonic time.
         :param complete_size: those of them that belong to whole requests.
+        :param alone_bytes: the most that a holder may hold beyond the total
+            while nobody else holds anything; none for any size.
         :returns: the decision. Without a grant, the holder's former bytes
             stay counted.
         """
@@ -107,6 +110,7 @@
                 excess,
                 now,
                 (incomplete_size, begun_at) if incomplete_size else None,
+                may_exceed=alone_bytes is None or size <= alone_bytes,
             )
             if found is None:
                 return Claim(is_granted=False)
@@ -144,6 +148,8 @@
         excess: int,
         now: float,
         incomplete: tuple[int, float] | None,
+        *,
+        may_exceed: bool,
     ) -> tuple[HolderId, ...] | None:
         """Return the holders that give way to a claim.
 
@@ -152,6 +158,7 @@
         :param now: monotonic time.
         :param incomplete: size and begin of what the claimant holds
             incomplete; none if all is complete.
+        :param may_exceed: whether the claimant may exceed the total alone.
         :returns: the holders; none if the claim has to be refused.
         """
         others = [
@@ -176,7 +183,7 @@
             excess -= holding.incomplete_size
         if excess <= 0:
             return tuple(found)
-        is_alone = all(
+        is_alone = may_exceed and all(
             holder == claimant
             or (holder in found and not holding.complete_size)
             for holder, holding in self._holdings.items()
