--- a/features/http_limits.feature
+++ b/features/http_limits.feature
@@ -48,3 +48,13 @@
       | a request, and an empty line later    |
       | a body after the response to its head |
       | nothing but an empty line             |
+
+  # Guards against callers that take the descriptors for agents and the store.
+  Scenario Outline: Connections of callers leave descriptors for everything else
+    Given the settings of an entry with <max_fds> descriptors
+    Then its callers get at most <connections> connections
+
+    Examples:
+      | max_fds | connections |
+      | 1638    | 1038        |
+      | 4100    | 3000        |
--- a/features/steps/bounded_connection_steps.py
+++ b/features/steps/bounded_connection_steps.py
@@ -21,6 +21,7 @@
 from fulmarscale.platform.asgi import NoRoomError
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
+from fulmarscale.settings import SiteEntrySettings
 from standins.ports import PORTS
 
 if TYPE_CHECKING:
@@ -306,3 +307,22 @@
         assert connection.transport.is_closing()
 
     context.run(check())
+
+
+@given("the settings of an entry with {max_fds:d} descriptors")
+def make_entry_settings(context: Context, max_fds: int) -> None:
+    context.entry_settings = SiteEntrySettings(
+        name="entry",
+        data_centre="here",
+        address="127.0.0.1",
+        caller_address="127.0.0.1:1",
+        ready_address="127.0.0.1:2",
+        metrics_port=3,
+        store_address="127.0.0.1:4",
+        max_fds=max_fds,
+    )
+
+
+@then("its callers get at most {connections:d} connections")
+def check_caller_connections(context: Context, connections: int) -> None:
+    assert context.entry_settings.caller_connections == connections
--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -216,7 +216,8 @@
         """Order in which connections make room, the first one first.
 
         Those that never sent a request, then those whose request arrives
-        slowly, then those at rest. None for one that makes no room.
+        slowly, then those at rest, then those that have just connected. None
+        for one that makes no room.
         """
         if self.transport.is_closing():
             return None
@@ -227,7 +228,11 @@
         if self._meter.has_begun:
             age_s = self.loop.time() - self._begun_at
             return (1, self._begun_at) if age_s >= MIN_HELD_S else None
-        return 2 if self._has_requested else 0, self._active_at
+        if self._has_requested:
+            return 2, self._active_at
+        # The first request of a new connection may be on its way.
+        age_s = self.loop.time() - self._active_at
+        return 0 if age_s >= MIN_HELD_S else 3, self._active_at
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -74,7 +74,7 @@
     ingress = AsgiServer(
         IngressApp(process, log),
         *split_address(settings.caller_address),
-        settings.connections,
+        settings.caller_connections,
         admission,
         lambda: process.site.max_body_bytes,
     )
--- a/src/fulmarscale/settings.py
+++ b/src/fulmarscale/settings.py
@@ -5,6 +5,7 @@
 import ipaddress
 import ssl
 from typing import Annotated
+from typing import Final
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -156,6 +157,14 @@
     """TLS for streams; none for plain text."""
 
 
+RESERVED_FDS: Final = 600
+"""Descriptors that callers' connections leave to everything else.
+
+Files take up to 200, the two listeners for operators 128 connections each;
+the others are for streams to agents and calls to the store.
+"""
+
+
 class SiteEntrySettings(BaseSettings):
     """Settings of an entry that runs on a VM of the platform."""
 
@@ -175,6 +184,8 @@
     """IP:port of the platform's store."""
     connections: PositiveCount = 3_000
     """The most concurrent connections of callers."""
+    max_fds: PositiveCount | None = None
+    """The descriptors that the process may have; none if not known."""
     memory_mb: MemoryMb | None = None
     """The VM's memory in MB, which sets the budget of requests."""
     requests: RequestLimits = RequestLimits()
@@ -185,6 +196,16 @@
     With 1, tasks never wait for a rack.
     """
 
+    @property
+    def caller_connections(self) -> int:
+        """The limit of callers' connections, by settings and descriptors.
+
+        The rest is left for files, operators, agents and the store.
+        """
+        if self.max_fds is None:
+            return self.connections
+        return max(1, min(self.connections, self.max_fds - RESERVED_FDS))
+
 
 class SiteAgentSettings(BaseSettings):
     """Settings of an agent that runs on a VM of the platform."""
