Give a step of durable_bounds a text of its own

It had the text of a step of failures.feature, which then cancelled nothing: 'A job that is cancelled while it runs ends as failed' failed in each run since. It passes, and so does durable_bounds.

--- a/features/durable_bounds.feature
+++ b/features/durable_bounds.feature
@@ -114,7 +114,7 @@
   Scenario Outline: A job that is cancelled before its first write is applied never starts
     Given two entries that hold their leases in one store
     When a job is submitted to entry 0, which gets no answers from the store
-    And the job is cancelled at entry <number>
+    And the job that is not stored yet is cancelled at entry <number>
     And the store answers entry 0 again
     Then the cancellation is acknowledged
     And the job is not started
--- a/features/steps/durable_bounds_steps.py
+++ b/features/steps/durable_bounds_steps.py
@@ -503,7 +503,7 @@
     context.submitted_at = number
 
 
-@when("the job is cancelled at entry {number:d}")
+@when("the job that is not stored yet is cancelled at entry {number:d}")
 def note_cancellation(context: Context, number: int) -> None:
     context.cancelled_at = number
 
