--- a/features/steps/bounded_connection_steps.py
+++ b/features/steps/bounded_connection_steps.py
@@ -21,6 +21,7 @@
 from fulmarscale.platform.asgi import NoRoomError
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
+from fulmarscale.settings import add_vm_fields
 from fulmarscale.settings import SiteEntrySettings
 from standins.ports import PORTS
 
@@ -311,7 +312,7 @@
 
 @given("the settings of an entry with {max_fds:d} descriptors")
 def make_entry_settings(context: Context, max_fds: int) -> None:
-    context.entry_settings = SiteEntrySettings(
+    settings = SiteEntrySettings(
         name="entry",
         data_centre="here",
         address="127.0.0.1",
@@ -319,8 +320,11 @@
         ready_address="127.0.0.1:2",
         metrics_port=3,
         store_address="127.0.0.1:4",
-        max_fds=max_fds,
     )
+    # A variable without a value is none.
+    variables = {"VM_MAX_FDS": str(max_fds), "VM_MEMORY_MB": ""}
+    context.entry_settings = add_vm_fields(settings, variables)
+    assert context.entry_settings.memory_mb is None
 
 
 @then("its callers get at most {connections:d} connections")
--- a/src/fulmarscale/cli/_common.py
+++ b/src/fulmarscale/cli/_common.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from enum import IntEnum
+import os
 from pathlib import Path
 import signal
 import sys
@@ -14,6 +15,7 @@
 
 from fulmarscale import VERSION
 from fulmarscale.errors import FulmarError
+from fulmarscale.settings import add_vm_fields
 from fulmarscale.settings import load_settings
 
 if TYPE_CHECKING:
@@ -69,6 +71,19 @@
         sys.exit(ExitCode.SETTINGS)
 
 
+def read_vm_settings(path: Path, settings_type: type[Settings]) -> Settings:
+    """Read settings, with the VM's fields that only the environment has.
+
+    Ends the program with a message if they are invalid.
+    """
+    settings = read_settings(path, settings_type)
+    try:
+        return add_vm_fields(settings, os.environ)
+    except FulmarError as error:
+        click.echo(str(error), err=True)
+        sys.exit(ExitCode.SETTINGS)
+
+
 def make_stop_event() -> asyncio.Event:
     """Return an event that is set on SIGTERM and SIGINT."""
     event = asyncio.Event()
--- a/src/fulmarscale/cli/site_agent.py
+++ b/src/fulmarscale/cli/site_agent.py
@@ -14,7 +14,7 @@
 from fulmarscale.agent.target_times import undate_report
 from fulmarscale.cli._common import ExitCode
 from fulmarscale.cli._common import make_stop_event
-from fulmarscale.cli._common import read_settings
+from fulmarscale.cli._common import read_vm_settings
 from fulmarscale.cli._common import settings_options
 from fulmarscale.cli._common import wait_for_any
 from fulmarscale.cli._settings_watcher import SettingsWatcher
@@ -143,7 +143,7 @@
 @settings_options
 def main(settings_path: Path, check_settings: bool) -> None:
     """Run tasks on the platform's runner beside this process."""
-    settings = read_settings(settings_path, SiteAgentSettings)
+    settings = read_vm_settings(settings_path, SiteAgentSettings)
     if check_settings:
         click.echo("the settings are valid")
         return
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -11,7 +11,7 @@
 
 from fulmarscale.cli._common import ExitCode
 from fulmarscale.cli._common import make_stop_event
-from fulmarscale.cli._common import read_settings
+from fulmarscale.cli._common import read_vm_settings
 from fulmarscale.cli._common import settings_options
 from fulmarscale.cli._common import wait_for_any
 from fulmarscale.cli._settings_watcher import SettingsWatcher
@@ -120,7 +120,7 @@
 @settings_options
 def main(settings_path: Path, check_settings: bool) -> None:
     """Accept jobs from the platform's callers and dispatch their tasks."""
-    settings = read_settings(settings_path, SiteEntrySettings)
+    settings = read_vm_settings(settings_path, SiteEntrySettings)
     if check_settings:
         click.echo("the settings are valid")
         return
--- a/src/fulmarscale/settings.py
+++ b/src/fulmarscale/settings.py
@@ -19,6 +19,7 @@
 from fulmarscale.http_limits import RequestLimits
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from pathlib import Path
 
 Name = Annotated[
@@ -157,6 +158,13 @@
     """TLS for streams; none for plain text."""
 
 
+VM_VARIABLES: Final = {
+    "memory_mb": "VM_MEMORY_MB",
+    "max_fds": "VM_MAX_FDS",
+    "far_factor": "SITE_FAR_FACTOR",
+}
+"""Environment variables of fields that the platform may not have."""
+
 RESERVED_FDS: Final = 600
 """Descriptors that callers' connections leave to everything else.
 
@@ -263,6 +271,32 @@
     return settings
 
 
+def add_vm_fields(settings: Settings, environ: Mapping[str, str]) -> Settings:
+    """Return settings with the VM's fields that only the environment has.
+
+    A field of the settings file goes before its variable. A variable that is
+    missing or empty is no value: not every platform tells all of them.
+
+    :param settings: the settings of the file.
+    :param environ: the process's environment.
+    :raises FulmarError: SETTINGS_INVALID, if a variable has no valid value.
+    """
+    fields = msgspec.to_builtins(settings)
+    unset = {
+        field.name: environ[variable]
+        for field in msgspec.structs.fields(settings)
+        if (variable := VM_VARIABLES.get(field.name, "")) in environ
+        and environ[variable]
+        and getattr(settings, field.name) == field.default
+    }
+    try:
+        return msgspec.convert(
+            fields | unset, type=type(settings), strict=False
+        )
+    except msgspec.MsgspecError as error:
+        raise _settings_error(f"environment: {error}") from error
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split IP:port into the IP address, without brackets, and the port.
 
