Connections whose request has just begun make room last, not never

By reading: within the first second of a crowd no connection made room, as each one's request had just begun.

--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -216,8 +216,8 @@
         """Order in which connections make room, the first one first.
 
         Those that never sent a request, then those whose request arrives
-        slowly, then those at rest, then those that have just connected. None
-        for one that makes no room.
+        slowly, then those at rest, then those that have just connected or
+        whose request has just begun. None for one that makes no room.
         """
         if self.transport.is_closing():
             return None
@@ -227,7 +227,7 @@
             return None
         if self._meter.has_begun:
             age_s = self.loop.time() - self._begun_at
-            return (1, self._begun_at) if age_s >= MIN_HELD_S else None
+            return 1 if age_s >= MIN_HELD_S else 4, self._begun_at
         if self._has_requested:
             return 2, self._active_at
         # The first request of a new connection may be on its way.
