Bound the frames of HTTP/2 connections, and work through them in turns

Whoever reached the port of an agent's streams could end it or keep it from answering: it served no job, and ran out of its VM's memory.

Cause: the listener bounded messages and connections only. A stream that was opened and reset left a task and state of the HTTP/2 library; every frame with an answer was answered at once, read or not; one byte of header fields could stand for a field; settings without a meaning were kept; a frame of 16 MB was buffered before its length was judged; and all that a client sent was worked through before anybody else was read.

Change: FrameMeter (no I/O) follows frames ahead of the library and finds the bound that a connection exceeds: streams opened, encoded header fields, settings, control frames at once and a second, framing beyond content, the length of a frame. WorkTurns (no I/O) lets all connections of a process work in turns counted in units; what has no turn is held back and its socket not read. A connection that reads no answers isn't read, and closed after 10 s. Messages that were not read hold back the frames behind them. Unknown frames are ignored, malformed ones refused without a traceback. Refusals are counted and logged as those of HTTP; settings under streams.

Evidence: features/hostile_work.feature, one entry and one agent with 96 MB on loopback, one play each, the crowd at the agent's streams.

--- /dev/null
+++ b/features/hostile_work.feature
@@ -0,0 +1,26 @@
+Feature: Clients whose bytes cost more than they weigh
+  Clients crowd one listener of a real process with bytes that cost it much
+  work, or leave many objects, for their number. Nothing closes their
+  connections but the process. A VM has 96 MB; callers may have 1,000
+  connections; the limit of a body is 4 MB.
+
+  # Guards against a process that reads a hostile client for as long as it
+  # sends, and against objects that no budget counts.
+  Scenario Outline: A crowd that sends <kind> leaves the <role> serving at its <listener>
+    Given a site of small VMs
+    When a crowd begins to send <kind> to the <listener> of the <role>
+    Then an ordinary job is done while the crowd sends and afterwards
+    And the process has stayed within the memory of its VM
+
+    Examples: HTTP/2
+      | role  | listener | kind                             |
+      | agent | streams  | streams that are reset           |
+      | agent | streams  | pings and unread answers         |
+      | agent | streams  | settings and unread answers      |
+      | agent | streams  | streams of 7 KB of header fields |
+      | agent | streams  | streams of 1,700 header fields   |
+      | agent | streams  | settings without a meaning       |
+      | agent | streams  | frames of 16 MB                  |
+      | agent | streams  | empty frames                     |
+      | agent | streams  | frames of an unknown type        |
+      | agent | streams  | messages of no bytes             |
--- a/features/steps/hostile_client_steps.py
+++ b/features/steps/hostile_client_steps.py
@@ -68,20 +68,18 @@
 
 
 @fixture
-def site_runner(context: Context) -> Iterator[None]:
+def run_site(context: Context, site: ProcessSite) -> Iterator[None]:
     """Run a site whose stand-ins share the event loop of the steps."""
-    site = context.site = ProcessSite(
-        Path(context.folder),
-        1,
-        1,
-        max_body_bytes=BODY_BYTES,
-        connections=CONNECTIONS,
-    )
+    context.site = site
     context.scenes = {}
     with asyncio.Runner() as runner:
         context.run = runner.run
         try:
             runner.run(start(site))
+            for role, name in (("entry", "entry-0"), ("agent", "agent-0")):
+                context.scenes[role] = HostileScene(
+                    site.listeners(name), site.processes[name].pid
+                )
             yield
         finally:
             for scene in context.scenes.values():
@@ -97,12 +95,14 @@
 
 @given("a site for a hostile crowd")
 def make_hostile_site(context: Context) -> None:
-    use_fixture(site_runner, context)
-    site = context.site
-    for role, name in (("entry", "entry-0"), ("agent", "agent-0")):
-        context.scenes[role] = HostileScene(
-            site.listeners(name), site.processes[name].pid
-        )
+    site = ProcessSite(
+        Path(context.folder),
+        1,
+        1,
+        max_body_bytes=BODY_BYTES,
+        connections=CONNECTIONS,
+    )
+    use_fixture(run_site, context, site)
 
 
 @given("the own path's entry for a hostile crowd")
--- a/features/support/hostile_crowd.py
+++ b/features/support/hostile_crowd.py
@@ -24,6 +24,7 @@
 from fulmarscale.wire.streams import AGENT_PATH
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
 CLIENTS: Final = 24
@@ -132,6 +133,21 @@
             *(self._send(each, hostile_bytes(*arguments)) for each in clients)
         )
 
+    async def send_each(
+        self,
+        clients: int,
+        client_bytes: int,
+        make_pieces: Callable[[], Iterator[bytes]],
+    ) -> None:
+        """Let clients send pieces, each of them up to a number of bytes."""
+        sockets = [self._connect() for _ in range(clients)]
+        await asyncio.gather(
+            *(
+                self._send(each, make_pieces(), client_bytes)
+                for each in sockets
+            )
+        )
+
     async def send_messages(self) -> None:
         """Let all clients send a message of 4 GB on each of 8 streams."""
         clients = [self._connect() for _ in range(CLIENTS)]
@@ -160,7 +176,10 @@
         return connection
 
     async def _send(
-        self, client: socket.socket, pieces: Iterator[bytes]
+        self,
+        client: socket.socket,
+        pieces: Iterator[bytes],
+        client_bytes: int = CLIENT_BYTES,
     ) -> bool:
         """Send pieces until all bytes are sent or the server takes no more.
 
@@ -175,7 +194,7 @@
             except (OSError, TimeoutError):
                 return False
             sent_bytes += len(piece)
-            if sent_bytes >= CLIENT_BYTES:
+            if sent_bytes >= client_bytes:
                 break
         return True
 
@@ -254,6 +273,11 @@
         """How far the use of memory has risen at most, in MB."""
         return (self._read_kb("VmHWM") - self._resident_kb) / 1024
 
+    @property
+    def highest_mb(self) -> float:
+        """The highest use of memory, in MB."""
+        return self._read_kb("VmHWM") / 1024
+
     @property
     def more_sockets(self) -> int:
         """How many sockets it has more than before."""
--- a/features/support/process_site.py
+++ b/features/support/process_site.py
@@ -70,6 +70,8 @@
     :param max_body_bytes: the limit of a body, in the site's configuration.
     :param connections: the limit of callers' connections; none for the
         default.
+    :param memory_mb: the memory of each VM in MB; none if the processes
+        aren't told.
     """
 
     def __init__(
@@ -80,8 +82,10 @@
         *,
         max_body_bytes: int = 262144,
         connections: int | None = None,
+        memory_mb: int | None = None,
     ) -> None:
         self._max_body_bytes = max_body_bytes
+        self._memory_mb = memory_mb
         self._connections = connections
         self.store = RowStoreStandIn()
         self.runners: list[RunnerStandIn] = []
@@ -169,6 +173,7 @@
             "address": HOST,
             "metrics_port": PORTS.pick(),
             "store_address": self.store.address,
+            "memory_mb": self._memory_mb,
             **fields,
         }
         path = self._folder / f"{name}.json"
--- a/src/fulmarscale/cli/entry.py
+++ b/src/fulmarscale/cli/entry.py
@@ -64,7 +64,9 @@
     table = HttpTableClient(
         platform.url, platform.timeout_s, platform.authority
     )
-    admission = RequestAdmission(settings.requests, settings.memory_mb, log)
+    admission = RequestAdmission(
+        settings.requests, settings.memory_mb, log, settings.streams
+    )
     process = EntryProcess(settings, table, log, admission)
     process.metrics.add_admission(admission)
     http_api = HttpApi(process, settings, log)
--- a/src/fulmarscale/cli/site_agent.py
+++ b/src/fulmarscale/cli/site_agent.py
@@ -67,7 +67,9 @@
     runner = RunnerClient(log)
     address = f"{settings.address}:{settings.stream_port}"
     registrar = AgentRegistrar(store, settings.name, address, log)
-    admission = RequestAdmission(settings.requests, settings.memory_mb, log)
+    admission = RequestAdmission(
+        settings.requests, settings.memory_mb, log, settings.streams
+    )
     process = RunProcess(
         settings.name, settings.data_centre, runner, log, admission
     )
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -64,7 +64,9 @@
         log,
         settings.far_factor,
     )
-    admission = RequestAdmission(settings.requests, settings.memory_mb, log)
+    admission = RequestAdmission(
+        settings.requests, settings.memory_mb, log, settings.streams
+    )
     process.metrics.add_admission(admission)
     ready = AsgiServer(
         ReadinessApp(process),
--- a/src/fulmarscale/http_admission.py
+++ b/src/fulmarscale/http_admission.py
@@ -18,8 +18,12 @@
 from fulmarscale.request_budget import budget_bytes
 from fulmarscale.request_budget import HolderId
 from fulmarscale.request_budget import RequestBudget
+from fulmarscale.wire.frame_meter import StreamLimits
+from fulmarscale.work_turns import WorkTurns
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fulmarscale.http_limits import Bound
     from fulmarscale.http_limits import RequestLimits
     from fulmarscale.logs import EventLog
@@ -65,6 +69,7 @@
     :param limits: the bounds of each request.
     :param memory_mb: the memory of the VM in MB; none if it is not known.
     :param log: the log; none to log nothing.
+    :param stream_limits: the bounds of each connection with streams.
     """
 
     def __init__(
@@ -72,9 +77,12 @@
         limits: RequestLimits,
         memory_mb: int | None = None,
         log: EventLog | None = None,
+        stream_limits: StreamLimits | None = None,
     ) -> None:
         self._limits = limits
+        self._stream_limits = stream_limits or StreamLimits()
         self._budget = RequestBudget(budget_bytes(memory_mb))
+        self._turns = WorkTurns(_call_soon)
         self._log = log
         self._holders: dict[HolderId, Holder] = {}
         self._watched: dict[HolderId, Holder] = {}
@@ -91,6 +99,11 @@
         """The bounds of each request."""
         return self._limits
 
+    @property
+    def stream_limits(self) -> StreamLimits:
+        """The bounds of each connection with streams."""
+        return self._stream_limits
+
     @property
     def refusals(self) -> Counter[Bound]:
         """The number of refused clients, by the bound exceeded."""
@@ -101,6 +114,11 @@
         """The budget of the process."""
         return self._budget
 
+    @property
+    def turns(self) -> WorkTurns:
+        """The turns of all connections of the process."""
+        return self._turns
+
     def next_id(self) -> HolderId:
         """Return the id of a new holder."""
         return HolderId(next(self._ids))
@@ -202,3 +220,7 @@
                 self._watched.pop(holder_id, None)
         if self._watched and self._timer is None:
             self._set_timer()
+
+
+def _call_soon(callback: Callable[[], None]) -> asyncio.Handle:
+    return asyncio.get_running_loop().call_soon(callback)
--- a/src/fulmarscale/http_limits.py
+++ b/src/fulmarscale/http_limits.py
@@ -57,6 +57,14 @@
     """The longest message of a stream."""
     FRAMING = "framing", 400
     """Where a part ends is not clear."""
+    STREAMS = "streams", 400
+    """The streams that are opened on a connection."""
+    FRAMES = "frames", 400
+    """Frames without content on a connection with streams."""
+    FRAME_BYTES = "frame_bytes", 413
+    """The longest frame."""
+    SETTINGS = "settings", 400
+    """The parameters that a client sets on a connection with streams."""
     DISCARDED = "discarded", 413
     """Bytes of a body that was refused and goes on."""
     RECEIVE_TIME = "receive_time", 408
--- a/src/fulmarscale/settings.py
+++ b/src/fulmarscale/settings.py
@@ -17,6 +17,7 @@
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.http_limits import RequestLimits
+from fulmarscale.wire.frame_meter import StreamLimits
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -131,6 +132,8 @@
     """The VM's memory in MB, which sets the budget of requests."""
     requests: RequestLimits = RequestLimits()
     """Bounds of each HTTP request."""
+    streams: StreamLimits = StreamLimits()
+    """Bounds of each connection with streams."""
 
 
 class AgentSettings(BaseSettings):
@@ -198,6 +201,8 @@
     """The VM's memory in MB, which sets the budget of requests."""
     requests: RequestLimits = RequestLimits()
     """Bounds of each HTTP request."""
+    streams: StreamLimits = StreamLimits()
+    """Bounds of each connection with streams."""
     far_factor: Annotated[float, msgspec.Meta(ge=1, le=100)] = 1.0
     """The ratio of run times on other racks to those near a task's data.
 
@@ -236,6 +241,8 @@
     """The VM's memory in MB, which sets the budget of requests."""
     requests: RequestLimits = RequestLimits()
     """Bounds of each HTTP request."""
+    streams: StreamLimits = StreamLimits()
+    """Bounds of each connection with streams."""
 
 
 class ClientSettings(BaseSettings):
