Bound the framing of chunks, and parse all connections in turns

Ordinary callers got no answer, or 503 after 20 s, while 40 connections sent bodies in chunks of one byte; an agent got no heartbeat in time.

Cause: what arrived on a connection, up to 64 KiB, was parsed before any other was read, and a chunk costs many times its bytes. Its framing counted against no bound.

Change: the framing of a body's chunks may exceed their content by 16 KiB (requests.chunk_framing_bytes). What is inside the bounds is parsed in turns of the process's WorkTurns, in units of parts and lines; the rest is held back and the socket not read, whatever the application asks for (ReadGate). A small piece needs no turn. A connection held back for its turn makes room again. Frames of messages that are read in bursts cost less: single frames and data frames have a short way.

--- a/features/hostile_work.feature
+++ b/features/hostile_work.feature
@@ -12,6 +12,14 @@
     Then an ordinary job is done while the crowd sends and afterwards
     And the process has stayed within the memory of its VM
 
+    Examples: HTTP
+      | role  | listener   | kind                 |
+      | entry | callers    | chunks of one byte   |
+      | entry | callers    | chunks of five bytes |
+      | entry | readiness  | chunks of five bytes |
+      | agent | heartbeats | chunks of one byte   |
+      | agent | heartbeats | chunks of five bytes |
+
     Examples: HTTP/2
       | role  | listener | kind                             |
       | agent | streams  | streams that are reset           |
--- a/features/steps/work_limits_steps.py
+++ b/features/steps/work_limits_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from functools import partial
 from itertools import chain
 from itertools import repeat
 import struct
@@ -61,7 +62,7 @@
         position = 0
         while position < len(piece):
             start = position
-            position, bound = meter.advance(piece, start, 1.0, 3)
+            position, bound = meter.advance(piece, start, lambda: 1.0, 3)
             taken_bytes += position - start
             if bound is not None:
                 return taken_bytes, bound
@@ -136,8 +137,10 @@
         if number % 50 == 0:
             data += update
             now += 0.1
-        end, bound = meter.advance(data, 0, now, 100)
-        assert (end, bound) == (len(data), None), number
+        if not meter.take_message(data):
+            clock = partial(float, now)
+            end, bound = meter.advance(data, 0, clock, 100)
+            assert (end, bound) == (len(data), None), number
 
 
 class Worker(TurnTaker):
--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -14,20 +14,24 @@
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 
+from fulmarscale.held_request import HeldRequest
+from fulmarscale.held_request import make_refusal
 from fulmarscale.http_admission import Holder
 from fulmarscale.http_connection import CONNECTION_EXTENSION
 from fulmarscale.http_connection import MAX_PIPELINED_REQUESTS
 from fulmarscale.http_connection import ObservableConnection
+from fulmarscale.http_connection import ReadGate
 from fulmarscale.http_limits import Bound
 from fulmarscale.http_limits import HEAD_END
 from fulmarscale.http_limits import LINE_END
 from fulmarscale.http_limits import RequestMeter
 from fulmarscale.request_budget import MIN_HELD_S
+from fulmarscale.work_turns import FREE_UNITS
+from fulmarscale.work_turns import TurnTaker
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
-    from collections.abc import Mapping
 
     from uvicorn.config import Config
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
@@ -69,86 +73,8 @@
 SPARE_CONNECTIONS: Final = 32
 """Connections above the limit that get an answer before they are closed."""
 
-REASONS: Final = {
-    400: b"Bad Request",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    431: b"Request Header Fields Too Large",
-    503: b"Service Unavailable",
-}
 
-
-def begin_body(scope: Mapping[str, Any]) -> bool:
-    """Claim the room for a request's body before it is collected.
-
-    :param scope: the request's ASGI scope; without the extension there is
-        room.
-    :returns: whether the process has room for the whole body.
-    """
-    connection = connection_of(scope)
-    return connection is None or connection.begin_body()
-
-
-def is_body_too_large(scope: Mapping[str, Any]) -> bool:
-    """Return whether a request's body exceeds the listener's limit.
-
-    :param scope: the request's ASGI scope.
-    """
-    connection = connection_of(scope)
-    return connection is not None and connection.is_body_too_large
-
-
-def hold_more(scope: Mapping[str, Any], size: int) -> bool:
-    """Claim bytes for what a request was decoded to, until its response.
-
-    :param scope: the request's ASGI scope; without the extension there is
-        room.
-    :param size: the bytes beyond those of the request itself.
-    :returns: whether the process has room for them.
-    """
-    connection = connection_of(scope)
-    return connection is None or connection.hold_more(size)
-
-
-def connection_of(scope: Mapping[str, Any]) -> BoundedConnection | None:
-    """Return the connection of a request; none if it is not bounded.
-
-    :param scope: the request's ASGI scope.
-    """
-    extension = scope.get("extensions", {}).get(CONNECTION_EXTENSION, {})
-    return extension.get("connection")
-
-
-class _Request:
-    """What a connection holds of one request until its response."""
-
-    __slots__ = (
-        "expected_bytes",
-        "is_complete",
-        "is_denied",
-        "is_discarding",
-        "limit",
-        "reserved_bytes",
-        "size",
-    )
-
-    def __init__(self, head_bytes: int, expected: int, limit: int) -> None:
-        self.size = head_bytes
-        """Bytes of the head and the collected body."""
-        self.limit = limit + head_bytes
-        """The most of these bytes."""
-        self.expected_bytes = min(expected, limit) + head_bytes
-        """The bytes that it may come to."""
-        self.is_discarding = expected > limit
-        """Whether the body exceeds its limit and is dropped."""
-        self.is_complete = False
-        self.is_denied = False
-        """Whether there was no room for the complete request."""
-        self.reserved_bytes = 0
-        """Bytes that were claimed before they have arrived."""
-
-
-class BoundedConnection(ObservableConnection, Holder):
+class BoundedConnection(ObservableConnection, Holder, TurnTaker):
     """An HTTP connection with bounds on what it receives and holds.
 
     :param admission: decides on the bytes of all connections.
@@ -171,11 +97,12 @@
         self._admission = admission
         self._max_body_bytes = max_body_bytes
         self._meter = RequestMeter(admission.limits)
-        self._requests: dict[RequestResponseCycle, _Request] = {}
+        self._requests: dict[RequestResponseCycle, HeldRequest] = {}
         """The requests whose head is complete and that are not answered."""
         self._unparsed = bytearray()
-        """What has arrived behind the most pipelined requests."""
-        self._present: _Request | None = None
+        """What has arrived behind the most pipelined requests, or waits for a
+        turn. Nothing more is read until it is parsed."""
+        self._present: HeldRequest | None = None
         """The request whose body arrives; none while a head does."""
         self._discarded_bytes = 0
         """Bytes of the present request's body that were dropped."""
@@ -223,7 +150,7 @@
             return None
         if self._is_lingering:
             return 0, self._active_at
-        if self._has_complete or self._unparsed:
+        if self._has_complete:
             return None
         if self._meter.has_begun:
             age_s = self.loop.time() - self._begun_at
@@ -239,6 +166,7 @@
     ) -> None:
         """Prepare to read, and make room for the connection."""
         super().connection_made(transport)
+        self.flow = self._gate = ReadGate(transport)
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._active_at = self.loop.time()
@@ -253,6 +181,7 @@
         super().connection_lost(exc)
         self._requests.clear()
         self._unparsed.clear()
+        self._admission.turns.discard(self)
         self._admission.release(self)
 
     def data_received(self, data: bytes) -> None:
@@ -269,8 +198,7 @@
         elif self._refusal is not None or self._is_last:
             self._discard(len(data))
         elif self._unparsed:
-            self._unparsed += data
-            self.flow.pause_reading()
+            self._hold_back(data)
             self._claim()
         else:
             self._is_counting = True
@@ -293,7 +221,7 @@
         """
         limit = self._max_body_bytes()
         # A body in chunks may come to any length up to the limit.
-        self._present = _Request(
+        self._present = HeldRequest(
             self._meter.received_bytes, limit if is_chunked else length, limit
         )
         self._discarded_bytes = 0
@@ -344,8 +272,7 @@
         if self.transport.get_write_buffer_size() > 0:
             self._watch_stall()
         if self._unparsed:
-            self.flow.pause_reading()
-            self.loop.call_soon(self._parse_unparsed)
+            self._admission.turns.defer(self)
         elif self._refusal is not None and not self._has_complete:
             self._send_refusal()
         if self._claimed_bytes:
@@ -557,16 +484,26 @@
     def _parse(self, data: bytes) -> None:
         """Pass what has arrived to the parser, one part at a time."""
         meter = self._meter
+        turns = self._admission.turns
         position = 0
         size = len(data)
+        units = FREE_UNITS
+        has_turn = False
         while position < size:
             if len(self.pipeline) > MAX_PIPELINED_REQUESTS:
-                self._unparsed += data[position:]
-                self.flow.pause_reading()
+                self._hold_back(data[position:])
+                break
+            if units <= 0 and not has_turn:
+                has_turn = True
+                units = turns.grant()
+            if units <= 0:
+                self._hold_back(data[position:])
+                turns.defer(self)
                 break
             if not meter.has_begun:
                 self._begun_at = self._checked_at = self.loop.time()
-            end, bound = meter.advance(data, position)
+            end, bound = meter.advance(data, position, units)
+            units -= meter.steps
             if bound is not None:
                 self._refuse(bound)
                 return
@@ -581,6 +518,8 @@
                 return
             if meter.has_ended:
                 self._complete()
+                if self._refusal is not None:
+                    return
                 if not self.cycle.keep_alive:
                     self._is_last = True
                     break
@@ -606,16 +545,25 @@
             self.cycle.body.clear()
             self._claim()
 
-    def _parse_unparsed(self) -> None:
-        """Go on with what has arrived behind the pipelined requests."""
+    def _hold_back(self, data: bytes) -> None:
+        """Keep bytes that are parsed later, and read no more until then."""
+        self._unparsed += data
+        self._gate.shut()
+
+    def take_turn(self) -> None:
+        """Go on with what was held back."""
         if self.parser is None or not self._unparsed:
             return
         if len(self.pipeline) > MAX_PIPELINED_REQUESTS // 2:
             return
         data = bytes(self._unparsed)
         self._unparsed.clear()
-        self.flow.resume_reading()
-        self._parse(data)
+        self._gate.open()
+        try:
+            self._parse(data)
+        except Exception:
+            self.transport.abort()
+            raise
         self._update_counting()
 
     def _claim(self) -> bool:
@@ -636,9 +584,9 @@
         complete_bytes = 0
         for cycle, request in self._requests.items():
             if not cycle.response_complete:
-                size += max(request.size, request.reserved_bytes)
+                size += request.held_bytes
                 if request.is_complete:
-                    complete_bytes += request.size
+                    complete_bytes += request.held_bytes
         if (
             size == self._claimed_bytes
             and complete_bytes == self._complete_bytes
@@ -704,7 +652,7 @@
         if request is None:
             if self.parser is None or self._handled is None:
                 return False
-            request = self._requests[self._handled] = _Request(0, 0, 0)
+            request = self._requests[self._handled] = HeldRequest(0, 0, 0)
             request.is_complete = True
         request.size += size
         if self._claim():
@@ -721,7 +669,7 @@
         return request is not None and request.is_discarding
 
     @property
-    def _handled_request(self) -> _Request | None:
+    def _handled_request(self) -> HeldRequest | None:
         if self._handled is None:
             return None
         return self._requests.get(self._handled)
@@ -737,6 +685,7 @@
         self._refusal = bound
         self._is_counting = True
         self._unparsed.clear()
+        self._gate.open()
         cycle = self.cycle
         if cycle is not None and cycle.response_complete:
             self._is_answered = self._present is not None
@@ -767,22 +716,14 @@
             return
         self._is_lingering = True
         if not self._is_answered:
-            self._write_refusal(bound.status)
+            self.transport.write(
+                make_refusal(bound.status, may_retry=bound is Bound.BUDGET)
+            )
         self.flow.resume_reading()
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.loop.call_later(LINGER_S, self.transport.abort)
 
-    def _write_refusal(self, status: int) -> None:
-        content = b"HTTP/1.1 %d %b\r\n" % (status, REASONS[status])
-        if status == Bound.BUDGET.status:
-            content += b"retry-after: 1\r\n"
-        content += (
-            b"content-type: application/json\r\ncontent-length: 2\r\n"
-            b"connection: close\r\n\r\n{}"
-        )
-        self.transport.write(content)
-
     def _discard(self, size: int) -> None:
         """Drop what a refused client sends, up to a bound."""
         self._discarded_bytes += size
--- a/src/fulmarscale/entry/http.py
+++ b/src/fulmarscale/entry/http.py
@@ -17,8 +17,6 @@
 from litestar.exceptions import HTTPException
 import msgspec
 
-from fulmarscale.bounded_connection import begin_body
-from fulmarscale.bounded_connection import is_body_too_large
 from fulmarscale.entry.request_validation import find_contract_by_key
 from fulmarscale.entry.request_validation import parse_bearer_key
 from fulmarscale.entry.request_validation import parse_job
@@ -30,6 +28,8 @@
 from fulmarscale.errors import Outcome
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
+from fulmarscale.request_scope import begin_body
+from fulmarscale.request_scope import is_body_too_large
 from fulmarscale.wire.messages import CallKind
 
 if TYPE_CHECKING:
--- a/src/fulmarscale/http_connection.py
+++ b/src/fulmarscale/http_connection.py
@@ -10,9 +10,11 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
     from collections.abc import Mapping
     from typing import Any
@@ -41,6 +43,32 @@
     return is_closed is not None and is_closed()
 
 
+class ReadGate(FlowControl):
+    """The flow control of a connection that may have to stop reading.
+
+    While it is shut, neither the application nor a response resumes reading.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__(transport)
+        self._is_shut = False
+
+    def shut(self) -> None:
+        """Stop reading until `open`."""
+        self._is_shut = True
+        self.pause_reading()
+
+    def open(self) -> None:
+        """Read again."""
+        self._is_shut = False
+        self.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Read again, unless the gate is shut."""
+        if self.read_paused and not self._is_shut:
+            super().resume_reading()
+
+
 class ObservableConnection(HttpToolsProtocol):
     """An HTTP connection that can be asked whether its client has left.
 
--- a/src/fulmarscale/http_limits.py
+++ b/src/fulmarscale/http_limits.py
@@ -25,6 +25,9 @@
 A size of 16 digits and the end of the line.
 """
 
+MAX_STEPS: Final = 256
+"""Parts and lines of a request that are taken at once."""
+
 HEX_DIGITS: Final = frozenset(b"0123456789abcdefABCDEF")
 
 MAX_SIZE_DIGITS: Final = 16
@@ -51,6 +54,8 @@
     HEAD_LINES = "head_lines", 431
     CHUNK_LINE = "chunk_line", 400
     """A chunk's size, or the extensions of all chunks of a body."""
+    CHUNK_FRAMING = "chunk_framing", 400
+    """Chunks whose framing outweighs their content."""
     TRAILER_BYTES = "trailer_bytes", 431
     TRAILER_LINES = "trailer_lines", 431
     MESSAGE_BYTES = "message_bytes", 413
@@ -94,6 +99,8 @@
     """The most lines of a head."""
     chunk_extension_bytes: Bytes = 16 << 10
     """Bytes of the extensions of all chunks of a body."""
+    chunk_framing_bytes: Bytes = 16 << 10
+    """Bytes by which the framing of chunks may exceed their content."""
     trailer_bytes: Bytes = 16 << 10
     """Bytes of all trailers of a body."""
     trailer_lines: Count = 64
@@ -142,6 +149,7 @@
     __slots__ = (
         "_body_bytes",
         "_extension_bytes",
+        "_framing_bytes",
         "_has_ended",
         "_left_bytes",
         "_limits",
@@ -150,6 +158,7 @@
         "_part",
         "_part_bytes",
         "_received_bytes",
+        "_steps",
         "_tail",
     )
 
@@ -157,6 +166,7 @@
         self._limits = limits
         self._begin()
         self._has_ended = False
+        self._steps = 0
 
     @property
     def received_bytes(self) -> int:
@@ -168,6 +178,14 @@
         """Bytes of the present request's body, without its framing."""
         return self._body_bytes
 
+    @property
+    def steps(self) -> int:
+        """Parts and lines that the last call of `advance` has taken.
+
+        They measure the work of the parser, too.
+        """
+        return self._steps
+
     @property
     def has_begun(self) -> bool:
         """Whether any byte of a request that is not complete has arrived.
@@ -200,18 +218,25 @@
         else:
             self._end()
 
-    def advance(self, data: bytes, start: int) -> tuple[int, Bound | None]:
+    def advance(
+        self, data: bytes, start: int, max_steps: int = MAX_STEPS
+    ) -> tuple[int, Bound | None]:
         """Take the next bytes, to the end of a head or a request at most.
 
         :param data: what has arrived.
         :param start: the position of the first byte that was not taken.
+        :param max_steps: the steps after which it stops earlier.
         :returns: the position after the last byte taken, and the bound that
             the request exceeds, if any. The bytes taken then don't count.
         """
         self._has_ended = False
+        self._steps = 0
         position = start
         bound: Bound | None = None
-        while position < len(data) and bound is None:
+        while (
+            position < len(data) and bound is None and self._steps < max_steps
+        ):
+            self._steps += 1
             part = self._part
             before = position
             if part is Part.BODY or part is Part.CHUNK_DATA:
@@ -241,6 +266,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._extension_bytes = 0
+        self._framing_bytes = 0
         self._left_bytes = 0
         self._line = b""
         self._lines = 0
@@ -318,6 +344,7 @@
         if is_too_long:
             return 0
         self._lines += lines
+        self._steps += lines
         self._part_bytes += stop - start
         return None
 
@@ -374,9 +401,14 @@
         if found < 0:
             return stop, None
         self._extension_bytes += excess_bytes
+        self._framing_bytes += line_bytes + len(LINE_END)
         size = parse_chunk_size(self._line)
         if size is None:
             return stop, Bound.FRAMING
+        if self._framing_bytes - self._body_bytes > (
+            self._limits.chunk_framing_bytes
+        ):
+            return stop, Bound.CHUNK_FRAMING
         if size > 0:
             self._part = Part.CHUNK_DATA
             self._left_bytes = size
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from fulmarscale.bounded_connection import hold_more
 from fulmarscale.decoding import decode_json
 from fulmarscale.entry.durable.record import DurableJobState
 from fulmarscale.entry.jobs.actions import JobOutcome
@@ -25,6 +24,7 @@
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
 from fulmarscale.platform.wire import WireJob
+from fulmarscale.request_scope import hold_more
 from fulmarscale.runs.model import JobId
 
 if TYPE_CHECKING:
--- a/src/fulmarscale/wire/frame_meter.py
+++ b/src/fulmarscale/wire/frame_meter.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from enum import IntEnum
 from typing import Final
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -15,6 +15,9 @@
 from fulmarscale.http_limits import Bytes
 from fulmarscale.http_limits import Count
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 PREFACE_BYTES: Final = len(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
 """What a client sends before its first frame."""
 
@@ -26,6 +29,12 @@
 SETTING_BYTES: Final = 6
 """Bytes of one parameter in a frame of settings."""
 
+DATA: Final = 0x0
+HEADERS: Final = 0x1
+SETTINGS: Final = 0x4
+CONTINUATION: Final = 0x9
+"""Types of frames that the bounds tell apart."""
+
 ACK_FLAG: Final = 0x1
 
 
@@ -48,15 +57,6 @@
     """Bytes by which the framing of messages may exceed their content."""
 
 
-class FrameType(IntEnum):
-    """The types of frames that the bounds tell apart."""
-
-    DATA = 0x0
-    HEADERS = 0x1
-    SETTINGS = 0x4
-    CONTINUATION = 0x9
-
-
 class FrameMeter:
     """Follows the frames on one connection.
 
@@ -64,11 +64,10 @@
     """
 
     __slots__ = (
-        "_content_bytes",
         "_control_frames",
         "_counted_at",
+        "_excess_bytes",
         "_frames",
-        "_framing_bytes",
         "_head",
         "_header_bytes",
         "_left_bytes",
@@ -94,8 +93,8 @@
         self._control_frames = 0.0
         """Control frames that count at present."""
         self._counted_at = 0.0
-        self._framing_bytes = 0
-        self._content_bytes = 0
+        self._excess_bytes = 0
+        """Bytes by which the framing of messages exceeds their content."""
 
     @property
     def frames(self) -> int:
@@ -107,73 +106,100 @@
         """Streams that were opened on the connection."""
         return self._streams
 
+    def take_message(self, data: bytes) -> bool:
+        """Take a piece that is just one frame with a part of a message.
+
+        :param data: what has arrived.
+        :returns: whether it was taken; nothing has changed otherwise.
+        """
+        length = len(data) - FRAME_HEAD_BYTES
+        if (
+            length <= FRAME_HEAD_BYTES
+            or length > MAX_FRAME_BYTES
+            or data[3] != DATA
+            or self._left_bytes
+            or self._head
+            or self._preface_bytes
+            or int.from_bytes(data[:3], "big") != length
+        ):
+            return False
+        self._excess_bytes += FRAME_HEAD_BYTES - length
+        return True
+
     def advance(
-        self, data: bytes, start: int, now: float, max_frames: int
+        self,
+        data: bytes,
+        start: int,
+        clock: Callable[[], float],
+        max_frames: int,
     ) -> tuple[int, Bound | None]:
         """Take the next bytes, up to a number of frames.
 
         :param data: what has arrived.
         :param start: the position of the first byte that was not taken.
-        :param now: monotonic time.
+        :param clock: returns monotonic time.
         :param max_frames: the frames that it may begin.
         :returns: the position after the last byte taken, and the bound that
             the connection exceeds, if any.
         """
-        self._frames = 0
         position = start
         size = len(data)
+        frames = 0
+        bound: Bound | None = None
         if self._preface_bytes:
             taken = min(self._preface_bytes, size - position)
             self._preface_bytes -= taken
             position += taken
+        left_bytes = self._left_bytes
         while position < size:
-            if self._left_bytes:
-                taken = min(self._left_bytes, size - position)
-                self._left_bytes -= taken
-                position += taken
+            if left_bytes:
+                position += left_bytes
+                left_bytes = max(0, position - size)
                 continue
-            if self._frames == max_frames:
+            if frames == max_frames:
                 break
             missing_bytes = FRAME_HEAD_BYTES - len(self._head)
             head = self._head + data[position : position + missing_bytes]
-            position = min(size, position + missing_bytes)
             if len(head) < FRAME_HEAD_BYTES:
                 self._head = head
+                position = size
                 break
+            position += missing_bytes
             self._head = b""
-            self._frames += 1
-            bound = self._begin_frame(head, now)
+            frames += 1
+            left_bytes = head[0] << 16 | head[1] << 8 | head[2]
+            bound = self._count_frame(head, left_bytes, clock)
             if bound is not None:
-                return position, bound
-        return position, None
+                break
+        self._frames = frames
+        self._left_bytes = left_bytes
+        return min(size, position), bound
 
-    def _begin_frame(self, head: bytes, now: float) -> Bound | None:
+    def _count_frame(
+        self, head: bytes, length: int, clock: Callable[[], float]
+    ) -> Bound | None:
         """Count a frame by its head.
 
         :returns: the bound that it exceeds, if any.
         """
-        length = int.from_bytes(head[:3], "big")
         if length > MAX_FRAME_BYTES:
             return Bound.FRAME_BYTES
-        self._left_bytes = length
         kind = head[3]
-        if kind == FrameType.DATA:
-            self._framing_bytes += FRAME_HEAD_BYTES
-            self._content_bytes += length
-            excess_bytes = self._framing_bytes - self._content_bytes
-            if excess_bytes > self._limits.framing_bytes:
+        if kind == DATA:
+            self._excess_bytes += FRAME_HEAD_BYTES - length
+            if self._excess_bytes > self._limits.framing_bytes:
                 return Bound.FRAMES
             return None
-        if kind in (FrameType.HEADERS, FrameType.CONTINUATION):
+        if kind in (HEADERS, CONTINUATION):
             return self._count_header(kind, length)
-        if kind == FrameType.SETTINGS and not head[4] & ACK_FLAG:
+        if kind == SETTINGS and not head[4] & ACK_FLAG:
             self._settings += length // SETTING_BYTES
             if self._settings > self._limits.settings:
                 return Bound.SETTINGS
-        return self._count_control(now)
+        return self._count_control(clock())
 
     def _count_header(self, kind: int, length: int) -> Bound | None:
-        if kind == FrameType.HEADERS:
+        if kind == HEADERS:
             self._streams += 1
             self._header_bytes = 0
         self._header_bytes += FRAME_HEAD_BYTES + length
--- a/src/fulmarscale/wire/stream_connection.py
+++ b/src/fulmarscale/wire/stream_connection.py
@@ -88,8 +88,8 @@
         self._has_message = False
         self._unparsed = b""
         """What waits for a turn; nothing more is read until it is parsed."""
-        self._unread_frames = 0
-        """Frames of messages that the streams have not read."""
+        self.is_holding = False
+        """Whether frames wait until the streams have read those before."""
         self._is_write_paused = False
         self._is_read_paused = False
         self._stalled_at = 0.0
@@ -135,12 +135,14 @@
         """Take what has arrived."""
         if self._unparsed:
             self._unparsed += data
+        elif self._meter.take_message(data):
+            self._feed(data)
         else:
             self._parse(data)
 
     def take_turn(self) -> None:
         """Go on with what was held back."""
-        if self._unread_frames >= MAX_UNREAD_FRAMES:
+        if self.is_holding:
             return
         data, self._unparsed = self._unparsed, b""
         try:
@@ -206,19 +208,22 @@
         transport.abort()
         self._connections.pop(self, None)
 
-    def count_unread(self, change: int) -> None:
-        """Count frames of messages that the streams have not read.
-
-        :param change: how many more, or fewer, there are.
-        """
-        self._unread_frames += change
+    def resume_frames(self) -> None:
+        """Go on with frames that were held back behind unread ones."""
         if (
             self._unparsed
-            and change < 0
-            and self._unread_frames < MAX_UNREAD_FRAMES // 2
+            and self._count_unread() <= MAX_UNREAD_FRAMES - MESSAGES_AT_ONCE
         ):
+            self.is_holding = False
             self._admission.turns.defer(self)
 
+    def _count_unread(self) -> int:
+        """Return the frames of messages that the streams have not read."""
+        return sum(
+            stream.buffer.unread_frames  # type: ignore[attr-defined]
+            for stream in self.processor.streams.values()
+        )
+
     async def receive(
         self, read: Callable[[int], asyncio.Future[bytes]], size: int
     ) -> bytes:
@@ -254,26 +259,26 @@
 
     def _parse(self, data: bytes) -> None:
         """Pass frames to the HTTP/2 library as far as the turns allow."""
-        turns = self._admission.turns
-        now = asyncio.get_running_loop().time()
+        clock = asyncio.get_running_loop().time
         position = 0
         size = len(data)
         units = FREE_UNITS
         has_turn = False
         while position < size and not self.connection.is_closing():
-            if self._unread_frames >= MAX_UNREAD_FRAMES:
+            if self._count_unread() >= MAX_UNREAD_FRAMES:
                 # The streams let it go on once they have read.
+                self.is_holding = True
                 self._hold_back(data[position:])
                 return
             if units <= 0 and not has_turn:
                 has_turn = True
-                units = turns.grant()
+                units = self._admission.turns.grant()
             if units <= 0:
                 self._hold_back(data[position:])
-                turns.defer(self)
+                self._admission.turns.defer(self)
                 return
             end, bound = self._meter.advance(
-                data, position, now, -(-units // FRAME_UNITS)
+                data, position, clock, -(-units // FRAME_UNITS)
             )
             units -= self._meter.frames * FRAME_UNITS
             if bound is not None:
@@ -291,8 +296,9 @@
             self.refuse(Bound.FRAMING, len(data))
             return
         self.connection.flush()
+        processor = self.processor
         for event in events:
-            self.processor.process(event)
+            processor.process(event)
         if not self.connection.is_closing():
             self.connection.flush()
 
@@ -338,17 +344,27 @@
         return True
 
 
+class _EventFunctions(dict[type, "Callable[[Event], None]"]):
+    """The functions that process events; those of unknown frames do nothing.
+
+    HTTP/2 asks to ignore unknown frames, and grpclib has no function for them.
+    """
+
+    def __missing__(self, event_type: type) -> Callable[[Event], None]:
+        return _ignore
+
+
+def _ignore(event: Event) -> None:
+    """Process an event that has no meaning here."""
+
+
 class _BoundedProcessor(EventsProcessor):
     """Gives each stream a buffer that checks the length of messages."""
 
     def __init__(self, owner: BoundedStreamConnection) -> None:
         super().__init__(owner.handler, owner.connection)
         self._owner = owner
-
-    def process(self, event: Event) -> None:
-        """Process an event; those of unknown frames are ignored."""
-        if event.__class__ in getattr(self, "processors", ()):
-            super().process(event)
+        self.processors = _EventFunctions(self.processors)
 
     def process_request_received(self, event: RequestReceived) -> None:
         """Register a new stream."""
@@ -380,7 +396,11 @@
         self._is_prefix_read = False
         self._messages = 0
         """Messages that were read since others had their turn."""
-        self._unread_frames = 0
+
+    @property
+    def unread_frames(self) -> int:
+        """Frames that were not read."""
+        return self._unacked.qsize()
 
     def add(self, data: bytes, ack_size: int) -> None:
         """Add the data of a frame; grpclib takes one without any as the end.
@@ -389,17 +409,18 @@
         :param ack_size: its size for the flow control.
         """
         if ack_size:
-            self._unread_frames += 1
-            self._owner.count_unread(1)
             super().add(data, ack_size)
 
     async def read(self, size: int) -> bytes:
         """Return that many bytes; fewer if the stream has ended."""
         if not self._is_prefix_read:
-            self._messages += 1
-            if self._messages == MESSAGES_AT_ONCE:
+            if self._unacked.empty():
+                # Reading waits, so that others have their turn.
+                self._messages = 0
+            elif self._messages == MESSAGES_AT_ONCE:
                 self._messages = 0
                 await asyncio.sleep(0)
+            self._messages += 1
             prefix = await super().read(size)
             self._is_prefix_read = bool(prefix)
             return prefix
@@ -408,11 +429,12 @@
 
     def unacked_size(self) -> int:
         """Return the size of the data that was not read, and drop it."""
-        self._owner.count_unread(-self._unread_frames)
-        self._unread_frames = 0
-        return super().unacked_size()
+        size = super().unacked_size()
+        if self._owner.is_holding:
+            self._owner.resume_frames()
+        return size
 
     def _acknowledge(self, size: int) -> None:
         self._plain_acknowledge(size)
-        self._unread_frames -= 1
-        self._owner.count_unread(-1)
+        if self._owner.is_holding:
+            self._owner.resume_frames()
