Count the objects of header lines and of requests that wait

An entry grew from 38 to 142 MB, beyond the VM of 96 MB in the test's settings, for 80 MB of heads with short lines, while the budget counted 3.4 MB: callers on a small VM lost the process and all its jobs.

Cause: the budget counts bytes that arrive, but a line of 4 bytes leaves some 180 bytes of objects, and a pipelined request that waits some 3 KB. Small requests behind another weren't counted at all, and a refused head kept its lines while the client lingered.

Change: lines beyond the 32 of an ordinary request count 176 bytes each, requests that wait behind another 3 KiB each. Without room, those that wait and have not begun are refused together, after the answers before them. The lines of a refused head are dropped. A request that is alone on its connection counts as before.

--- a/features/hostile_work.feature
+++ b/features/hostile_work.feature
@@ -19,6 +19,9 @@
       | entry | readiness  | chunks of five bytes |
       | agent | heartbeats | chunks of one byte   |
       | agent | heartbeats | chunks of five bytes |
+      | entry | callers    | heads of 200 lines and unread answers |
+      | entry | callers    | heads of 250 lines that don't end |
+      | entry | callers    | pipelined requests and unread answers |
 
     Examples: HTTP/2
       | role  | listener | kind                             |
--- a/features/support/busy_crowd.py
+++ b/features/support/busy_crowd.py
@@ -51,6 +51,8 @@
     "chunks of one byte": Size(120, 4 << 20),
     "chunks of five bytes": Size(120, 4 << 20),
     "heads of 200 lines and unread answers": Size(200, 400 << 10),
+    "heads of 250 lines that don't end": Size(950, 4 << 10),
+    "pipelined requests and unread answers": Size(950, 8 << 10),
     "streams that are reset": Size(24, 220 << 10),
     "pings and unread answers": Size(160, 4 << 20),
     "settings and unread answers": Size(48, 4 << 20),
@@ -84,6 +86,12 @@
         lines = b"a:b\r\n" * 198
         get = b"GET %b HTTP/1.1\r\nHost: a\r\n%b\r\n" % (target, lines)
         return _join([], repeat(get))
+    if kind == "heads of 250 lines that don't end":
+        lines = b"".join(b"x-%03d: %03d\r\n" % (n, n) for n in range(250))
+        return iter([b"GET %b HTTP/1.1\r\nHost: a\r\n%b" % (target, lines)])
+    if kind == "pipelined requests and unread answers":
+        get = b"GET %b HTTP/1.1\r\nHost: a\r\n\r\n" % target
+        return repeat(16 * get)
     return _join([PREFACE, make_frame(SETTINGS)], _frames(kind, PATHS[role]))
 
 
--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -15,6 +15,7 @@
 from httptools import HttpParserUpgrade
 
 from fulmarscale.held_request import HeldRequest
+from fulmarscale.held_request import line_objects
 from fulmarscale.held_request import make_refusal
 from fulmarscale.http_admission import Holder
 from fulmarscale.http_connection import CONNECTION_EXTENSION
@@ -224,6 +225,8 @@
         self._present = HeldRequest(
             self._meter.received_bytes, limit if is_chunked else length, limit
         )
+        self._present.lines = self._meter.lines
+        self._present.is_queued = self._is_queued(self.cycle)
         self._discarded_bytes = 0
         self._has_requested = True
         self._requests[self.cycle] = self._present
@@ -478,7 +481,9 @@
             self._present.size += meter.body_bytes
             if self._present.is_discarding:
                 self.cycle.body.clear()
-        if meter.has_begun:
+        if self.pipeline:
+            self._count_queued()
+        elif meter.has_begun:
             self._claim()
 
     def _parse(self, data: bytes) -> None:
@@ -539,11 +544,34 @@
             return
         request.is_complete = True
         request.reserved_bytes = 0
+        if self._claim():
+            return
+        if request.is_queued:
+            self._refuse_queued()
+            return
+        request.is_denied = True
+        request.size = request.lines = 0
+        self.cycle.body.clear()
+        self._claim()
+
+    def _is_queued(self, cycle: RequestResponseCycle) -> bool:
+        """Return whether a request waits behind the one being handled."""
+        return bool(self.pipeline) and self.pipeline[0][0] is cycle
+
+    def _count_queued(self) -> None:
+        """Count the small requests that wait behind the one being handled."""
+        for cycle, _ in self.pipeline:
+            if cycle not in self._requests:
+                request = self._requests[cycle] = HeldRequest(0, 0, 0)
+                request.is_complete = request.is_queued = True
         if not self._claim():
-            request.is_denied = True
-            request.size = 0
-            self.cycle.body.clear()
-            self._claim()
+            self._refuse_queued()
+
+    def _refuse_queued(self) -> None:
+        """Refuse requests that wait and have not begun, for lack of room."""
+        while self.pipeline:
+            self._requests.pop(self.pipeline.popleft()[0], None)
+        self._refuse(Bound.BUDGET)
 
     def _hold_back(self, data: bytes) -> None:
         """Keep bytes that are parsed later, and read no more until then."""
@@ -579,8 +607,11 @@
         size = len(self._unparsed)
         if is_incomplete:
             self._admission.watch(self)
+            lines = self._meter.lines
             if self._present is None:
-                size += self._meter.received_bytes
+                size += self._meter.received_bytes + line_objects(lines)
+            else:
+                self._present.lines = lines
         complete_bytes = 0
         for cycle, request in self._requests.items():
             if not cycle.response_complete:
@@ -687,6 +718,11 @@
         self._unparsed.clear()
         self._gate.open()
         cycle = self.cycle
+        if self.headers and (
+            cycle is None or cycle.scope["headers"] is not self.headers
+        ):
+            # Those of an incomplete head, which no request uses.
+            self.headers.clear()
         if cycle is not None and cycle.response_complete:
             self._is_answered = self._present is not None
             self._present = None
--- a/src/fulmarscale/held_request.py
+++ b/src/fulmarscale/held_request.py
@@ -4,6 +4,20 @@
 
 from typing import Final
 
+from fulmarscale.http_connection import MAX_PIPELINED_REQUESTS
+
+LINE_OBJECT_BYTES: Final = 176
+"""Memory that a header line takes beside its bytes."""
+
+REQUEST_OBJECT_BYTES: Final = 3 << 10
+"""Memory that a request takes that waits behind others."""
+
+FREE_LINES: Final = 2 * MAX_PIPELINED_REQUESTS
+"""Header lines of a request that don't count.
+
+The number of connections bounds what these take.
+"""
+
 REASONS: Final = {
     400: b"Bad Request",
     408: b"Request Timeout",
@@ -13,6 +27,14 @@
 }
 
 
+def line_objects(lines: int) -> int:
+    """Return the bytes that header lines take beyond those received.
+
+    :param lines: the lines of one request.
+    """
+    return max(0, lines - FREE_LINES) * LINE_OBJECT_BYTES
+
+
 class HeldRequest:
     """What a connection holds of one request until its response.
 
@@ -26,7 +48,9 @@
         "is_complete",
         "is_denied",
         "is_discarding",
+        "is_queued",
         "limit",
+        "lines",
         "reserved_bytes",
         "size",
     )
@@ -45,11 +69,17 @@
         """Whether there was no room for the complete request."""
         self.reserved_bytes = 0
         """Bytes that were claimed before they have arrived."""
+        self.lines = 0
+        """Lines of its head and trailers."""
+        self.is_queued = False
+        """Whether it arrived while another request was being handled."""
 
     @property
     def held_bytes(self) -> int:
-        """All that counts against the budget."""
-        return max(self.size, self.reserved_bytes)
+        """All that counts against the budget, its objects included."""
+        held_bytes = max(self.size, self.reserved_bytes)
+        held_bytes += line_objects(self.lines)
+        return held_bytes + REQUEST_OBJECT_BYTES * self.is_queued
 
 
 def make_refusal(status: int, *, may_retry: bool) -> bytes:
--- a/src/fulmarscale/http_limits.py
+++ b/src/fulmarscale/http_limits.py
@@ -160,6 +160,7 @@
         "_received_bytes",
         "_steps",
         "_tail",
+        "_total_lines",
     )
 
     def __init__(self, limits: RequestLimits) -> None:
@@ -178,6 +179,11 @@
         """Bytes of the present request's body, without its framing."""
         return self._body_bytes
 
+    @property
+    def lines(self) -> int:
+        """Lines of the present request's head and trailers."""
+        return self._total_lines
+
     @property
     def steps(self) -> int:
         """Parts and lines that the last call of `advance` has taken.
@@ -270,6 +276,7 @@
         self._left_bytes = 0
         self._line = b""
         self._lines = 0
+        self._total_lines = 0
         self._tail = b""
 
     def _end(self) -> None:
@@ -344,6 +351,7 @@
         if is_too_long:
             return 0
         self._lines += lines
+        self._total_lines += lines
         self._steps += lines
         self._part_bytes += stop - start
         return None
