Show that other kinds of hostile clients hold

Kinds that were thought of after the bounds: requests for metrics (entry and agent), sessions that read nothing, messages of 16 KB that stop short.

--- a/features/hostile_work.feature
+++ b/features/hostile_work.feature
@@ -22,6 +22,8 @@
       | entry | callers    | heads of 200 lines and unread answers |
       | entry | callers    | heads of 250 lines that don't end |
       | entry | callers    | pipelined requests and unread answers |
+      | entry | metrics    | requests for metrics                  |
+      | agent | metrics    | requests for metrics                  |
 
     Examples: HTTP/2
       | role  | listener | kind                             |
@@ -35,3 +37,5 @@
       | agent | streams  | empty frames                     |
       | agent | streams  | frames of an unknown type        |
       | agent | streams  | messages of no bytes             |
+      | agent | streams  | sessions that read nothing       |
+      | agent | streams  | messages that stop short         |
--- a/features/support/busy_crowd.py
+++ b/features/support/busy_crowd.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from itertools import chain
+from itertools import count
 from itertools import repeat
 import struct
 from typing import Final
@@ -14,7 +15,10 @@
 from typing import TYPE_CHECKING
 
 from hpack import Encoder
+import msgspec
 
+from fulmarscale.ids import EntryId
+from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.runs.streams import SESSION_PATH
 from fulmarscale.wire.streams import AGENT_PATH
 
@@ -53,6 +57,7 @@
     "heads of 200 lines and unread answers": Size(200, 400 << 10),
     "heads of 250 lines that don't end": Size(950, 4 << 10),
     "pipelined requests and unread answers": Size(950, 8 << 10),
+    "requests for metrics": Size(120, 256 << 10),
     "streams that are reset": Size(24, 220 << 10),
     "pings and unread answers": Size(160, 4 << 20),
     "settings and unread answers": Size(48, 4 << 20),
@@ -63,6 +68,8 @@
     "empty frames": Size(48, 4 << 20),
     "frames of an unknown type": Size(48, 4 << 20),
     "messages of no bytes": Size(48, 1 << 20),
+    "sessions that read nothing": Size(150, 512 << 10),
+    "messages that stop short": Size(250, 128 << 10),
 }
 
 
@@ -89,6 +96,8 @@
     if kind == "heads of 250 lines that don't end":
         lines = b"".join(b"x-%03d: %03d\r\n" % (n, n) for n in range(250))
         return iter([b"GET %b HTTP/1.1\r\nHost: a\r\n%b" % (target, lines)])
+    if kind == "requests for metrics":
+        return _join([], repeat(b"GET /metrics HTTP/1.1\r\n\r\n"))
     if kind == "pipelined requests and unread answers":
         get = b"GET %b HTTP/1.1\r\nHost: a\r\n\r\n" % target
         return repeat(16 * get)
@@ -98,6 +107,7 @@
 def _frames(kind: str, path: str) -> Iterable[bytes]:
     """Return the frames that a client of the streams sends."""
     streams = range(1, 1 << 20, 2)
+    part = struct.pack(">BI", 0, 16_000) + bytes(15_990)
     if kind == "streams that are reset":
         reset = struct.pack(">I", 8)
         return (
@@ -136,6 +146,16 @@
         return chain([_headers(path, 1)], repeat(make_frame(DATA, stream=1)))
     if kind == "frames of an unknown type":
         return repeat(make_frame(UNKNOWN, b"1"))
+    if kind == "messages that stop short":
+        return (
+            _headers(path, stream) + make_frame(DATA, part, stream=stream)
+            for stream in range(1, 180, 2)
+        )
+    if kind == "sessions that read nothing":
+        no_window = make_frame(SETTINGS, struct.pack(">HI", 4, 0))
+        return chain(
+            [no_window, _headers(path, 1)], map(_entry_message, count(1))
+        )
     assert kind == "messages of no bytes", kind
     return chain(
         [_headers(path, 1)], repeat(make_frame(DATA, bytes(5), stream=1))
@@ -166,6 +186,14 @@
     return make_frame(HEADERS, content, flags=END_HEADERS, stream=stream)
 
 
+def _entry_message(number: int) -> bytes:
+    """Return a message as an entry sends it, without requests."""
+    message = EntryMessage(EntryId("entry-7", 1), number, None)
+    content = msgspec.msgpack.encode(message)
+    prefix = struct.pack(">BI", 0, len(content))
+    return make_frame(DATA, prefix + content, stream=1)
+
+
 def _join(first: Iterable[bytes], rest: Iterable[bytes]) -> Iterator[bytes]:
     """Yield the parts in pieces of PIECE_BYTES or a little more."""
     piece = bytearray()
