Claim for a body in chunks what arrives, not the limit of bodies

Callers that send small bodies in chunks got 503 without need: with a budget of 10 MB, 129 of 150 that arrived at the same time.

Cause: such a body may come to any length, and the whole limit was claimed for it before it was collected.

Change: 16 KiB are claimed at first, and more as it arrives. A body that finds no room halfway gets 503 then; it has not arrived as a whole.

Evidence: the new scenario of features/http_limits.feature, 150 bodies of 2 bytes, failed before and passes. A scenario beside it shows that connections whose answers aren't read make room for an ordinary request; it passed before.

--- a/features/http_limits.feature
+++ b/features/http_limits.feature
@@ -49,6 +49,17 @@
       | a body after the response to its head |
       | nothing but an empty line             |
 
+  # Guards against refusals of bodies that nobody has sent.
+  Scenario: Small bodies in chunks don't need the room of the largest ones
+    Given a listener with a budget of 10 MB
+    Then 150 small bodies in chunks are served at the same time
+
+  # Guards against connections that nobody else gets while answers wait.
+  Scenario: Connections whose answers aren't read make room
+    Given a listener with 10 connections
+    When 60 clients read nothing of their answers
+    Then an ordinary request is answered
+
   # Guards against callers that take the descriptors for agents and the store.
   Scenario Outline: Connections of callers leave descriptors for everything else
     Given the settings of an entry with <max_fds> descriptors
--- a/features/steps/bounded_connection_steps.py
+++ b/features/steps/bounded_connection_steps.py
@@ -33,6 +33,9 @@
 BODY_BYTES: Final = 500_000
 """The limit of a body."""
 
+LARGE_BYTES: Final = 4 << 20
+"""The size of an answer that no system keeps for a client."""
+
 WAIT_S: Final = 10.0
 """How long a step may wait for what has to happen."""
 
@@ -65,6 +68,9 @@
         if scope["path"] == "/early":
             await respond(send, 404)
             return
+        if scope["path"] == "/large":
+            await respond(send, 200, bytes(LARGE_BYTES))
+            return
         try:
             await read_body(scope, receive, BODY_BYTES)
         except DisconnectedError:
@@ -112,13 +118,13 @@
 ) -> Iterator[None]:
     with asyncio.Runner() as runner:
         context.run = runner.run
-        runner.run(start(context, memory_mb, connections))
+        listener = context.listener = Listener(memory_mb, connections)
+        runner.run(start(listener))
         yield
         runner.run(context.listener.close())
 
 
-async def start(context: Context, memory_mb: int, connections: int) -> None:
-    listener = context.listener = Listener(memory_mb, connections)
+async def start(listener: Listener) -> None:
     asyncio.get_running_loop().set_exception_handler(
         lambda _, details: listener.errors.append(details)
     )
--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -55,6 +55,9 @@
 WRITE_BUFFER_BYTES: Final = 16 << 10
 """Bytes of answers that wait for a client, above which it gets no more."""
 
+CHUNKED_BYTES: Final = 16 << 10
+"""Bytes that are claimed for a body in chunks before it is collected."""
+
 LINGER_S: Final = 2.0
 """How long a refused client may take to read its answer and to close."""
 
@@ -221,9 +224,10 @@
         :param is_chunked: whether its body is in chunks.
         """
         limit = self._max_body_bytes()
-        # A body in chunks may come to any length up to the limit.
+        # A body in chunks may come to any length, and claims what arrives.
+        expected = min(CHUNKED_BYTES, limit) if is_chunked else length
         self._present = HeldRequest(
-            self._meter.received_bytes, limit if is_chunked else length, limit
+            self._meter.received_bytes, expected, limit
         )
         self._present.lines = self._meter.lines
         self._present.is_queued = self._is_queued(self.cycle)
