Let a client that reads its answers extend its time at the least rate only

A client that read one byte of its answers in 10 s kept its connection, and what waited for it, for as long as it liked.

Cause: any progress counted as reading, by a whole grace of 10 s.

Change: UnreadAnswers (no I/O) extends the time by what was read at the least rate of requests (requests.least_rate_bytes_s), for HTTP and streams.

Evidence: features/http_limits.feature, answers of 1 MB at a least rate of 10 kB/s: 1 byte/s is overdue after 11 s, 5 kB/s after 21 s, 10 kB/s never. There is no play against a process: on loopback the kernel's buffers hide slow progress, so that such clients were closed before, too.

--- a/features/http_limits.feature
+++ b/features/http_limits.feature
@@ -54,6 +54,12 @@
     Given a listener with a budget of 10 MB
     Then 150 small bodies in chunks are served at the same time
 
+  # Guards against clients that keep a connection by reading a byte at times.
+  Scenario: A client has to read its answers at the least rate
+    Then a client that reads 1 bytes a second is overdue after 11 s
+    And a client that reads 5000 bytes a second is overdue after 21 s
+    And a client that reads 10000 bytes a second is never overdue
+
   # Guards against connections that nobody else gets while answers wait.
   Scenario: Connections whose answers aren't read make room
     Given a listener with 10 connections
--- a/features/steps/slow_client_steps.py
+++ b/features/steps/slow_client_steps.py
@@ -17,12 +17,15 @@
 from features.steps.bounded_connection_steps import RESPONSE
 from features.steps.bounded_connection_steps import WAIT_S
 from features.steps.bounded_connection_steps import wait_until
+from fulmarscale.http_limits import RequestLimits
 from fulmarscale.request_budget import MIN_HELD_S
+from fulmarscale.unread_answers import UnreadAnswers
 
 if TYPE_CHECKING:
     from behave.runner import Context
 
 SMALL_BUFFER_BYTES: Final = 4_096
+ANSWER_BYTES: Final = 1_000_000
 LARGE_GET: Final = b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n"
 CHUNKED: Final = (
     b"POST /quick HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -85,3 +88,23 @@
         assert set(statuses) == {RESPONSE}, statuses
 
     context.run(serve())
+
+
+@then("a client that reads {rate:d} bytes a second is overdue after {s:d} s")
+def check_slow(context: Context, rate: int, s: int) -> None:
+    assert overdue_after_s(rate) == s, overdue_after_s(rate)
+
+
+@then("a client that reads {rate:d} bytes a second is never overdue")
+def check_fast(context: Context, rate: int) -> None:
+    assert overdue_after_s(rate) is None, overdue_after_s(rate)
+
+
+def overdue_after_s(rate: int) -> int | None:
+    """Return after how many checks, one a second, a client is overdue."""
+    unread = UnreadAnswers(RequestLimits(least_rate_bytes_s=10_000))
+    unread.begin(0.0, ANSWER_BYTES)
+    for now in range(1, ANSWER_BYTES // rate + 1):
+        if unread.is_overdue(now, 0.0, ANSWER_BYTES - now * rate):
+            return now
+    return None
--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -27,6 +27,7 @@
 from fulmarscale.http_limits import LINE_END
 from fulmarscale.http_limits import RequestMeter
 from fulmarscale.request_budget import MIN_HELD_S
+from fulmarscale.unread_answers import UnreadAnswers
 from fulmarscale.work_turns import FREE_UNITS
 from fulmarscale.work_turns import TurnTaker
 
@@ -118,12 +119,7 @@
         """When the present request began, later by delays of this process."""
         self._checked_at = 0.0
         """When the time of the present request was last checked."""
-        self._is_stalled = False
-        """Whether answers wait for the client to read."""
-        self._stalled_at = 0.0
-        """When the client last read of them."""
-        self._stalled_bytes = 0
-        """Bytes of these answers then."""
+        self._unread = UnreadAnswers(admission.limits)
         self._is_last = False
         """Whether the last request on the connection has arrived."""
         self._is_counting = False
@@ -293,7 +289,7 @@
     def resume_writing(self) -> None:
         """Go on with the answers."""
         super().resume_writing()
-        self._is_stalled = False
+        self._unread.end()
 
     def shutdown(self) -> None:
         """Close once what has arrived is answered."""
@@ -316,10 +312,15 @@
         if self.parser is None:
             return False
         limits = self._admission.limits
-        if self._is_stalled and not self._check_stall(now, late_s):
-            return not self.transport.is_closing()
+        pending_bytes = self._pending_bytes
+        if self._unread.is_overdue(now, late_s, pending_bytes):
+            self._record(Bound.SEND_TIME)
+            self.transport.abort()
+            return False
+        if self._unread.is_waiting:
+            return True
         if not self._meter.has_begun or self._refusal is not None:
-            return self._is_stalled
+            return False
         if self.flow.read_paused:
             self._begun_at += late_s + now - self._checked_at
         else:
@@ -337,25 +338,6 @@
             return False
         return True
 
-    def _check_stall(self, now: float, late_s: float) -> bool:
-        """Abort the connection of a client that reads no answer.
-
-        :returns: whether it reads its answers.
-        """
-        pending_bytes = self._pending_bytes
-        if pending_bytes == 0:
-            self._is_stalled = False
-            return True
-        if pending_bytes < self._stalled_bytes:
-            self._stalled_at = now
-            self._stalled_bytes = pending_bytes
-        self._stalled_at += late_s
-        grace_s = self._admission.limits.receive_grace_s
-        if now - self._stalled_at > grace_s:
-            self._record(Bound.SEND_TIME)
-            self.transport.abort()
-        return False
-
     @property
     def _pending_bytes(self) -> int:
         """Bytes of answers that wait for the client to read."""
@@ -780,9 +762,7 @@
 
     def _watch_stall(self) -> None:
         """Expect the client to read, and note that it has read so far."""
-        self._is_stalled = True
-        self._stalled_at = self.loop.time()
-        self._stalled_bytes = self._pending_bytes
+        self._unread.begin(self.loop.time(), self._pending_bytes)
         self._admission.watch(self)
 
     def _make_room(self, limit: int) -> None:
--- a/src/fulmarscale/wire/stream_connection.py
+++ b/src/fulmarscale/wire/stream_connection.py
@@ -19,6 +19,7 @@
 
 from fulmarscale.http_admission import Holder
 from fulmarscale.http_limits import Bound
+from fulmarscale.unread_answers import UnreadAnswers
 from fulmarscale.wire.frame_meter import FrameMeter
 from fulmarscale.work_turns import FREE_UNITS
 from fulmarscale.work_turns import TurnTaker
@@ -92,10 +93,7 @@
         """Whether frames wait until the streams have read those before."""
         self._is_write_paused = False
         self._is_read_paused = False
-        self._stalled_at = 0.0
-        """When the client last read of the answers that wait for it."""
-        self._stalled_bytes = 0
-        """Bytes of these answers then."""
+        self._unread = UnreadAnswers(admission.limits)
 
     @property
     def has_message(self) -> bool:
@@ -156,15 +154,15 @@
         """Hold back messages, and read nothing that wants an answer."""
         super().pause_writing()
         self._is_write_paused = True
-        self._stalled_at = asyncio.get_running_loop().time()
-        if self._transport is not None:
-            self._stalled_bytes = self._transport.get_write_buffer_size()
+        now = asyncio.get_running_loop().time()
+        self._unread.begin(now, self._pending_bytes)
         self._update_reading()
 
     def resume_writing(self) -> None:
         """Go on with messages, and read again."""
         super().resume_writing()
         self._is_write_paused = False
+        self._unread.end()
         self._update_reading()
 
     def give_way(self) -> None:
@@ -186,9 +184,9 @@
         elif now - self._idle_at > NO_STREAM_S:
             self.refuse(Bound.RECEIVE_TIME, 0)
             return False
-        self._stalled_at += late_s
-        if self._is_write_paused and self._is_stalled(now):
-            self.refuse(Bound.SEND_TIME, self._stalled_bytes)
+        pending_bytes = self._pending_bytes
+        if self._unread.is_overdue(now, late_s, pending_bytes):
+            self.refuse(Bound.SEND_TIME, pending_bytes)
             return False
         return True
 
@@ -321,15 +319,12 @@
         else:
             transport.resume_reading()
 
-    def _is_stalled(self, now: float) -> bool:
-        """Return whether the client has read no answer for too long."""
+    @property
+    def _pending_bytes(self) -> int:
+        """Bytes of answers that wait for the client to read."""
         if self._transport is None:
-            return False
-        pending_bytes = self._transport.get_write_buffer_size()
-        if pending_bytes < self._stalled_bytes:
-            self._stalled_at = now
-            self._stalled_bytes = pending_bytes
-        return now - self._stalled_at > self._admission.limits.receive_grace_s
+            return 0
+        return self._transport.get_write_buffer_size()
 
     def _claim(self, change: int) -> bool:
         """Change the bytes that are claimed for messages."""
