--- a/features/hostile_work.feature
+++ b/features/hostile_work.feature
@@ -52,3 +52,19 @@
       | entry | callers    |
       | agent | heartbeats |
       | agent | streams    |
+
+  @site.1.1.1
+  Scenario Outline: On the own path, a crowd that has sent <kind> leaves the entry serving at its <listener>
+    Given the own path's entry for a hostile crowd
+    When a crowd has sent <kind> to the <listener> of the own entry
+    Then an ordinary submission to the own path is done
+    And the process has grown by at most 48 MB
+
+    Examples:
+      | listener | kind                                  |
+      | callers  | chunks of one byte                    |
+      | callers  | heads of 200 lines and unread answers |
+      | streams  | streams that are reset                |
+      | streams  | pings and unread answers              |
+      | streams  | streams of 1,700 header fields        |
+      | streams  | messages of no bytes                  |
--- a/features/steps/busy_crowd_steps.py
+++ b/features/steps/busy_crowd_steps.py
@@ -56,20 +56,28 @@
 
 @when("a crowd begins to send {kind} to the {listener} of the {role}")
 def begin_crowd(context: Context, kind: str, listener: str, role: str) -> None:
+    begin(context, make_crowd(context, kind, listener, role))
+
+
+def make_crowd(
+    context: Context, kind: str, listener: str, role: str
+) -> Coroutine[None, None, None]:
+    """Return what a crowd does."""
     context.scene = scene = context.scenes[role]
-    crowd = scene.add_crowd(listener)
     target = scene.target.get(listener, b"/")
     size = SIZES[kind]
-    begin(
-        context,
-        crowd.send_each(
-            size.clients,
-            size.client_bytes,
-            lambda: busy_bytes(kind, role, target, scene.fields),
-        ),
+    return scene.add_crowd(listener).send_each(
+        size.clients,
+        size.client_bytes,
+        lambda: busy_bytes(kind, role, target, scene.fields),
     )
 
 
+@when("a crowd has sent {kind} to the {listener} of the {role}")
+def send_crowd(context: Context, kind: str, listener: str, role: str) -> None:
+    context.run(make_crowd(context, kind, listener, role))
+
+
 @when("{count:d} clients begin to connect to the {listener} of the {role}")
 def begin_to_connect(
     context: Context, count: int, listener: str, role: str
--- a/src/fulmarscale/runs/metrics.py
+++ b/src/fulmarscale/runs/metrics.py
@@ -162,3 +162,14 @@
     held.add_metric(["used"], budget.used_bytes)
     held.add_metric(["budget"], budget.total_bytes)
     yield held
+    turns = admission.turns
+    yield CounterMetricFamily(
+        "fulmarscale_deferred_turns",
+        "How often a connection had to wait until others were worked for.",
+        value=turns.deferred,
+    )
+    yield GaugeMetricFamily(
+        "fulmarscale_waiting_connections",
+        "Connections that wait for their turn.",
+        value=turns.waiting,
+    )
