Close the stream of a peer that takes no messages

An agent kept up to 2,000 messages for each client that opened a stream, sent messages and gave no window, and again 2,000 after these were dropped.

Cause: a full queue asked the sender to end, but the sender waited for the window and never saw it; below the limit nothing bounded the time.

Change: the queue closes the stream beside the sender, and does so once 32 messages wait and none was taken for 3.75 s, the time without a message after which a stream counts as broken anyway. Nothing is queued afterwards.

--- a/features/steps/work_limits_steps.py
+++ b/features/steps/work_limits_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 from functools import partial
 from itertools import chain
@@ -22,6 +23,7 @@
 from features.support.busy_crowd import PREFACE
 from features.support.busy_crowd import SETTINGS
 from features.support.busy_crowd import WINDOW_UPDATE
+from fulmarscale.runs.streams import MessageQueue
 from fulmarscale.wire.frame_meter import FrameMeter
 from fulmarscale.wire.frame_meter import StreamLimits
 from fulmarscale.work_turns import FREE_UNITS
@@ -143,6 +145,47 @@
             assert (end, bound) == (len(data), None), number
 
 
+class Peer:
+    """The stream to a peer that takes a number of messages."""
+
+    def __init__(self, messages: int) -> None:
+        self._window = messages
+
+    async def send_message(self, message: str) -> None:
+        self._window -= 1
+        while self._window < 0:
+            await asyncio.sleep(3600)
+
+
+async def queue_messages(rate: int, seconds: int, window: int) -> bool:
+    """Queue messages for a peer, and return whether its stream is closed."""
+    now = 0.0
+    queue: MessageQueue[str] = MessageQueue(lambda: now)
+    sender = asyncio.create_task(queue.send_all(Peer(window)))
+    closed = asyncio.create_task(queue.wait_closed())
+    for _ in range(seconds):
+        now += 1.0
+        for _ in range(rate):
+            queue.put("message")
+            await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    sender.cancel()
+    closed.cancel()
+    return closed.done()
+
+
+@then("a stream that sends a message a second is not closed")
+def check_sending(context: Context) -> None:
+    assert not asyncio.run(queue_messages(1, 100, 1_000))
+
+
+@then("a stream that sends none is closed with 33 messages after 4 s")
+def check_stuck(context: Context) -> None:
+    # The first message is taken in the first second.
+    assert not asyncio.run(queue_messages(11, 4, 0))
+    assert asyncio.run(queue_messages(11, 5, 0))
+
+
 class Worker(TurnTaker):
     """A connection with work to do."""
 
--- a/features/work_limits.feature
+++ b/features/work_limits.feature
@@ -24,6 +24,11 @@
       | a frame of 16 MB       | frame_bytes | 100   |
       | many settings          | settings    | 500   |
 
+  # Guards against messages that pile up for a peer that gives no window.
+  Scenario: A stream whose peer takes no message is closed in time
+    Then a stream that sends a message a second is not closed
+    And a stream that sends none is closed with 33 messages after 4 s
+
   # Guards against bounds that processes of a site meet.
   Scenario: A long session of ordinary frames exceeds no bound
     Then 100,000 messages with their acknowledgements exceed no bound
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -10,6 +10,7 @@
 from abc import abstractmethod
 import asyncio
 from contextlib import suppress
+import time
 from typing import Final
 from typing import Generic
 from typing import TYPE_CHECKING
@@ -35,6 +36,7 @@
 from fulmarscale.wire.streams import STREAM_ERRORS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
     from grpclib.server import Stream
@@ -52,6 +54,9 @@
 A stream with more of them counts as stuck and is closed.
 """
 
+MIN_STUCK_MESSAGES: Final = 32
+"""Messages that wait, below which a stream doesn't count as stuck."""
+
 MIN_RETRY_S: Final = 0.05
 """The first delay before a stream is opened again."""
 
@@ -66,15 +71,33 @@
 
 
 class MessageQueue(Generic[Message]):
-    """Outgoing messages of one stream."""
+    """Outgoing messages of one stream.
+
+    :param clock: returns monotonic time.
+    """
 
-    def __init__(self) -> None:
-        self._queue: asyncio.Queue[Message | None]
-        """The messages; none closes the stream."""
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._queue: asyncio.Queue[Message]
         self._queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
+        self._closed = asyncio.Event()
+        self._clock = clock
+        self._taken_at = clock()
+        """When a message was last taken to be sent."""
 
     def put(self, message: Message) -> None:
-        """Queue a message; if the queue is full, close the stream instead."""
+        """Queue a message, or close the stream if its peer takes none.
+
+        It takes none if the queue is full, or if some messages wait and none
+        was sent for STREAM_TIMEOUT_S.
+        """
+        if self._closed.is_set():
+            return
+        if (
+            self._queue.qsize() >= MIN_STUCK_MESSAGES
+            and self._clock() - self._taken_at > STREAM_TIMEOUT_S
+        ):
+            self.close()
+            return
         try:
             self._queue.put_nowait(message)
         except asyncio.QueueFull:
@@ -84,15 +107,18 @@
         """Discard the queued messages and close the stream."""
         while not self._queue.empty():
             self._queue.get_nowait()
-        self._queue.put_nowait(None)
+        self._closed.set()
+
+    async def wait_closed(self) -> None:
+        """Wait until the stream is to be closed."""
+        await self._closed.wait()
 
     async def send_all(self, stream: Stream) -> None:
-        """Send queued messages until the stream is closed."""
+        """Send queued messages until the stream breaks."""
         with suppress(*STREAM_ERRORS):
             while True:
                 message = await self._queue.get()
-                if message is None:
-                    return
+                self._taken_at = self._clock()
                 await stream.send_message(message)
 
 
@@ -167,7 +193,9 @@
         self._handler.receive_entry(session, first_message)
         try:
             await _run_until_one_ends(
-                outgoing.send_all(stream), self._read(stream, session)
+                outgoing.send_all(stream),
+                outgoing.wait_closed(),
+                self._read(stream, session),
             )
         finally:
             self._handler.close_entry(session)
@@ -257,7 +285,9 @@
             session = self._handler.open_agent(outgoing, self._name)
             try:
                 await _run_until_one_ends(
-                    outgoing.send_all(stream), self._read(stream, session)
+                    outgoing.send_all(stream),
+                    outgoing.wait_closed(),
+                    self._read(stream, session),
                 )
             finally:
                 self._handler.close_agent(session)
@@ -278,7 +308,7 @@
 
 
 async def _run_until_one_ends(*works: Coroutine[None, None, None]) -> None:
-    """Run the two directions of a stream until one ends, then end the other.
+    """Run the parts of a stream until one ends, then end the others.
 
     Raises the exception of the one that has failed.
     """
