Count the tasks of a job before the entry keeps an object for each

Four clients that sent two submissions of 750 bytes each ended an entry: it took 290 MB of its VM's 96. A hundred jobs of ten thousand tasks, 230 bytes each, kept another from doing any ordinary job for 30 s.

Cause: a step may have 10,000 tasks and a job 1,000 steps, so that 30 KB of body stood for ten million tasks, each of which is an object of the entry. Only the steps of large jobs counted against the budget, and an id of 16 KB was repeated in the names of all tasks.

Change: a job has at most 10,000 tasks in all and an id of at most 64 characters; others get 400 before anything is kept. More than 64 tasks count 1 KiB each, and dependencies 40 bytes each, against the budget until the response; without room the job gets 503 and has not run. Paths and reasons in a log line are cut at 256 characters. Jobs of up to 770 tasks, the size to design for, need 0.8 of the 20 MB of the smallest VM.

--- a/features/hostile_work.feature
+++ b/features/hostile_work.feature
@@ -22,6 +22,10 @@
       | entry | callers    | heads of 200 lines and unread answers |
       | entry | callers    | heads of 250 lines that don't end |
       | entry | callers    | pipelined requests and unread answers |
+      | entry | callers    | jobs of a hundred thousand tasks      |
+      | entry | callers    | jobs of ten thousand tasks            |
+      | entry | callers    | jobs of a thousand steps after all others |
+      | entry | callers    | jobs with ids of 15,000 bytes         |
       | entry | metrics    | requests for metrics                  |
       | agent | metrics    | requests for metrics                  |
 
--- a/features/support/busy_crowd.py
+++ b/features/support/busy_crowd.py
@@ -58,6 +58,10 @@
     "heads of 250 lines that don't end": Size(950, 4 << 10),
     "pipelined requests and unread answers": Size(950, 8 << 10),
     "requests for metrics": Size(120, 256 << 10),
+    "jobs of a hundred thousand tasks": Size(4, 1_000),
+    "jobs of ten thousand tasks": Size(100, 4 << 10),
+    "jobs of a thousand steps after all others": Size(100, 128 << 10),
+    "jobs with ids of 15,000 bytes": Size(100, 64 << 10),
     "streams that are reset": Size(24, 220 << 10),
     "pings and unread answers": Size(160, 4 << 20),
     "settings and unread answers": Size(48, 4 << 20),
@@ -96,6 +100,8 @@
     if kind == "heads of 250 lines that don't end":
         lines = b"".join(b"x-%03d: %03d\r\n" % (n, n) for n in range(250))
         return iter([b"GET %b HTTP/1.1\r\nHost: a\r\n%b" % (target, lines)])
+    if kind.startswith("jobs "):
+        return _jobs(kind, target)
     if kind == "requests for metrics":
         return _join([], repeat(b"GET /metrics HTTP/1.1\r\n\r\n"))
     if kind == "pipelined requests and unread answers":
@@ -104,6 +110,39 @@
     return _join([PREFACE, make_frame(SETTINGS)], _frames(kind, PATHS[role]))
 
 
+def _jobs(kind: str, target: bytes) -> Iterator[bytes]:
+    """Yield submissions of large jobs, each of them under an id of its own."""
+    steps = [{"count": 1}]
+    padding = b""
+    if kind == "jobs of a hundred thousand tasks":
+        steps = [{"count": 10_000}] * 10
+    elif kind == "jobs of ten thousand tasks":
+        steps = [{"count": 10_000}]
+    elif kind == "jobs of a thousand steps after all others":
+        steps = [{"after": list(range(n))} for n in range(240)]
+        steps += [{}] * 760
+    else:
+        assert kind == "jobs with ids of 15,000 bytes", kind
+        steps = [{"count": 1_000}]
+        padding = b"a" * 15_000
+    task = {"cpu": 1600, "memMb": 64, "estimatedMs": 60_000}
+    content = msgspec.json.encode(
+        {
+            "spec": "60",
+            "steps": [task | each for each in steps],
+            "bestEffort": True,
+        }
+    )
+    for number in count(_next_client() * 1_000):
+        yield (
+            b"POST %b%016x%b HTTP/1.1\r\nHost: site.example\r\n"
+            b"Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n%b"
+        ) % (target[:-16], number, padding, len(content), content)
+
+
+_next_client = count(1).__next__
+
+
 def _frames(kind: str, path: str) -> Iterable[bytes]:
     """Return the frames that a client of the streams sends."""
     streams = range(1, 1 << 20, 2)
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -23,6 +23,10 @@
 from fulmarscale.platform.asgi import NoRoomError
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
+from fulmarscale.platform.job_size import count_tasks
+from fulmarscale.platform.job_size import decoded_bytes
+from fulmarscale.platform.job_size import MAX_JOB_ID_CHARACTERS
+from fulmarscale.platform.job_size import MAX_TASKS
 from fulmarscale.platform.wire import WireJob
 from fulmarscale.request_scope import hold_more
 from fulmarscale.runs.model import JobId
@@ -45,14 +49,11 @@
 configuration every 1.5 s while it responds.
 """
 
-FEW_STEPS: Final = 16
-"""Steps of a job up to which the bytes of its body stand for them."""
-
 EARLY_BODY_BYTES: Final = 16 << 10
 """Limit of a body that is collected before its request has a queue."""
 
-STEP_BYTES: Final = 1024
-"""Memory allowed for a decoded step."""
+MAX_LOGGED_CHARACTERS: Final = 256
+"""The most characters of a path or a reason in a line of the log."""
 
 UNAVAILABLE: Final = 503
 GONE: Final = 410
@@ -121,6 +122,8 @@
                 queue.name
             )
             await respond(send, 200, msgspec.json.encode({"pending": pending}))
+        elif len(name) > MAX_JOB_ID_CHARACTERS:
+            await self._reject(send, scope, 400, "the job's id is too long")
         elif method in ("GET", "DELETE"):
             await self._query_or_cancel(scope, send, JobId(name))
         elif method != "POST" or not name:
@@ -292,6 +295,8 @@
         try:
             wire_job = decode_json(bodies.pop(), WireJob)
             spec = wire_job.decode()
+            if count_tasks(spec) > MAX_TASKS:
+                raise ValueError(f"a job has at most {MAX_TASKS} tasks")
         except (msgspec.MsgspecError, ValueError) as error:
             await self._reject(send, scope, 400, str(error))
             return
@@ -303,11 +308,10 @@
         if unsupported_reason:
             await self._reject(send, scope, UNAVAILABLE, unsupported_reason)
             return
-        if len(spec.steps) > FEW_STEPS and not hold_more(
-            scope, len(spec.steps) * STEP_BYTES
-        ):
+        more_bytes = decoded_bytes(spec)
+        if more_bytes > 0 and not hold_more(scope, more_bytes):
             await self._reject(
-                send, scope, UNAVAILABLE, "there is no room for the steps"
+                send, scope, UNAVAILABLE, "there is no room for the tasks"
             )
             return
         if spec.is_durable:
@@ -363,9 +367,9 @@
         """Log a rejected request and respond with an error status."""
         self._log.write(
             Event.JOB_REJECTED,
-            path=scope["path"],
+            path=scope["path"][:MAX_LOGGED_CHARACTERS],
             status=status,
-            reason=reason,
+            reason=reason[:MAX_LOGGED_CHARACTERS],
             version=self._job_service.site.configuration_version,
             site_age_s=self._site_age_s,
         )
