Bound the requests in a message to an agent

24 clients with one message of 1 MB each, of 200,000 requests to stop runs, made an agent take 216 MB of its VM's 96.

Cause: five bytes of a message stand for a request of some 90, and only the bytes were bounded, by 16 MiB.

Change: a message to an agent has at most 10,000 requests of a kind, which is checked before they are decoded, and at most 2 MiB; a configuration of 1,400 queues takes 0.2. Tasks of a job count from the 17th on: 64 uncounted ones on each of 3,500 connections would be more than the smallest VM has.

--- a/features/hostile_work.feature
+++ b/features/hostile_work.feature
@@ -43,6 +43,7 @@
       | agent | streams  | messages of no bytes             |
       | agent | streams  | sessions that read nothing       |
       | agent | streams  | messages that stop short         |
+      | agent | streams  | messages with many requests      |
 
   # Guards against a comparison of all connections for each new one.
   Scenario Outline: Clients that connect without end leave the <role> serving at its <listener>
--- a/features/support/busy_crowd.py
+++ b/features/support/busy_crowd.py
@@ -19,6 +19,8 @@
 
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.messages import EntryMessage
+from fulmarscale.runs.model import JobId
+from fulmarscale.runs.model import TaskKey
 from fulmarscale.runs.streams import SESSION_PATH
 from fulmarscale.wire.streams import AGENT_PATH
 
@@ -28,6 +30,8 @@
 
 PIECE_BYTES: Final = 64 << 10
 
+MAX_FRAME_BYTES: Final = 16 << 10
+
 PREFACE: Final = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
 DATA: Final = 0
@@ -37,6 +41,7 @@
 PING: Final = 6
 WINDOW_UPDATE: Final = 8
 UNKNOWN: Final = 0x42
+ACK: Final = 1
 END_HEADERS: Final = 4
 
 PATHS: Final = {"agent": SESSION_PATH, "own entry": AGENT_PATH}
@@ -73,6 +78,7 @@
     "frames of an unknown type": Size(48, 4 << 20),
     "messages of no bytes": Size(48, 1 << 20),
     "sessions that read nothing": Size(150, 512 << 10),
+    "messages with many requests": Size(24, 1 << 20),
     "messages that stop short": Size(250, 128 << 10),
 }
 
@@ -107,7 +113,8 @@
     if kind == "pipelined requests and unread answers":
         get = b"GET %b HTTP/1.1\r\nHost: a\r\n\r\n" % target
         return repeat(16 * get)
-    return _join([PREFACE, make_frame(SETTINGS)], _frames(kind, PATHS[role]))
+    opening = [PREFACE, make_frame(SETTINGS), make_frame(SETTINGS, flags=ACK)]
+    return _join(opening, _frames(kind, PATHS[role]))
 
 
 def _jobs(kind: str, target: bytes) -> Iterator[bytes]:
@@ -190,6 +197,8 @@
             _headers(path, stream) + make_frame(DATA, part, stream=stream)
             for stream in range(1, 180, 2)
         )
+    if kind == "messages with many requests":
+        return [_headers(path, 1), *_long_message()]
     if kind == "sessions that read nothing":
         no_window = make_frame(SETTINGS, struct.pack(">HI", 4, 0))
         return chain(
@@ -233,6 +242,19 @@
     return make_frame(DATA, prefix + content, stream=1)
 
 
+def _long_message() -> Iterator[bytes]:
+    """Yield the frames of a message that stops 200,000 runs of nobody."""
+    task = TaskKey(JobId(""), 0, 0, 0)
+    message = EntryMessage(
+        EntryId("entry-7", 1), 1, None, stops=(task,) * 200_000
+    )
+    content = msgspec.msgpack.encode(message)
+    content = struct.pack(">BI", 0, len(content)) + content
+    for start in range(0, len(content), MAX_FRAME_BYTES):
+        part = content[start : start + MAX_FRAME_BYTES]
+        yield make_frame(DATA, part, stream=1)
+
+
 def _join(first: Iterable[bytes], rest: Iterable[bytes]) -> Iterator[bytes]:
     """Yield the parts in pieces of PIECE_BYTES or a little more."""
     piece = bytearray()
--- a/src/fulmarscale/platform/job_size.py
+++ b/src/fulmarscale/platform/job_size.py
@@ -21,7 +21,7 @@
 FEW_STEPS: Final = 16
 """Steps of a job up to which the bytes of its body stand for them."""
 
-FEW_TASKS: Final = 64
+FEW_TASKS: Final = 16
 """Tasks of a job up to which the number of connections bounds them."""
 
 STEP_BYTES: Final = 1024
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -5,6 +5,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+from typing import Final
+from typing import TypeVar
+
+import msgspec
+
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.crashes import TargetCrash
 from fulmarscale.runs.model import EndCause
@@ -20,6 +26,17 @@
 from fulmarscale.wire.messages import AgentToken
 from fulmarscale.wire.messages import MessagePart
 
+Item = TypeVar("Item")
+
+MAX_ITEMS: Final = 10_000
+"""The most requests of one kind in a message to an agent.
+
+A few bytes stand for each, so that the length of the message doesn't bound
+what an agent has to keep and to do for it.
+"""
+
+Items = Annotated[tuple[Item, ...], msgspec.Meta(max_length=MAX_ITEMS)]
+
 
 class StartRequest(MessagePart):
     """A request to start a run of a task, if there is free capacity now."""
@@ -179,14 +196,14 @@
     """The number of the message, rising on each stream."""
     echo: AgentToken | None
     """The agent's newest token that the entry has received."""
-    starts: tuple[StartRequest, ...] = ()
+    starts: Items[StartRequest] = ()
     """Requests to start runs."""
-    stops: tuple[TaskKey, ...] = ()
+    stops: Items[TaskKey] = ()
     """Tasks whose runs are to be stopped.
 
     Earlier requests to start them are withdrawn.
     """
-    expected: tuple[ExpectedRun, ...] = ()
+    expected: Items[ExpectedRun] = ()
     """Runs that the entry requested on earlier streams.
 
     Sent once, when a stream opens.
@@ -199,7 +216,7 @@
     """Demand of the entry's waiting tasks, in thousandths of a core."""
     slack_s: float = 0.0
     """Time until the latest start of the most urgent waiting job."""
-    acks: tuple[CompletionAck, ...] = ()
+    acks: Items[CompletionAck] = ()
     """Acknowledgements of completions that the agent keeps."""
     has_durable_jobs: bool = False
     """Whether any durable jobs may exist, as far as the entry knows.
@@ -211,9 +228,9 @@
     """Whether this is a capacity probe: the agent replies at once."""
     has_confined_queues: bool = False
     """Whether the entry confines queues and needs their loads by target."""
-    unconfirmed: tuple[UnconfirmedStart, ...] = ()
+    unconfirmed: Items[UnconfirmedStart] = ()
     """Starts by the agent's former processes; sent once to a new process."""
-    demands: tuple[ClassDemand, ...] = ()
+    demands: Items[ClassDemand] = ()
     """The backlog by priority class, the most urgent class first.
 
     Empty if the site has no priorities.
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -54,6 +54,12 @@
 A stream with more of them counts as stuck and is closed.
 """
 
+MAX_MESSAGE_BYTES: Final = 2 << 20
+"""The longest message to an agent.
+
+The longest has a site configuration: some 200 KB for 1,400 queues.
+"""
+
 MIN_STUCK_MESSAGES: Final = 32
 """Messages that wait, below which a stream doesn't count as stuck."""
 
@@ -171,7 +177,7 @@
     async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
         self._server = BoundedStreamServer(
-            self, MessagePackCodec(), self._admission
+            self, MessagePackCodec(), self._admission, MAX_MESSAGE_BYTES
         )
         await self._server.start(host, port)
 
--- a/src/fulmarscale/wire/bounded_server.py
+++ b/src/fulmarscale/wire/bounded_server.py
@@ -24,6 +24,9 @@
 WINDOW_BYTES: Final = 1 << 20
 """Bytes of a connection that may arrive before they are read."""
 
+MAX_MESSAGE_BYTES: Final = 16 << 20
+"""The longest message; the largest, a result of all targets, is far less."""
+
 CONNECTION_BYTES: Final = 32 << 10
 """The share of the budget that allows one more connection."""
 
@@ -38,6 +41,7 @@
     :param handler: the object whose `__mapping__` names the methods.
     :param codec: the codec of the messages.
     :param admission: decides on the bytes of all connections.
+    :param max_message_bytes: the longest message.
     """
 
     def __init__(
@@ -45,6 +49,7 @@
         handler: object,
         codec: MessagePackCodec,
         admission: RequestAdmission,
+        max_message_bytes: int = MAX_MESSAGE_BYTES,
     ) -> None:
         super().__init__(
             [handler],  # type: ignore[list-item]
@@ -55,6 +60,7 @@
             ),
         )
         self._admission = admission
+        self._max_message_bytes = max_message_bytes
         self._connections: dict[BoundedStreamConnection, None] = {}
         """Open connections, the oldest one first."""
 
@@ -65,6 +71,7 @@
             self._admission,
             self._connections,
             max_connections(self._admission.budget.total_bytes),
+            self._max_message_bytes,
         )
 
 
--- a/src/fulmarscale/wire/stream_connection.py
+++ b/src/fulmarscale/wire/stream_connection.py
@@ -32,9 +32,6 @@
 
     from fulmarscale.http_admission import RequestAdmission
 
-MAX_MESSAGE_BYTES: Final = 16 << 20
-"""The longest message; the largest, a result of all targets, is far less."""
-
 MAX_FIRST_MESSAGE_BYTES: Final = 1 << 20
 """The longest first message of a connection, which names its sender."""
 
@@ -67,6 +64,7 @@
     :param admission: decides on the bytes of all connections.
     :param connections: all open connections of the server.
     :param max_connections: the limit of these.
+    :param max_message_bytes: the longest message.
     """
 
     def __init__(
@@ -75,12 +73,14 @@
         admission: RequestAdmission,
         connections: dict[BoundedStreamConnection, None],
         max_connections: int,
+        max_message_bytes: int,
     ) -> None:
         super().__init__(plain.handler, plain.config, plain.h2_config)
         self.holder_id = admission.next_id()
         self._admission = admission
         self._connections = connections
         self._max_connections = max_connections
+        self._max_message_bytes = max_message_bytes
         self._meter = FrameMeter(admission.stream_limits)
         self._claimed_bytes = 0
         self._transport: asyncio.Transport | None = None
@@ -231,9 +231,9 @@
         :param size: the length of the message.
         :raises StreamTerminatedError: if it is refused.
         """
-        limit = (
-            MAX_MESSAGE_BYTES if self._has_message else MAX_FIRST_MESSAGE_BYTES
-        )
+        limit = self._max_message_bytes
+        if not self._has_message:
+            limit = min(limit, MAX_FIRST_MESSAGE_BYTES)
         if size > limit:
             self.refuse(Bound.MESSAGE_BYTES, size)
             raise StreamTerminatedError("the message is too long")
