--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/bounded_connection.py
@@ -747,9 +747,7 @@
             return
         self._is_lingering = True
         if not self._is_answered:
-            self.transport.write(
-                make_refusal(bound.status, may_retry=bound is Bound.BUDGET)
-            )
+            self.transport.write(make_refusal(bound.status))
         self.flow.resume_reading()
         if self.transport.can_write_eof():
             self.transport.write_eof()
--- a/src/fulmarscale/held_request.py
+++ b/src/fulmarscale/held_request.py
@@ -18,12 +18,14 @@
 The number of connections bounds what these take.
 """
 
+UNAVAILABLE: Final = 503
+
 REASONS: Final = {
     400: b"Bad Request",
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
-    503: b"Service Unavailable",
+    UNAVAILABLE: b"Service Unavailable",
 }
 
 
@@ -82,14 +84,13 @@
         return held_bytes + REQUEST_OBJECT_BYTES * self.is_queued
 
 
-def make_refusal(status: int, *, may_retry: bool) -> bytes:
+def make_refusal(status: int) -> bytes:
     """Return the response to a client whose connection is then closed.
 
     :param status: the HTTP status.
-    :param may_retry: whether the client may come again in a second.
     """
     content = b"HTTP/1.1 %d %b\r\n" % (status, REASONS[status])
-    if may_retry:
+    if status == UNAVAILABLE:
         content += b"retry-after: 1\r\n"
     return content + (
         b"content-type: application/json\r\ncontent-length: 2\r\n"
