--- a/benches/listeners.py
+++ b/benches/listeners.py
@@ -18,10 +18,10 @@
 from uvicorn.server import ServerState
 
 from features.support.fake_transport import FakeTransport
-from fulmarscale.http_admission import RequestAdmission
-from fulmarscale.http_limits import RequestLimits
-from fulmarscale.http_server import make_protocol
 from fulmarscale.ids import EntryId
+from fulmarscale.listeners.http_admission import RequestAdmission
+from fulmarscale.listeners.http_limits import RequestLimits
+from fulmarscale.listeners.http_server import make_protocol
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
 from fulmarscale.runs.messages import AgentMessage
--- a/features/steps/bounded_connection_steps.py
+++ b/features/steps/bounded_connection_steps.py
@@ -14,9 +14,9 @@
 from behave import when
 from behave.fixture import fixture
 
-from fulmarscale.http_admission import RequestAdmission
-from fulmarscale.http_limits import RequestLimits
-from fulmarscale.http_server import AsgiServer
+from fulmarscale.listeners.http_admission import RequestAdmission
+from fulmarscale.listeners.http_limits import RequestLimits
+from fulmarscale.listeners.http_server import AsgiServer
 from fulmarscale.platform.asgi import DisconnectedError
 from fulmarscale.platform.asgi import NoRoomError
 from fulmarscale.platform.asgi import read_body
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -17,7 +17,7 @@
 from features.steps.platform_steps import FakeJobService
 from features.steps.platform_steps import JOB
 from features.steps.platform_steps import LOG
-from fulmarscale.http_server import AsgiServer
+from fulmarscale.listeners.http_server import AsgiServer
 from fulmarscale.platform.ingress import IngressApp
 from standins.ports import PORTS
 
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -19,7 +19,7 @@
 from fulmarscale.cli.crashes import main as list_crashes
 from fulmarscale.entry.jobs.crash_history import CrashHistory
 from fulmarscale.events import Event
-from fulmarscale.http_server import AsgiServer
+from fulmarscale.listeners.http_server import AsgiServer
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.asgi import CRASHES_PATH
 from fulmarscale.platform.asgi import MetricsApp
--- a/features/steps/http_limits_steps.py
+++ b/features/steps/http_limits_steps.py
@@ -16,17 +16,17 @@
 import uvicorn
 
 from features.support.fake_transport import exchange_bytes
-from fulmarscale.http_admission import RequestAdmission
-from fulmarscale.http_connection import ObservableConnection
-from fulmarscale.http_limits import Bound
-from fulmarscale.http_limits import RequestLimits
-from fulmarscale.http_limits import RequestMeter
-from fulmarscale.http_server import make_protocol
+from fulmarscale.listeners.http_admission import RequestAdmission
+from fulmarscale.listeners.http_connection import ObservableConnection
+from fulmarscale.listeners.http_limits import Bound
+from fulmarscale.listeners.http_limits import RequestLimits
+from fulmarscale.listeners.http_limits import RequestMeter
+from fulmarscale.listeners.http_server import make_protocol
+from fulmarscale.listeners.request_budget import HolderId
+from fulmarscale.listeners.request_budget import RequestBudget
 from fulmarscale.platform.asgi import DisconnectedError
 from fulmarscale.platform.asgi import read_body
 from fulmarscale.platform.asgi import respond
-from fulmarscale.request_budget import HolderId
-from fulmarscale.request_budget import RequestBudget
 
 if TYPE_CHECKING:
     from behave.runner import Context
--- a/features/steps/slow_client_steps.py
+++ b/features/steps/slow_client_steps.py
@@ -17,9 +17,9 @@
 from features.steps.bounded_connection_steps import RESPONSE
 from features.steps.bounded_connection_steps import WAIT_S
 from features.steps.bounded_connection_steps import wait_until
-from fulmarscale.http_limits import RequestLimits
-from fulmarscale.request_budget import MIN_HELD_S
-from fulmarscale.unread_answers import UnreadAnswers
+from fulmarscale.listeners.http_limits import RequestLimits
+from fulmarscale.listeners.request_budget import MIN_HELD_S
+from fulmarscale.listeners.unread_answers import UnreadAnswers
 
 if TYPE_CHECKING:
     from behave.runner import Context
--- a/features/steps/work_limits_steps.py
+++ b/features/steps/work_limits_steps.py
@@ -23,14 +23,14 @@
 from features.support.busy_crowd import PREFACE
 from features.support.busy_crowd import SETTINGS
 from features.support.busy_crowd import WINDOW_UPDATE
+from fulmarscale.listeners.work_turns import FREE_UNITS
+from fulmarscale.listeners.work_turns import PASS_UNITS
+from fulmarscale.listeners.work_turns import TURN_UNITS
+from fulmarscale.listeners.work_turns import TurnTaker
+from fulmarscale.listeners.work_turns import WorkTurns
 from fulmarscale.runs.streams import MessageQueue
 from fulmarscale.wire.frame_meter import FrameMeter
 from fulmarscale.wire.frame_meter import StreamLimits
-from fulmarscale.work_turns import FREE_UNITS
-from fulmarscale.work_turns import PASS_UNITS
-from fulmarscale.work_turns import TURN_UNITS
-from fulmarscale.work_turns import TurnTaker
-from fulmarscale.work_turns import WorkTurns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +38,7 @@
 
     from behave.runner import Context
 
-    from fulmarscale.http_limits import Bound
+    from fulmarscale.listeners.http_limits import Bound
 
 RUN = settings(
     max_examples=300, derandomize=True, deadline=None, database=None
--- a/src/fulmarscale/agent/run_process.py
+++ b/src/fulmarscale/agent/run_process.py
@@ -32,8 +32,8 @@
 if TYPE_CHECKING:
     from fulmarscale.agent.run_actions import RunAction
     from fulmarscale.agent.run_target_client import RunTargetClient
-    from fulmarscale.http_admission import RequestAdmission
     from fulmarscale.ids import EntryId
+    from fulmarscale.listeners.http_admission import RequestAdmission
     from fulmarscale.logs import EventLog
     from fulmarscale.runs.messages import AgentMessage
     from fulmarscale.runs.messages import EntryMessage
--- a/src/fulmarscale/cli/entry.py
+++ b/src/fulmarscale/cli/entry.py
@@ -17,10 +17,10 @@
 from fulmarscale.entry.http import HttpApi
 from fulmarscale.entry.process import EntryProcess
 from fulmarscale.entry.routes import make_app
-from fulmarscale.http_admission import RequestAdmission
-from fulmarscale.http_server import EmbeddedServer
-from fulmarscale.http_server import KEEP_ALIVE_S
-from fulmarscale.http_server import make_protocol
+from fulmarscale.listeners.http_admission import RequestAdmission
+from fulmarscale.listeners.http_server import EmbeddedServer
+from fulmarscale.listeners.http_server import KEEP_ALIVE_S
+from fulmarscale.listeners.http_server import make_protocol
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.http_table import HttpTableClient
--- a/src/fulmarscale/cli/site_entry.py
+++ b/src/fulmarscale/cli/site_entry.py
@@ -16,8 +16,8 @@
 from fulmarscale.cli._common import wait_for_any
 from fulmarscale.cli._settings_watcher import SettingsWatcher
 from fulmarscale.entry.jobs.process import DispatchProcess
-from fulmarscale.http_admission import RequestAdmission
-from fulmarscale.http_server import AsgiServer
+from fulmarscale.listeners.http_admission import RequestAdmission
+from fulmarscale.listeners.http_server import AsgiServer
 from fulmarscale.logs import configure_logs
 from fulmarscale.logs import EventLog
 from fulmarscale.logs import NonBlockingStream
--- a/src/fulmarscale/entry/http.py
+++ b/src/fulmarscale/entry/http.py
@@ -28,8 +28,8 @@
 from fulmarscale.errors import Outcome
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
-from fulmarscale.request_scope import begin_body
-from fulmarscale.request_scope import is_body_too_large
+from fulmarscale.listeners.request_scope import begin_body
+from fulmarscale.listeners.request_scope import is_body_too_large
 from fulmarscale.wire.messages import CallKind
 
 if TYPE_CHECKING:
--- a/src/fulmarscale/entry/process.py
+++ b/src/fulmarscale/entry/process.py
@@ -58,9 +58,9 @@
     from fulmarscale.control.actions import ChangeResult
     from fulmarscale.control.actions import RowChange
     from fulmarscale.entry.inputs import EntryInput
-    from fulmarscale.http_admission import RequestAdmission
     from fulmarscale.ids import CustomerName
     from fulmarscale.ids import SubmissionId
+    from fulmarscale.listeners.http_admission import RequestAdmission
     from fulmarscale.logs import EventLog
     from fulmarscale.platform.table import TableClient
     from fulmarscale.settings import EntrySettings
--- a/src/fulmarscale/bounded_connection.py
+++ b/src/fulmarscale/listeners/bounded_connection.py
@@ -14,24 +14,24 @@
 from httptools import HttpParserError
 from httptools import HttpParserUpgrade
 
-from fulmarscale.connection_room import Rank
-from fulmarscale.connection_room import RankedConnection
-from fulmarscale.held_request import HeldRequest
-from fulmarscale.held_request import line_objects
-from fulmarscale.held_request import make_refusal
-from fulmarscale.http_admission import Holder
-from fulmarscale.http_connection import CONNECTION_EXTENSION
-from fulmarscale.http_connection import MAX_PIPELINED_REQUESTS
-from fulmarscale.http_connection import ObservableConnection
-from fulmarscale.http_connection import ReadGate
-from fulmarscale.http_limits import Bound
-from fulmarscale.http_limits import HEAD_END
-from fulmarscale.http_limits import LINE_END
-from fulmarscale.http_limits import RequestMeter
-from fulmarscale.request_budget import MIN_HELD_S
-from fulmarscale.unread_answers import UnreadAnswers
-from fulmarscale.work_turns import FREE_UNITS
-from fulmarscale.work_turns import TurnTaker
+from fulmarscale.listeners.connection_room import Rank
+from fulmarscale.listeners.connection_room import RankedConnection
+from fulmarscale.listeners.held_request import HeldRequest
+from fulmarscale.listeners.held_request import line_objects
+from fulmarscale.listeners.held_request import make_refusal
+from fulmarscale.listeners.http_admission import Holder
+from fulmarscale.listeners.http_connection import CONNECTION_EXTENSION
+from fulmarscale.listeners.http_connection import MAX_PIPELINED_REQUESTS
+from fulmarscale.listeners.http_connection import ObservableConnection
+from fulmarscale.listeners.http_connection import ReadGate
+from fulmarscale.listeners.http_limits import Bound
+from fulmarscale.listeners.http_limits import HEAD_END
+from fulmarscale.listeners.http_limits import LINE_END
+from fulmarscale.listeners.http_limits import RequestMeter
+from fulmarscale.listeners.request_budget import MIN_HELD_S
+from fulmarscale.listeners.unread_answers import UnreadAnswers
+from fulmarscale.listeners.work_turns import FREE_UNITS
+from fulmarscale.listeners.work_turns import TurnTaker
 
 if TYPE_CHECKING:
     import asyncio
@@ -41,8 +41,8 @@
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
     from uvicorn.server import ServerState
 
-    from fulmarscale.connection_room import ConnectionRoom
-    from fulmarscale.http_admission import RequestAdmission
+    from fulmarscale.listeners.connection_room import ConnectionRoom
+    from fulmarscale.listeners.http_admission import RequestAdmission
 
 READ_BYTES: Final = 64 << 10
 """The most bytes that are read from a connection at once."""
--- a/src/fulmarscale/held_request.py
+++ b/src/fulmarscale/listeners/held_request.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from fulmarscale.http_connection import MAX_PIPELINED_REQUESTS
+from fulmarscale.listeners.http_connection import MAX_PIPELINED_REQUESTS
 
 LINE_OBJECT_BYTES: Final = 176
 """Memory that a header line takes beside its bytes."""
--- a/src/fulmarscale/http_admission.py
+++ b/src/fulmarscale/listeners/http_admission.py
@@ -15,17 +15,17 @@
 from typing import TYPE_CHECKING
 
 from fulmarscale.events import Event
-from fulmarscale.request_budget import budget_bytes
-from fulmarscale.request_budget import HolderId
-from fulmarscale.request_budget import RequestBudget
+from fulmarscale.listeners.request_budget import budget_bytes
+from fulmarscale.listeners.request_budget import HolderId
+from fulmarscale.listeners.request_budget import RequestBudget
+from fulmarscale.listeners.work_turns import WorkTurns
 from fulmarscale.wire.frame_meter import StreamLimits
-from fulmarscale.work_turns import WorkTurns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fulmarscale.http_limits import Bound
-    from fulmarscale.http_limits import RequestLimits
+    from fulmarscale.listeners.http_limits import Bound
+    from fulmarscale.listeners.http_limits import RequestLimits
     from fulmarscale.logs import EventLog
 
 CHECK_INTERVAL_S: Final = 1.0
--- a/src/fulmarscale/http_server.py
+++ b/src/fulmarscale/listeners/http_server.py
@@ -12,10 +12,10 @@
 
 import uvicorn
 
-from fulmarscale.bounded_connection import BoundedConnection
-from fulmarscale.connection_room import ConnectionRoom
-from fulmarscale.http_admission import RequestAdmission
-from fulmarscale.http_limits import RequestLimits
+from fulmarscale.listeners.bounded_connection import BoundedConnection
+from fulmarscale.listeners.connection_room import ConnectionRoom
+from fulmarscale.listeners.http_admission import RequestAdmission
+from fulmarscale.listeners.http_limits import RequestLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/fulmarscale/request_scope.py
+++ b/src/fulmarscale/listeners/request_scope.py
@@ -5,12 +5,12 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from fulmarscale.http_connection import CONNECTION_EXTENSION
+from fulmarscale.listeners.http_connection import CONNECTION_EXTENSION
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from fulmarscale.bounded_connection import BoundedConnection
+    from fulmarscale.listeners.bounded_connection import BoundedConnection
 
 
 def begin_body(scope: Mapping[str, Any]) -> bool:
--- a/src/fulmarscale/unread_answers.py
+++ b/src/fulmarscale/listeners/unread_answers.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from fulmarscale.http_limits import RequestLimits
+    from fulmarscale.listeners.http_limits import RequestLimits
 
 
 class UnreadAnswers:
--- a/src/fulmarscale/metrics.py
+++ b/src/fulmarscale/metrics.py
@@ -24,7 +24,7 @@
     from prometheus_client import Metric
 
     from fulmarscale.entry.core import EntryCore
-    from fulmarscale.http_admission import RequestAdmission
+    from fulmarscale.listeners.http_admission import RequestAdmission
 
 WINDOW_METRIC = "fulmarscale_promise_window_answers"
 """Gauge from which the burn report reads the answers in each window."""
--- a/src/fulmarscale/platform/asgi.py
+++ b/src/fulmarscale/platform/asgi.py
@@ -6,7 +6,7 @@
 from typing import Final
 from typing import TYPE_CHECKING
 
-from fulmarscale.request_scope import connection_of
+from fulmarscale.listeners.request_scope import connection_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -18,7 +18,8 @@
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
-from fulmarscale.http_connection import has_client_left
+from fulmarscale.listeners.http_connection import has_client_left
+from fulmarscale.listeners.request_scope import hold_more
 from fulmarscale.platform.asgi import DisconnectedError
 from fulmarscale.platform.asgi import NoRoomError
 from fulmarscale.platform.asgi import read_body
@@ -28,7 +29,6 @@
 from fulmarscale.platform.job_size import MAX_JOB_ID_CHARACTERS
 from fulmarscale.platform.job_size import MAX_TASKS
 from fulmarscale.platform.wire import WireJob
-from fulmarscale.request_scope import hold_more
 from fulmarscale.runs.model import JobId
 
 if TYPE_CHECKING:
--- a/src/fulmarscale/runs/metrics.py
+++ b/src/fulmarscale/runs/metrics.py
@@ -16,7 +16,7 @@
 
     from prometheus_client import Metric
 
-    from fulmarscale.http_admission import RequestAdmission
+    from fulmarscale.listeners.http_admission import RequestAdmission
     from fulmarscale.logs import EventLog
 
 DURATION_BUCKETS_S: Final = (
--- a/src/fulmarscale/runs/streams.py
+++ b/src/fulmarscale/runs/streams.py
@@ -23,8 +23,8 @@
 from grpclib.exceptions import StreamTerminatedError
 
 from fulmarscale.background import BackgroundTask
-from fulmarscale.http_admission import RequestAdmission
-from fulmarscale.http_limits import RequestLimits
+from fulmarscale.listeners.http_admission import RequestAdmission
+from fulmarscale.listeners.http_limits import RequestLimits
 from fulmarscale.runs.limits import STREAM_TIMEOUT_S
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import EntryMessage
--- a/src/fulmarscale/settings.py
+++ b/src/fulmarscale/settings.py
@@ -16,7 +16,7 @@
 from fulmarscale.entry.limits import EntryLimits
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
-from fulmarscale.http_limits import RequestLimits
+from fulmarscale.listeners.http_limits import RequestLimits
 from fulmarscale.wire.frame_meter import StreamLimits
 
 if TYPE_CHECKING:
--- a/src/fulmarscale/wire/bounded_server.py
+++ b/src/fulmarscale/wire/bounded_server.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from grpclib.protocol import H2Protocol
 
-    from fulmarscale.http_admission import RequestAdmission
+    from fulmarscale.listeners.http_admission import RequestAdmission
     from fulmarscale.wire.codec import MessagePackCodec
 
 WINDOW_BYTES: Final = 1 << 20
--- a/src/fulmarscale/wire/frame_meter.py
+++ b/src/fulmarscale/wire/frame_meter.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-from fulmarscale.http_limits import Bound
-from fulmarscale.http_limits import Bytes
-from fulmarscale.http_limits import Count
+from fulmarscale.listeners.http_limits import Bound
+from fulmarscale.listeners.http_limits import Bytes
+from fulmarscale.listeners.http_limits import Count
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/fulmarscale/wire/stream_connection.py
+++ b/src/fulmarscale/wire/stream_connection.py
@@ -17,12 +17,12 @@
 from grpclib.protocol import H2Protocol
 from h2.exceptions import H2Error
 
-from fulmarscale.http_admission import Holder
-from fulmarscale.http_limits import Bound
-from fulmarscale.unread_answers import UnreadAnswers
+from fulmarscale.listeners.http_admission import Holder
+from fulmarscale.listeners.http_limits import Bound
+from fulmarscale.listeners.unread_answers import UnreadAnswers
+from fulmarscale.listeners.work_turns import FREE_UNITS
+from fulmarscale.listeners.work_turns import TurnTaker
 from fulmarscale.wire.frame_meter import FrameMeter
-from fulmarscale.work_turns import FREE_UNITS
-from fulmarscale.work_turns import TurnTaker
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +30,7 @@
     from h2.events import Event
     from h2.events import RequestReceived
 
-    from fulmarscale.http_admission import RequestAdmission
+    from fulmarscale.listeners.http_admission import RequestAdmission
 
 MAX_FIRST_MESSAGE_BYTES: Final = 1 << 20
 """The longest first message of a connection, which names its sender."""
--- a/src/fulmarscale/wire/streams.py
+++ b/src/fulmarscale/wire/streams.py
@@ -24,8 +24,8 @@
 import msgspec
 
 from fulmarscale.background import BackgroundTask
-from fulmarscale.http_admission import RequestAdmission
-from fulmarscale.http_limits import RequestLimits
+from fulmarscale.listeners.http_admission import RequestAdmission
+from fulmarscale.listeners.http_limits import RequestLimits
 from fulmarscale.wire.bounded_server import BoundedStreamServer
 from fulmarscale.wire.codec import MessagePackCodec
 from fulmarscale.wire.messages import AgentUplink
