--- /dev/null
+++ b/review/harness3/__init__.py
@@ -0,0 +1,1 @@
+"""Support of the scripts of the third review."""
