--- a/review/harness3/site.py
+++ b/review/harness3/site.py
@@ -26,6 +26,7 @@
 from typing import TYPE_CHECKING
 
 from review.harness3.runner import RackRunner
+from review.harness3.store_gate import StoreGate
 from standins.ports import PORTS
 from standins.row_store import RowStoreStandIn
 
@@ -78,6 +79,7 @@
     :param entries: the number of entries.
     :param agents: the number of agents.
     :param max_attempts: `maxAttempts` of the queue.
+    :param gated: names of entries that reach the store by a gate.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         entries: int,
         agents: int,
         max_attempts: int = 3,
+        gated: tuple[str, ...] = (),
     ) -> None:
         self.record = record
         self.store = RowStoreStandIn()
@@ -93,6 +96,8 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._entries = [f"entry-{number}" for number in range(entries)]
         self._agents = [f"agent-{number}" for number in range(agents)]
+        self._gated = gated
+        self.gates: dict[str, StoreGate] = {}
         self._callers: dict[str, int] = {}
         self._folder = tempfile.TemporaryDirectory()
         self._max_attempts = max_attempts
@@ -107,6 +112,9 @@
         """Start all parts and wait until all entries are ready."""
         await self.store.start()
         self.put_config(1)
+        for name in self._gated:
+            self.gates[name] = StoreGate(self.store.address)
+            await self.gates[name].start()
         for number, name in enumerate(self._agents):
             control = f"{HOST}:{PORTS.pick()}"
             self._write_settings(
@@ -161,6 +169,8 @@
         for runner in self.runners:
             if runner.is_up:
                 await runner.stop()
+        for gate in self.gates.values():
+            await gate.close()
         await self.store.close()
         self._folder.cleanup()
 
@@ -314,12 +324,13 @@
         return Path(self._folder.name) / f"{name}.json"
 
     def _write_settings(self, number: int, name: str, **fields: Any) -> None:
+        gate = self.gates.get(name)
         settings = {
             "name": name,
             "data_centre": ZONES[number % len(ZONES)],
             "address": HOST,
             "metrics_port": PORTS.pick(),
-            "store_address": self.store.address,
+            "store_address": gate.address if gate else self.store.address,
             **fields,
         }
         self._settings_path(name).write_text(json.dumps(settings), "utf-8")
