--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A durable job is shown as failed though none of its runs has failed."""
+"""A job is shown as failed after one failed run: its end counts twice."""
 
 from __future__ import annotations
 
@@ -11,14 +11,20 @@
 from review.harness3.site import Site
 
 JOB = "5c0e7a21d94b36f8"
-WORK_MS = 3600
-CRASHES = 3
-DOWN_S = 2.0
+WORK_MS = 1500
+MAX_ATTEMPTS = 2
+WATCH_S = 40.0
 
 
 async def case(record: Record, has_trouble: bool) -> bool:
-    """Crash the runner of the job's only task three times."""
-    site = Site(record, entries=2, agents=8)
+    """Kill the job's entry as it has stored that a run has failed."""
+    site = Site(
+        record,
+        entries=4,
+        agents=8,
+        max_attempts=MAX_ATTEMPTS,
+        gated=("entry-0",),
+    )
     try:
         await site.start()
         step = {"count": 1, "cpu": 1600, "memMb": 64, "estimatedMs": WORK_MS}
@@ -26,44 +32,47 @@
         status, _ = await site.call("entry-0", "POST", JOB, body)
         if status != 200:
             return True
-        for _ in range(CRASHES if has_trouble else 0):
-            runner = await site.wait(
-                lambda: _busy_runner(site), 15, "run of the task"
+        runner = await site.wait(
+            lambda: next((each for each in site.runners if each.runs), None),
+            15,
+            "run of the task",
+        )
+        await asyncio.sleep(0.5)
+        if has_trouble:
+            site.gates["entry-0"].after_next_job_write(
+                lambda: site.kill("entry-0")
             )
-            await asyncio.sleep(1.0)
-            if not _busy_runner(site):
-                continue
-            record.write(f"runner {runner.runner_id} crashes")
-            await runner.stop()
-            await asyncio.sleep(DOWN_S)
-            await runner.start()
-            record.write(f"runner {runner.runner_id} is back")
+        runner.fail_runs()
+        record.write(f"the run on {runner.runner_id} ends failed")
+        if has_trouble:
+            await site.wait(
+                lambda: site.processes["entry-0"].poll() is not None,
+                10,
+                "write of the failed end",
+            )
+            site.start_process("entry-0")
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + WATCH_S
         state = ""
-        for _ in range(25):
-            await asyncio.sleep(1.0)
-            status, content = await site.call("entry-0", "GET", JOB)
+        while state not in ("completed", "failed") and loop.time() < ends_at:
+            await asyncio.sleep(0.5)
+            status, content = await site.call("entry-1", "GET", JOB)
             state = content["state"] if status == 200 else ""
-            if state in ("completed", "failed"):
-                break
         site.write_runs()
         failed = [
             run
-            for runner in site.runners
-            for run in runner.runs
+            for each in site.runners
+            for run in each.runs
             if run.outcome == "failed"
         ]
-        record.write(f"state: {state}, runs that failed: {len(failed)}")
-        return state != "failed"
+        record.write(
+            f"state: {state}, runs that failed: {len(failed)} of "
+            f"{MAX_ATTEMPTS} (maxAttempts)"
+        )
+        return state != "failed" or len(failed) >= MAX_ATTEMPTS
     finally:
         await site.close()
 
 
-def _busy_runner(site: Site):
-    for runner in site.runners:
-        if runner.is_up and any(not run.outcome for run in runner.runs):
-            return runner
-    return None
-
-
 if __name__ == "__main__":
     sys.exit(run_case(Path(__file__).parent, case))
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A job is shown as failed after one failed run: its end counts twice."""
+"""A job never runs: an agent's late write has hidden the agent for good."""
 
 from __future__ import annotations
 
@@ -11,65 +11,61 @@
 from review.harness3.site import Site
 
 JOB = "5c0e7a21d94b36f8"
-WORK_MS = 1500
-MAX_ATTEMPTS = 2
-WATCH_S = 40.0
+AGENTS = 10
+AGENT = "agent-9"
+RACK = "r1-4"
+WORK_MS = 300
+LATE_S = 4.0
+CALM_S = 18.0
+FINISH_S = 14.0
+IDLE_S = 3.0
+WATCH_S = 30.0
 
 
 async def case(record: Record, has_trouble: bool) -> bool:
-    """Kill the job's entry as it has stored that a run has failed."""
-    site = Site(
-        record,
-        entries=4,
-        agents=8,
-        max_attempts=MAX_ATTEMPTS,
-        gated=("entry-0",),
-    )
+    """Submit a job for the rack of an agent that was started again."""
+    site = Site(record, entries=2, agents=AGENTS, gated=(AGENT,))
     try:
         await site.start()
-        step = {"count": 1, "cpu": 1600, "memMb": 64, "estimatedMs": WORK_MS}
+        loop = asyncio.get_running_loop()
+        rack = [runner for runner in site.runners if runner.rack == RACK]
+        record.write(f"runners in rack {RACK}: {len(rack)}")
+        if has_trouble:
+            site.kill(AGENT)
+            site.gates[AGENT].lose_next_write(LATE_S)
+            site.start_process(AGENT)
+        await asyncio.sleep(LATE_S + CALM_S)
+        step = {
+            "count": 2,
+            "cpu": 1600,
+            "memMb": 64,
+            "estimatedMs": WORK_MS,
+            "constraints": RACK,
+        }
         body = {"spec": str(WORK_MS), "steps": [step]}
         status, _ = await site.call("entry-0", "POST", JOB, body)
         if status != 200:
             return True
-        runner = await site.wait(
-            lambda: next((each for each in site.runners if each.runs), None),
-            15,
-            "run of the task",
-        )
-        await asyncio.sleep(0.5)
-        if has_trouble:
-            site.gates["entry-0"].after_next_job_write(
-                lambda: site.kill("entry-0")
+        sent_at = seen_at = loop.time()
+        state, idle_s = "", 0.0
+        while state not in ("completed", "failed") and idle_s < IDLE_S:
+            await asyncio.sleep(0.2)
+            now = loop.time()
+            is_idle = not any(
+                not run.outcome
+                for runner in site.runners
+                for run in runner.runs
             )
-        runner.fail_runs()
-        record.write(f"the run on {runner.runner_id} ends failed")
-        if has_trouble:
-            await site.wait(
-                lambda: site.processes["entry-0"].poll() is not None,
-                10,
-                "write of the failed end",
-            )
-            site.start_process("entry-0")
-        loop = asyncio.get_running_loop()
-        ends_at = loop.time() + WATCH_S
-        state = ""
-        while state not in ("completed", "failed") and loop.time() < ends_at:
-            await asyncio.sleep(0.5)
-            status, content = await site.call("entry-1", "GET", JOB)
+            is_due = is_idle and now >= sent_at + FINISH_S
+            idle_s = idle_s + now - seen_at if is_due else 0.0
+            seen_at = now
+            if now >= sent_at + WATCH_S:
+                break
+            status, content = await site.call("entry-0", "GET", JOB)
             state = content["state"] if status == 200 else ""
         site.write_runs()
-        failed = [
-            run
-            for each in site.runners
-            for run in each.runs
-            if run.outcome == "failed"
-        ]
-        record.write(
-            f"state: {state}, runs that failed: {len(failed)} of "
-            f"{MAX_ATTEMPTS} (maxAttempts)"
-        )
-        return state != "failed" or len(failed) >= MAX_ATTEMPTS
+        record.write(f"state: {state}, nothing has run for {idle_s:.1f} s")
+        return idle_s < IDLE_S
     finally:
         await site.close()
 
