--- a/review/harness3/store_gate.py
+++ b/review/harness3/store_gate.py
@@ -116,9 +116,7 @@
                     )
                     self._late_writes.add(task)
                     self._late_s = None
-                    # Nothing more is delivered on this connection.
-                    while await reader.read(65536):
-                        pass
+                    await _discard(reader)
                     break
                 if (
                     self._after_write is not None
@@ -128,6 +126,7 @@
                     callback, self._after_write = self._after_write, None
                     await self._write_late(data, 0.0)
                     callback()
+                    await _discard(reader)
                     break
                 writer.write(data)
                 await writer.drain()
@@ -142,6 +141,12 @@
         writer.close()
 
 
+async def _discard(reader: asyncio.StreamReader) -> None:
+    """Deliver nothing more on a connection that has lost an answer."""
+    while await reader.read(65536):
+        pass
+
+
 async def _copy(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
