Count a completion of a durable job's run once

What callers saw: LOST. Cause: an owner that is lost after it has stored a failed run, but before it has acknowledged the completion, leaves the completion with the agent. The next owner restored the count of failed runs from the record and then counted the agent's completion again: the dispatcher asked whether a run belongs to the former owner, not whether its completion counts already. The record names the completions that it counts, but only the manager compared with them, for what it stores. The same happened within one owner: a completion of a former owner that it could not store yet counted again on each new stream of the agent, as its task had not been assigned since. Evidence: in both new scenarios the record lists two completions and the job fails for three failed runs without the change. Change: a job has the set of the completions that count in its state, restored from the record. One in the set is only acknowledged. Two checks of the tests are stricter: a completed job needs as many tasks done as were submitted, where it needed as many as its record has completions, which include failed runs; and a job fails for lack of attempts only if as many runs of a task have failed.

--- a/features/durable.feature
+++ b/features/durable.feature
@@ -302,6 +302,40 @@
     And 2 runs were started
     And the agents have no runs and no unacknowledged completions
 
+  # Guards against a failed run that the next owner counts again, as the agent
+  # still holds its end.
+  Scenario: A failed run that was stored but not acknowledged counts once after a takeover
+    Given a simulated site of 2 entries, 1 targets and a store
+    And every run on simulated target 0 fails
+    When durable job "a" of 1 tasks of 400 ms is submitted to entry 0
+    And 0.6 s pass
+    And runs on simulated target 0 succeed again
+    And entry 0 is killed as the store records 2 failed runs of job "a"
+    And entry 0 restarts after 0.3 s
+    And 10 s pass
+    Then the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+    And the agents have no runs and no unacknowledged completions
+
+  # Guards against a failed run that counts again on each new stream, as no
+  # answer of the store lets its agent discard the end.
+  Scenario: A failed run of a former owner counts once although its agent reports it again
+    Given a simulated site of 2 entries, 1 targets and a store
+    And every run on simulated target 0 fails
+    When durable job "a" of 1 tasks of 400 ms is submitted to entry 0
+    And 0.45 s pass
+    And entry 0 is killed
+    And entry 0 restarts after 0.3 s
+    And entry 0 takes over job "a"
+    And the store fails in mode silent for 3 s
+    And all streams of entry 0 are disconnected for 0.2 s
+    And 0.3 s pass
+    And runs on simulated target 0 succeed again
+    And all streams of entry 0 are disconnected for 0.2 s
+    And 15 s pass
+    Then the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+
   # The completion would keep all later ones on the target's list.
   Scenario: A completion of an ended job is acknowledged by another entry once its owner is lost
     Given a simulated site of 2 entries, 1 targets and a store
@@ -430,3 +464,9 @@
     Examples:
       | first | last |
       | 1     | 24   |
+
+  # Guards against failed runs that count twice at a takeover.
+  Scenario: Failing runs beside random faults violate no guarantee for durable jobs
+    When random faults with seeds 41 to 48 are injected beside targets that fail runs
+    Then no simulated site violated a guarantee for durable jobs
+    And every accepted job of the simulated sites has ended
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -13,6 +13,7 @@
 
 from features.support.durable_chaos import play_crashing_seed
 from features.support.durable_chaos import play_durable_seed
+from features.support.durable_chaos import play_failing_seed
 from features.support.durable_chaos import play_restart_seed
 from features.support.durable_site import DurableSite
 from features.support.durable_site import is_idle
@@ -44,6 +45,8 @@
 from fulmarscale.runs.model import Step
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from behave.runner import Context
 
 WORKERS = 3
@@ -122,6 +125,21 @@
     set_store_mode(context, StoreMode.REJECTS, span_s)
 
 
+def advance_until(
+    site: DurableSite, is_met: Callable[[], bool], limit_s: float = 5.0
+) -> None:
+    """Let time pass until a condition is met, to less than a hop's delay.
+
+    :param site: the site.
+    :param is_met: the condition.
+    :param limit_s: the time within which it has to be met, in seconds.
+    """
+    ends_at = site.clock.now + limit_s
+    while not is_met():
+        assert site.clock.now < ends_at, "the condition was not met in time"
+        site.advance(HOP_DELAY_S / 2)
+
+
 def set_store_mode(context: Context, mode: StoreMode, span_s: float) -> None:
     """Let the store fail in a mode for a duration."""
     rows = context.run_site.rows
@@ -267,14 +285,49 @@
 )
 def kill_at_end(context: Context, number: int, job: str) -> None:
     site = context.run_site
-    ends_at = site.clock.now + 5.0
-    while site.clock.now < ends_at:
-        site.advance(HOP_DELAY_S / 2)
+
+    def is_completed() -> bool:
         record = site.record_of(job)
-        if record and record.state is DurableJobState.COMPLETED:
-            site.kill_entry(site.entries[number])
-            return
-    raise AssertionError(f"{job} is not completed")
+        return bool(record) and record.state is DurableJobState.COMPLETED
+
+    advance_until(site, is_completed)
+    site.kill_entry(site.entries[number])
+
+
+@when(
+    "entry {number:d} is killed as the store records {count:d} failed runs of"
+    ' job "{job}"'
+)
+def kill_at_failure(
+    context: Context, number: int, count: int, job: str
+) -> None:
+    site = context.run_site
+
+    def is_recorded() -> bool:
+        record = site.record_of(job)
+        return bool(record) and (0, count) in record.failures
+
+    advance_until(site, is_recorded)
+    site.kill_entry(site.entries[number])
+
+
+@when("entry {number:d} restarts after {down_s:g} s")
+def start_entry_again(context: Context, number: int, down_s: float) -> None:
+    site = context.run_site
+    site.restart_entry(site.entries[number], down_s)
+
+
+@when('entry {number:d} takes over job "{job}"')
+def wait_for_takeover(context: Context, number: int, job: str) -> None:
+    site = context.run_site
+
+    def is_taken_over() -> bool:
+        entry = site.entries[number]
+        return (
+            entry.is_up and entry.manager.stored_state(JobId(job)) is not None
+        )
+
+    advance_until(site, is_taken_over)
 
 
 @when("all entries and agents are killed and restart after {down_s:g} s")
@@ -368,6 +421,17 @@
         )
 
 
+@when(
+    "random faults with seeds {first:d} to {last:d} are injected beside"
+    " targets that fail runs"
+)
+def run_sites_with_failures(context: Context, first: int, last: int) -> None:
+    with ProcessPoolExecutor(WORKERS) as pool:
+        context.chaos_results = list(
+            pool.map(play_failing_seed, range(first, last + 1))
+        )
+
+
 @when(
     "targets restart at random, with seeds {first:d} to {last:d}, under short"
     " durable jobs"
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -202,6 +202,11 @@
     context.run_site.targets[number].is_failing = True
 
 
+@when("runs on simulated target {number:d} succeed again")
+def end_failures(context: Context, number: int) -> None:
+    context.run_site.targets[number].is_failing = False
+
+
 @given("simulated target {number:d} runs tasks {factor:g} times slower")
 def slow_runs(context: Context, number: int, factor: float) -> None:
     context.run_site.targets[number].work_factor = factor
--- a/features/support/durable_chaos.py
+++ b/features/support/durable_chaos.py
@@ -224,6 +224,28 @@
         target.crash(self._random.choice((0.02, 0.03, 0.05, 0.2)))
 
 
+class FailingRun(DurableChaosRun):
+    """Adds targets that fail all runs for a while to the usual faults."""
+
+    def _inject_fault(self) -> None:
+        if self._random.random() < 0.5:
+            super()._inject_fault()
+            return
+        span_s = self._random.uniform(0.1, 1.0)
+        for target in self.site.targets:
+            target.is_failing = True
+        self.site.clock.call_in(span_s, self._end_failures)
+
+    def _end_failures(self) -> None:
+        for target in self.site.targets:
+            target.is_failing = False
+
+
+def play_failing_seed(seed: int) -> DurableSeedResult:
+    """Play one seed in which targets fail the runs of some moments."""
+    return _judge(seed, FailingRun(seed))
+
+
 def play_restart_seed(seed: int) -> DurableSeedResult:
     """Play one seed of short tasks on targets that restart."""
     return _judge(seed, RestartRun(seed))
--- a/features/support/durable_site.py
+++ b/features/support/durable_site.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any
 from typing import Final
 
@@ -46,6 +47,7 @@
 from fulmarscale.entry.jobs.actions import CloseDurableJob
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import StoreCompletion
+from fulmarscale.errors import ResultCode
 from fulmarscale.runs.model import JobId
 from fulmarscale.runs.model import JobSpec
 from fulmarscale.runs.model import Resources
@@ -140,6 +142,7 @@
             for n, count in enumerate(task_counts)
         )
         spec = JobSpec(str(work_ms), steps, is_durable=True)
+        self._site.task_counts[job_id] = sum(task_counts)
         self.call_or_defer(
             lambda: self._perform_storage(
                 self.manager.submit_durable(
@@ -295,6 +298,8 @@
 
     def __init__(self, entries: int, targets: int) -> None:
         self.rows: FakeRowStore
+        self.task_counts: dict[str, int] = {}
+        """Number of tasks of each job that was submitted."""
         super().__init__(entries, targets)
 
     def make_entry(self, name: str, incarnation: int) -> EntryNode:
@@ -357,8 +362,9 @@
         """Return violations of the guarantees on durable jobs.
 
         A task never runs twice at once and targets stay within capacity. A
-        rejected job never starts, an accepted one is never lost, and a job
-        is only completed once all its tasks are done.
+        rejected job never starts, an accepted one is never lost, a job is
+        only completed once all its tasks are done, and it only fails for
+        lack of attempts once they are used up.
         """
         descriptions = [
             f"concurrent runs of one task: {pair}"
@@ -384,12 +390,32 @@
             if record is None or record.state is not DurableJobState.COMPLETED:
                 continue
             done = {t for t in done_tasks if t.job_id == row.row_key.key}
-            if len(done) < len(record.completions):
+            if len(done) < self.task_counts[row.row_key.key]:
                 descriptions.append(
                     f"job completed before all its tasks: {row.row_key.key}"
                 )
+        descriptions += self._failed_too_early()
         return descriptions + self._started_after_completion()
 
+    def _failed_too_early(self) -> list[str]:
+        """Return jobs that are failed for attempts that they have left."""
+        failed_runs = Counter(
+            run.task
+            for run in self.history
+            if run.outcome is RunOutcome.FAILED
+        )
+        most = Counter[str]()
+        for task, count in failed_runs.items():
+            most[task.job_id] = max(most[task.job_id], count)
+        return [
+            f"job failed after {most[row.row_key.key]} failed runs of a task:"
+            f" {row.row_key.key}"
+            for row in self.rows.read_table(RECORD_TABLE)
+            if (record := decode_record(row.value)) is not None
+            and record.code == ResultCode.ATTEMPTS_USED_UP
+            and most[row.row_key.key] < record.queue.max_attempts
+        ]
+
     def _started_after_completion(self) -> list[str]:
         """Return runs started after an acknowledged completion of their task.
 
--- a/src/fulmarscale/entry/durable/durable_job.py
+++ b/src/fulmarscale/entry/durable/durable_job.py
@@ -114,9 +114,7 @@
         :param number: the task's number in the job.
         """
         record = self.record
-        recorded = RecordedCompletion(
-            completion.incarnation, completion.position
-        )
+        recorded = RecordedCompletion.of(completion)
         done = set(record.done)
         failures = dict(record.failures)
         if completion.is_done:
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -269,10 +269,7 @@
         if job is None:
             # The job is owned by another entry, or is not durable.
             return self._take_actions(now)
-        recorded = RecordedCompletion(
-            completion.incarnation, completion.position
-        )
-        is_stored = job.completions.get(recorded)
+        is_stored = job.completions.get(RecordedCompletion.of(completion))
         if is_stored is None and is_counted and job.is_open:
             number = task_number(job.record.spec, completion.task)
             job.record_completion(agent, completion, number)
@@ -560,9 +557,7 @@
         acks_by_agent: dict[str, list[CompletionAck]] = {}
         for pending in pending_acks:
             ack = pending.ack
-            job.completions[
-                RecordedCompletion(ack.incarnation, ack.position)
-            ] = True
+            job.completions[RecordedCompletion.of(ack)] = True
             acks_by_agent.setdefault(pending.agent, []).append(ack)
         for agent, acks in acks_by_agent.items():
             self._actions.add(AcknowledgeCompletions(agent, tuple(acks)))
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -8,6 +8,8 @@
 
 from enum import Enum
 from typing import Final
+from typing import Self
+from typing import TYPE_CHECKING
 from typing import TypeVar
 from zlib import crc32
 
@@ -24,6 +26,10 @@
 from fulmarscale.runs.model import TargetIncarnation
 from fulmarscale.runs.site_config import Queue
 
+if TYPE_CHECKING:
+    from fulmarscale.runs.messages import CompletionAck
+    from fulmarscale.runs.messages import DurableCompletion
+
 RECORD_TABLE: Final = "jobs"
 """The table of one row for each durable job, with one part for each shard."""
 
@@ -72,6 +78,11 @@
     position: int
     """The completion's place on that incarnation's list."""
 
+    @classmethod
+    def of(cls, source: DurableCompletion | CompletionAck) -> Self:
+        """Return the identifier of a completion, or of an acknowledged one."""
+        return cls(source.incarnation, source.position)
+
 
 class DurableJobRecord(msgspec.Struct, frozen=True, array_like=True):
     """The stored state of a durable job.
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -260,7 +260,7 @@
         job = Job(job_id, record.queue, record.spec, now, float("inf"))
         job.owner_epoch = record.owner_epoch
         self._admission.set_objective(job)
-        job.restore(record.done, record.failures)
+        job.restore(record.done, record.failures, record.completions)
         self._crashes.restore(
             job,
             {job.tasks[number].key: count for number, count in record.crashes},
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -10,6 +10,9 @@
 from fulmarscale.runs.model import TaskKey
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarscale.entry.durable.record import RecordedCompletion
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import JobSpec
     from fulmarscale.runs.model import Step
@@ -142,6 +145,11 @@
         Until then the runs of a previous owner may not have ended, or a new
         owner epoch is not stored yet.
         """
+        self.counted_completions: set[RecordedCompletion] = set()
+        """The completions that count in the state of the tasks.
+
+        Agents report a completion again until it is acknowledged as stored.
+        """
         self.may_have_run = False
         """Whether a run that may have started has ended or was abandoned.
 
@@ -257,13 +265,18 @@
             )
 
     def restore(
-        self, done: tuple[int, ...], failures: tuple[tuple[int, int], ...]
+        self,
+        done: tuple[int, ...],
+        failures: tuple[tuple[int, int], ...],
+        completions: Iterable[RecordedCompletion],
     ) -> None:
         """Restore the progress of a durable job from its stored record.
 
         :param done: numbers of the tasks that have succeeded.
         :param failures: numbers of tasks with their counts of failed runs.
+        :param completions: the completions that both of these count.
         """
+        self.counted_completions.update(completions)
         for number in done:
             self.set_phase(self._tasks[number], TaskPhase.DONE)
         for number, count in failures:
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from fulmarscale.entry.durable.record import RecordedCompletion
 from fulmarscale.entry.jobs.actions import AdvanceOwnerEpoch
 from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import StoreCompletion
@@ -154,7 +155,10 @@
         )
         if is_assigned:
             view.release(key)
-        if job is None or task is None:
+        recorded = RecordedCompletion.of(completion)
+        is_known = job is not None and recorded in job.counted_completions
+        if job is None or task is None or is_known:
+            # One that counts already only waits for its acknowledgement.
             self._act(StoreCompletion(view.name, completion, False))
             return
         is_awaited = task.phase is TaskPhase.ASSIGNED and is_assigned
@@ -165,6 +169,7 @@
         self._act(StoreCompletion(view.name, completion, is_counted))
         if not is_counted:
             return
+        job.counted_completions.add(recorded)
         if completion.is_done:
             self._record_success(view, job, task, now)
         else:
