Count a stored crash once, whenever an agent reports it

Cause: a job's record counts the crashes under its tasks, but did not say which. A new owner took those that agents report as among the stored ones if they were from before it read the record, by an age that the report carries. The age doesn't grow on the way, so a report that took longer, over a slow link or to a process that stood still, was dated after the reading, and its crash counted twice. A crash that turned out not to be one stayed in the count, too. Evidence: in the new scenario one crash is stored, the owner starts again and the agents' messages take 2 s; without the change the job fails with 1009 after one crash, with it it completes. Change: the record names the incarnations of the targets whose crashes it counts, at most the 100 newest, as agents forget them after 60 s. Only what is missing beside these adds to the suspicion. Rows of earlier versions name none, so their crashes may count twice during an update.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -46,6 +46,21 @@
     And the store records job "bad" as failed
     And no guarantee for durable jobs is violated
 
+  # Guards against a stored crash that counts again, as an agent reports it late.
+  Scenario: A stored crash that agents report late to the next owner counts once
+    Given a simulated site of 2 entries, 4 targets and a store
+    And task 0 of job "a" crashes each target that starts it
+    When durable job "a" of 1 tasks of 300 ms is submitted to entry 0
+    And 0.3 s pass
+    And task 0 of job "a" crashes no target any more
+    And entry 0 is killed as the store records a crash of job "a"
+    And entry 0 restarts after 0.3 s
+    And messages from agents to entry 0 arrive in 2 s at the earliest
+    And 20 s pass
+    Then task 0 of job "a" has crashed 1 targets
+    And the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+
   # Guards against a count of crashes that only processes in memory hold.
   Scenario: The crashes of a durable task count after a loss of all machines
     Given a simulated site of 2 entries, 8 targets and a store
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -61,6 +61,38 @@
     context.run_site.make_task_crash_targets(job, index)
 
 
+@when('task {index:d} of job "{job}" crashes no target any more')
+def end_crashes(context: Context, index: int, job: str) -> None:
+    for target in context.run_site.targets:
+        target.crashing_tasks.discard((job, index))
+
+
+@then('task {index:d} of job "{job}" has crashed {count:d} targets')
+def check_crash_count(
+    context: Context, index: int, job: str, count: int
+) -> None:
+    crashes = [
+        at
+        for target in context.run_site.targets
+        for task, times in target.crash_times.items()
+        if (task.job_id, task.index) == (job, index)
+        for at in times
+    ]
+    assert len(crashes) == count, crashes
+
+
+@when(
+    "messages from agents to entry {number:d} arrive in {delay_s:g} s at the"
+    " earliest"
+)
+def stall_messages(context: Context, number: int, delay_s: float) -> None:
+    site = context.run_site
+    until = site.clock.now + delay_s
+    for agent in site.agents:
+        pair = (agent.target.name, site.entries[number].name)
+        site.stalls[pair] = until
+
+
 @given(
     "targets that crash reset connections for {s:g} s before they refuse them"
 )
--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -311,6 +311,18 @@
     site.kill_entry(site.entries[number])
 
 
+@when('entry {number:d} is killed as the store records a crash of job "{job}"')
+def kill_at_crash(context: Context, number: int, job: str) -> None:
+    site = context.run_site
+
+    def is_recorded() -> bool:
+        record = site.record_of(job)
+        return bool(record and record.crashes)
+
+    advance_until(site, is_recorded)
+    site.kill_entry(site.entries[number])
+
+
 @when("entry {number:d} restarts after {down_s:g} s")
 def start_entry_again(context: Context, number: int, down_s: float) -> None:
     site = context.run_site
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -58,6 +58,7 @@
     from fulmarscale.entry.durable.rows import RowTable
     from fulmarscale.ids import EntryId
     from fulmarscale.logs import EventLog
+    from fulmarscale.runs.crashes import CrashCounts
     from fulmarscale.runs.messages import CompletionAck
     from fulmarscale.runs.messages import DurableCompletion
     from fulmarscale.runs.model import JobSpec
@@ -278,14 +279,11 @@
         if not self._manager.has_job(completion.task.job_id):
             self._unowned_ends.add(agent, completion)
 
-    def advance_owner_epoch(
-        self, job_id: JobId, crashes: tuple[tuple[int, int], ...]
-    ) -> None:
+    def advance_owner_epoch(self, job_id: JobId, crashes: CrashCounts) -> None:
         """Store a new owner epoch, so that tasks may be started again.
 
         :param job_id: the job.
-        :param crashes: numbers of its tasks under which targets crashed, each
-            with the number of crashes.
+        :param crashes: the crashes under its tasks.
         """
         self._decide(self._manager.advance_owner_epoch, job_id, crashes)
 
--- a/src/fulmarscale/entry/durable/durable_job.py
+++ b/src/fulmarscale/entry/durable/durable_job.py
@@ -7,12 +7,14 @@
 import msgspec
 
 from fulmarscale.entry.durable.record import DurableJobState
+from fulmarscale.entry.durable.record import MAX_CRASH_INCARNATIONS
 from fulmarscale.entry.durable.record import RecordedCompletion
 from fulmarscale.errors import ResultCode
 from fulmarscale.runs.messages import CompletionAck
 
 if TYPE_CHECKING:
     from fulmarscale.entry.durable.record import DurableJobRecord
+    from fulmarscale.runs.crashes import CrashCounts
     from fulmarscale.runs.messages import DurableCompletion
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import JobSpec
@@ -135,22 +137,23 @@
             )
         )
 
-    def advance_epoch(
-        self, now: float, crashes: tuple[tuple[int, int], ...] = ()
-    ) -> None:
+    def advance_epoch(self, now: float, crashes: CrashCounts) -> None:
         """Raise the owner epoch: no later owner then counts earlier runs.
 
         :param now: the entry's time.
-        :param crashes: numbers of tasks under which targets crashed, each
-            with the number of crashes.
+        :param crashes: the crashes under the job's tasks.
         """
         counts = dict(self.record.crashes)
-        for number, count in crashes:
+        for number, count in crashes.by_task:
             counts[number] = max(count, counts.get(number, 0))
+        incarnations = dict.fromkeys(
+            (*self.record.crash_incarnations, *crashes.incarnations)
+        )
         self.record = msgspec.structs.replace(
             self.record,
             owner_epoch=self.record.owner_epoch + 1,
             crashes=tuple(sorted(counts.items())),
+            crash_incarnations=tuple(incarnations)[-MAX_CRASH_INCARNATIONS:],
         )
         self.mark_dirty(now, is_urgent=True)
 
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -50,6 +50,7 @@
     from fulmarscale.entry.durable.rows import Row
     from fulmarscale.entry.durable.write_queue import BatchItem
     from fulmarscale.ids import EntryId
+    from fulmarscale.runs.crashes import CrashCounts
     from fulmarscale.runs.messages import DurableCompletion
     from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import JobSpec
@@ -235,13 +236,12 @@
         return self._take_actions(now)
 
     def advance_owner_epoch(
-        self, job_id: JobId, crashes: tuple[tuple[int, int], ...], now: float
+        self, job_id: JobId, crashes: CrashCounts, now: float
     ) -> list[ManagerAction]:
         """Store a new owner epoch, so that tasks may be started again.
 
         :param job_id: the job.
-        :param crashes: numbers of its tasks under which targets crashed, each
-            with the number of crashes.
+        :param crashes: the crashes under its tasks.
         :param now: the entry's time.
         """
         job = self._jobs.get(job_id)
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -58,6 +58,10 @@
 """
 
 
+MAX_CRASH_INCARNATIONS: Final = 100
+"""Most crashes that a record names; agents remember only the newest ones."""
+
+
 class DurableJobState(Enum):
     """The state of a durable job."""
 
@@ -125,6 +129,12 @@
     """
     code: int = ResultCode.OK
     """Why the job has failed: the value of a `ResultCode`."""
+    crash_incarnations: tuple[TargetIncarnation, ...] = ()
+    """The incarnations of targets whose crashes `crashes` counts.
+
+    By them, a later owner detects which crashes that agents report are
+    counted already. Emptied when the job has ended.
+    """
 
     @property
     def is_tombstone(self) -> bool:
@@ -146,8 +156,7 @@
     ) -> DurableJobRecord:
         """Return the record of the ended job.
 
-        It has empty `spec`, `done`, `failures` and `crashes`, but keeps
-        `completions`.
+        It keeps `completions`, but nothing else of the tasks.
 
         :param state: the state in which the job ended.
         :param code: why it has failed.
@@ -160,6 +169,7 @@
             failures=(),
             crashes=(),
             code=code.value,
+            crash_incarnations=(),
         )
 
 
--- a/src/fulmarscale/entry/jobs/actions.py
+++ b/src/fulmarscale/entry/jobs/actions.py
@@ -9,6 +9,8 @@
 
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
+from fulmarscale.runs.crashes import CrashCounts
+from fulmarscale.runs.crashes import NO_CRASHES
 from fulmarscale.runs.messages import DurableCompletion
 from fulmarscale.runs.messages import EntryMessage
 from fulmarscale.runs.model import JobId
@@ -86,8 +88,8 @@
 
     job_id: JobId
     """The job."""
-    crashes: tuple[tuple[int, int], ...] = ()
-    """Numbers of tasks under which targets crashed, each with a count."""
+    crashes: CrashCounts = NO_CRASHES
+    """The crashes under its tasks."""
 
 
 class StoreCompletion(DispatchAction):
--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -24,6 +24,7 @@
 from fulmarscale.entry.jobs.suspicion import Suspicion
 from fulmarscale.runs.crashes import CrashState
 from fulmarscale.runs.model import QueueName
+from fulmarscale.runs.model import TargetIncarnation
 from fulmarscale.runs.model import TaskKey
 
 if TYPE_CHECKING:
@@ -32,9 +33,9 @@
     from collections.abc import Mapping
 
     from fulmarscale.entry.jobs.job import Job
+    from fulmarscale.runs.crashes import CrashCounts
     from fulmarscale.runs.crashes import TargetCrash
     from fulmarscale.runs.model import JobId
-    from fulmarscale.runs.model import TargetIncarnation
 
 HISTORY_RETENTION_S: Final = 60.0
 """How long a crash is remembered.
@@ -73,8 +74,8 @@
 
     counts: dict[TaskKey, int]
     """The number of crashes under each task."""
-    read_at: float
-    """When the record was read, by the entry's time."""
+    incarnations: frozenset[TargetIncarnation]
+    """The incarnations of the targets that crashed."""
 
 
 class QueueCrash(msgspec.Struct, frozen=True):
@@ -157,19 +158,37 @@
             self._revise(now)
         return changed
 
-    def restore(
-        self, job: Job, counts: dict[TaskKey, int], now: float
-    ) -> None:
+    def restore(self, job: Job, crashes: CrashCounts) -> None:
         """Record the stored crashes of a durable job.
 
         :param job: the job.
-        :param counts: the number of crashes under its tasks.
-        :param now: the entry's time.
+        :param crashes: the crashes under its tasks.
         """
-        if counts:
-            self._stored[job.job_id] = StoredCrashes(counts, now)
+        if crashes.by_task:
+            self._stored[job.job_id] = StoredCrashes(
+                {job.tasks[number].key: n for number, n in crashes.by_task},
+                frozenset(crashes.incarnations),
+            )
             self._forget_suspicions(job.job_id)
 
+    def counted_incarnations(
+        self, job_id: JobId
+    ) -> tuple[TargetIncarnation, ...]:
+        """Return the targets whose crashes the suspicion of a job counts.
+
+        Those that are stored only are left out.
+
+        :param job_id: the job.
+        :returns: incarnations, in the order of their crashes.
+        """
+        return tuple(
+            incarnation
+            for incarnation in self._by_time(
+                self._crashes_by_job.get(job_id, ())
+            )
+            if incarnation in self._causes
+        )
+
     def forget_job(self, job_id: JobId) -> None:
         """Forget what was stored of a job that has been closed."""
         if self._stored.pop(job_id, None) is not None:
@@ -441,13 +460,11 @@
         :param causes: their causes; crashes without any don't count.
         """
         suspicion = Suspicion()
-        counted = []
         for incarnation in self._crashes_by_job.get(job_id, ()):
             crash = crashes.get(incarnation)
             cause = causes.get(incarnation)
             if crash is None or cause is None:
                 continue
-            counted.append(crash)
             weight = cause.by_job.get(job_id)
             if weight is not None:
                 suspicion.innocence *= 1.0 - weight
@@ -459,28 +476,19 @@
                 suspicion.counts[run.task] = count + 1
         stored = self._stored.get(job_id)
         if stored is not None:
-            self._add_stored(suspicion, stored, counted)
+            self._add_stored(suspicion, stored)
         return suspicion
 
-    def _add_stored(
-        self,
-        suspicion: Suspicion,
-        stored: StoredCrashes,
-        crashes: list[KnownCrash],
-    ) -> None:
-        """Add the stored crashes that are not known as well.
-
-        Known ones from before the record was read may be among them.
-        """
-        earlier = Counter(
+    def _add_stored(self, suspicion: Suspicion, stored: StoredCrashes) -> None:
+        """Add the stored crashes that no agent has reported to this entry."""
+        reported = Counter(
             run.task
-            for crash in crashes
-            if crash.crashed_at <= stored.read_at
-            for run in crash.runs
+            for incarnation in stored.incarnations & self._crashes.keys()
+            for run in self._crashes[incarnation].runs
         )
         lost = 0
         for task, count in stored.counts.items():
-            missing = count - earlier[task]
+            missing = count - reported[task]
             if task in self._succeeded or missing <= 0:
                 continue
             suspicion.counts[task] = suspicion.counts.get(task, 0) + missing
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -38,6 +38,7 @@
 from fulmarscale.entry.jobs.urgency import UrgencyOrder
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
+from fulmarscale.runs.crashes import CrashCounts
 from fulmarscale.runs.limits import BUSY_TICK_S
 from fulmarscale.runs.limits import IDLE_TICK_S
 from fulmarscale.runs.limits import PROBE_COLLECT_S
@@ -262,9 +263,7 @@
         self._admission.set_objective(job)
         job.restore(record.done, record.failures, record.completions)
         self._crashes.restore(
-            job,
-            {job.tasks[number].key: count for number, count in record.crashes},
-            now,
+            job, CrashCounts(record.crashes, record.crash_incarnations)
         )
         self._subset.record_needs(job, now)
         self._open.add(job)
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -15,6 +15,8 @@
 from fulmarscale.entry.jobs.job import TaskPhase
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
+from fulmarscale.runs.crashes import CrashCounts
+from fulmarscale.runs.crashes import NO_CRASHES
 from fulmarscale.runs.model import RefusalReason
 from fulmarscale.runs.model import RunOutcome
 
@@ -358,17 +360,16 @@
         if not job.is_durable or not self._crashes.is_suspect(job.job_id):
             return
         counts = self._crashes.suspicion_of(job.job_id).counts
-        self._advance_owner_epoch(
-            job,
-            tuple(
-                (number, counts[task.key])
-                for number, task in enumerate(job.tasks)
-                if task.key in counts
-            ),
+        by_task = tuple(
+            (number, counts[task.key])
+            for number, task in enumerate(job.tasks)
+            if task.key in counts
         )
+        incarnations = self._crashes.counted_incarnations(job.job_id)
+        self._advance_owner_epoch(job, CrashCounts(by_task, incarnations))
 
     def _advance_owner_epoch(
-        self, job: Job, crashes: tuple[tuple[int, int], ...] = ()
+        self, job: Job, crashes: CrashCounts = NO_CRASHES
     ) -> None:
         """Start nothing of a durable job until a new owner epoch is stored.
 
--- a/src/fulmarscale/runs/crashes.py
+++ b/src/fulmarscale/runs/crashes.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Final
+
+import msgspec
 
 from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import TargetIncarnation
@@ -32,6 +35,21 @@
     """Time from the start request to the crash, in seconds."""
 
 
+class CrashCounts(msgspec.Struct, frozen=True):
+    """The crashes under the tasks of a durable job, as they are stored."""
+
+    by_task: tuple[tuple[int, int], ...] = ()
+    """Numbers of the tasks under which targets crashed, each with a count."""
+    incarnations: tuple[TargetIncarnation, ...] = ()
+    """The incarnations of targets whose crashes these are, newest last.
+
+    Agents may report them again.
+    """
+
+
+NO_CRASHES: Final = CrashCounts()
+
+
 class TargetCrash(MessagePart):
     """A crash of one incarnation of a target."""
 
