Write an agent's row only over the version that it follows

What callers saw: LOST. Cause: an agent wrote its row without a condition. The first write of a new process, which named no target, got no answer and was applied 4 s late, over the next one with the target. Entries leave agents without a target out, and the agent writes its row on a change of its own copy only, so nothing brought the target back. Change: the agent reads its row's version at its start, and each write names the version that it follows. A late write, also of a former process, has an older version and is not applied once the row was written again; the first write of a process is made even if it changes nothing, for that reason. Meets a write another version, the agent adopts it, writes again and logs AGENT_ROW_CONFLICT, which shows late writes from now on. No write without a condition is left; `RowStoreClient.put` is removed. Until the target's next heartbeat a restarted agent keeps the target of its former row: entries dropped it for that long. The stand-in of the store in the test of the fencing token now checks the version that a write expects.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -173,6 +173,24 @@
     And they contain "fulmarscale_level{kind="jobs"}"
     And they contain "fulmarscale_response_seconds_bucket{le="0.005"} 1.0"
 
+  # Guards against a late write that hides an agent's target for good.
+  Scenario Outline: A late write of an agent's row replaces no newer row
+    Given an agent whose <write> gets no answer and is applied 0.8 s late
+    When its target is reported and 1.2 s pass
+    Then its row names the reported target
+
+    Examples:
+      | write                       |
+      | first write                 |
+      | first write after a restart |
+      | last write before a restart |
+
+  # Guards against entries that drop an agent until its target's next heartbeat.
+  Scenario: The row of a restarted agent names its target before the first heartbeat
+    Given an agent that has written its row
+    When it starts again and no target is reported for 0.3 s
+    Then its row names the target of before
+
   Scenario Outline: A restarted agent restores its target from its row in the store
     Given a store whose row of the agent is <row>
     When the agent restores its target from the store
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -23,6 +23,8 @@
 from fulmarscale.agent.run_target_client import TargetUnreachableError
 from fulmarscale.cli._settings_watcher import SettingsWatcher
 from fulmarscale.entry.durable.record import DurableJobState
+from fulmarscale.entry.durable.rows import CommitResult
+from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.durable.rows import Row
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import JobOutcome
@@ -70,6 +72,7 @@
     from behave.runner import Context
 
     from fulmarscale.entry.durable.rows import RowKey
+    from fulmarscale.entry.durable.rows import RowWrite
     from standins.http_stub import StubRequest
 
 ENTRY = EntryId("e", 1)
@@ -616,9 +619,12 @@
     class RowHolder:
         """A store that holds one row."""
 
-        async def put(self, table: str, key: str, value: bytes) -> int:
-            rows.append(value)
-            return len(rows)
+        async def commit(self, writes: tuple[RowWrite, ...]) -> CommitResult:
+            (write,) = writes
+            assert write.expected_version == len(rows), writes
+            assert write.value is not None
+            rows.append(write.value)
+            return CommitResult(CommitStatus.APPLIED, len(rows))
 
         async def read_row(self, name: RowKey) -> Row | None:
             return Row(name, rows[-1], len(rows)) if rows else None
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -126,6 +126,11 @@
 
     The next heartbeat identifies its target instead.
     """
+    AGENT_ROW_CONFLICT = 319, Importance.WARNING
+    """The agent's row is not the version that its write follows.
+
+    An earlier write, of this process or a former one, was applied late.
+    """
     AGENT_CONNECTED = 400, Importance.CHANGE
     """A stream between this entry and an agent is open."""
     AGENT_LOST = 401, Importance.CHANGE
--- a/src/fulmarscale/platform/agent_registration.py
+++ b/src/fulmarscale/platform/agent_registration.py
@@ -16,7 +16,9 @@
 from fulmarscale.background import BackgroundTask
 from fulmarscale.decoding import decode_json
 from fulmarscale.decoding import NonNegativeInt
+from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.durable.rows import RowKey
+from fulmarscale.entry.durable.rows import RowWrite
 from fulmarscale.entry.jobs.subset import AnnouncedAgent
 from fulmarscale.errors import FulmarError
 from fulmarscale.events import Event
@@ -24,8 +26,10 @@
 from fulmarscale.settings import split_address
 
 if TYPE_CHECKING:
+    from fulmarscale.entry.durable.rows import CommitResult
+    from fulmarscale.entry.durable.rows import Row
+    from fulmarscale.entry.durable.rows import RowTable
     from fulmarscale.logs import EventLog
-    from fulmarscale.platform.store import RowStoreClient
 
 AGENT_TABLE: Final = "agents"
 """Store table of agents; the key is the agent's name."""
@@ -83,14 +87,21 @@
 
 
 class AgentRegistrar:
-    """Writes an agent's row at startup and when its target changes."""
+    """Writes an agent's row at startup and when its target changes.
+
+    Each write names the version that it replaces. A write that got no answer
+    may be applied seconds later, also after its process has ended, but not
+    once the row has been written again.
+    """
 
     def __init__(
-        self, store: RowStoreClient, name: str, address: str, log: EventLog
+        self, store: RowTable, name: str, address: str, log: EventLog
     ) -> None:
         self._store = store
-        self._name = name
+        self._key = RowKey(AGENT_TABLE, "", name)
         self._row = AgentRow(address)
+        self._version = 0
+        """The version of the stored row; 0 if none is known."""
         self._log = log
         self._changed = asyncio.Event()
         self._changed.set()
@@ -103,22 +114,12 @@
             store is unavailable.
         """
         try:
-            row = await self._store.read_row(
-                RowKey(AGENT_TABLE, "", self._name)
-            )
-            if row is None:
-                return None
-            previous = decode_agent_row(row.value)
-        except (FulmarError, msgspec.MsgspecError) as error:
+            row = await self._store.read_row(self._key)
+        except FulmarError as error:
             # The next heartbeat, within a second, has the same information.
             self._log.write(Event.AGENT_ROW_UNKNOWN, detail=str(error))
             return None
-        # Kept until the target's next heartbeat, as this process may be lost
-        # before it.
-        self._row = msgspec.structs.replace(
-            self._row, fencing_token=previous.fencing_token
-        )
-        return previous
+        return None if row is None else self._follow(row)
 
     def start(self) -> None:
         """Start writing the row in the background."""
@@ -142,27 +143,76 @@
             self._row = row
             self._changed.set()
 
+    def _follow(self, stored: Row) -> AgentRow | None:
+        """Make the next write follow a stored row.
+
+        What it says of the target is kept until the target's next heartbeat:
+        entries use no agent without a target, and this process may be lost
+        before the heartbeat.
+
+        :returns: the decoded row; none if it can't be decoded.
+        """
+        self._version = stored.version
+        try:
+            previous = decode_agent_row(stored.value)
+        except msgspec.MsgspecError as error:
+            self._log.write(Event.AGENT_ROW_UNKNOWN, detail=str(error))
+            return None
+        if self._row.target is None:
+            self._row = msgspec.structs.replace(
+                previous, address=self._row.address
+            )
+        return previous
+
     async def _run(self) -> None:
         delay_s = FIRST_RETRY_DELAY_S
         while True:
             await self._changed.wait()
             self._changed.clear()
-            value = msgspec.json.encode(self._row)
-            try:
-                revision = await self._store.put(
-                    AGENT_TABLE, self._name, value
-                )
-            except FulmarError as error:
-                self._log.write(
-                    Event.STORE_LOST, table=AGENT_TABLE, detail=error.detail
-                )
-                self._changed.set()
-                await asyncio.sleep(delay_s)
-                delay_s = min(MAX_RETRY_DELAY_S, 2 * delay_s)
+            if await self._write():
+                delay_s = FIRST_RETRY_DELAY_S
                 continue
-            delay_s = FIRST_RETRY_DELAY_S
+            self._changed.set()
+            await asyncio.sleep(delay_s)
+            delay_s = min(MAX_RETRY_DELAY_S, 2 * delay_s)
+
+    async def _write(self) -> bool:
+        """Write the row, and follow another one that is stored.
+
+        The first write of a process is made even if it changes nothing, as
+        it keeps the writes of earlier ones from being applied.
+
+        :returns: whether the row is stored.
+        """
+        value = msgspec.json.encode(self._row)
+        answer = await self._commit(value)
+        if answer.status is CommitStatus.CONFLICT:
+            expected, self._version = self._version, 0
+            for row in answer.rows:
+                self._follow(row)
+            self._log.write(
+                Event.AGENT_ROW_CONFLICT,
+                expected=expected,
+                revision=self._version,
+            )
+            value = msgspec.json.encode(self._row)
+            answer = await self._commit(value)
+        if answer.status is not CommitStatus.APPLIED:
             self._log.write(
-                Event.AGENT_ROW_WRITTEN,
-                address=self._row.address,
-                revision=revision,
+                Event.STORE_LOST,
+                table=AGENT_TABLE,
+                detail=f"write of the agent's row: {answer.status.value}",
             )
+            return False
+        self._version = answer.version
+        self._log.write(
+            Event.AGENT_ROW_WRITTEN,
+            address=self._row.address,
+            revision=answer.version,
+        )
+        return True
+
+    async def _commit(self, value: bytes) -> CommitResult:
+        """Write a value if the row has not changed since it was last seen."""
+        write = RowWrite(self._key, value, self._version)
+        return await self._store.commit((write,))
--- a/src/fulmarscale/platform/store.py
+++ b/src/fulmarscale/platform/store.py
@@ -191,23 +191,6 @@
         response = await self._get("/api/rows-feed", query, timeout_s)
         return _decode(response, WireRows)
 
-    async def put(self, table: str, key: str, value: bytes) -> int:
-        """Write a row unconditionally.
-
-        :returns: the row's new version.
-        :raises FulmarError: STORE_UNAVAILABLE; the write may have been
-            applied.
-        """
-        encoded_value = base64.b64encode(value).decode()
-        body = WireTransaction((WireRowWrite(table, "", key, encoded_value),))
-        response = await self._call(
-            "POST",
-            "/api/rows-tx",
-            msgspec.json.encode(body),
-            self._call_timeout_s,
-        )
-        return _decode(response, WireTransactionResponse).ver
-
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> HttpResponse:
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from contextlib import suppress
 from enum import Enum
 from typing import Any
@@ -75,6 +76,8 @@
         """The fault in force."""
         self.transactions = 0
         """Number of applied transactions."""
+        self._delays_s: list[float] = []
+        """How late the next transactions are carried out; see `delay_next`."""
 
     @property
     def address(self) -> str:
@@ -99,6 +102,18 @@
         name = RowName(table, "", key)
         self._write([(name, value)], [])
 
+    def delay_next(self, late_s: float) -> None:
+        """Carry the next transaction out late, without an answer.
+
+        :param late_s: how late, in seconds.
+        """
+        self._delays_s.append(late_s)
+
+    def value(self, table: str, key: str) -> bytes:
+        """Return the value of a row in the part with the empty name."""
+        row = self._rows[RowName(table, "", key)]
+        return base64.b64decode(row.value)
+
     def keys(self, table: str) -> list[str]:
         """Return the keys of a table in order."""
         return [name.key for name in sorted(self._rows) if name.table == table]
@@ -118,6 +133,13 @@
             ).items()
         }
         match parts.path:
+            case "/api/rows-tx" if self._delays_s:
+                asyncio.get_running_loop().call_later(
+                    self._delays_s.pop(0),
+                    self._apply_transaction,
+                    msgspec.json.decode(request.body),
+                )
+                return None
             case "/api/rows-tx":
                 answer = self._apply_transaction(
                     msgspec.json.decode(request.body)
