Keep a cancellation where no durable job is known yet

The job's entry held the first write back and made it seconds after its caller had got no answer, when nobody could want it any more. And the entry that cancels stores a row that a late first write conflicts with only once it knows of durable jobs, which it learns from the store: not while the first one is not stored. The 410 was known in one place, and nothing that the write would meet held it. Change, without a write for a cancellation at a site without durable jobs: - A job whose write was not sent yet is given up with its last caller, at the caller's deadline or when it disconnects, and at the loss of the lease. A request that is read after its caller has left starts nothing, as for best-effort jobs. - Entries tell their agents that they know of durable jobs, as soon as one is submitted, and agents tell all entries at once. Messages have one more field each, which is false in calm.

--- /dev/null
+++ b/features/cancellations.feature
@@ -0,0 +1,59 @@
+Feature: Cancellations of durable jobs that no entry has stored yet
+  Two entries on one store, with the real driver of durable jobs. Entry 1, at
+  which jobs are cancelled, knows of no durable jobs.
+
+  # Guards against a cancelled job that is stored when its entry reaches the
+  # store again.
+  Scenario Outline: A job that is cancelled where no durable job is known never starts
+    Given two entries on one store that know of no durable jobs
+    When entry 0 gets no answers from the store
+    And a job is submitted to entry 0
+    And its caller <conduct>
+    And the job is cancelled at entry 1
+    And it learns <source> that durable jobs exist
+    And entry 0 gets answers from the store again
+    Then each cancellation is acknowledged as of no such job
+    And the job is not started within 1 s
+
+    Examples:
+      | conduct | source        |
+      | leaves  | from nobody   |
+      | waits   | from an agent |
+      | leaves  | from an agent |
+
+  # Guards against a cancellation that is forgotten before the job arrives.
+  Scenario: A job that arrives after its cancellation is stopped
+    Given two entries on one store that know of no durable jobs
+    When the job is cancelled at entry 1
+    And a job is submitted to entry 0
+    And entry 1 is told by an agent that durable jobs exist
+    Then each cancellation is acknowledged as of no such job
+    And the job is stopped within 0.5 s
+
+  Scenario: A job that is submitted again where it was cancelled is refused
+    Given two entries on one store that know of no durable jobs
+    When the job is cancelled at entry 1
+    And a job is submitted to entry 1
+    Then the job's submission is answered with refused
+
+  # Guards against a write to the store for each cancellation of other jobs.
+  Scenario: Cancellations cost no write while no durable jobs are known
+    Given two entries on one store that know of no durable jobs
+    When 50 unknown jobs are cancelled at entry 1
+    Then entry 1 has sent 0 transactions
+
+  # Guards against entries that learn of the first durable jobs too late.
+  Scenario: An agent tells all entries that one of them knows of durable jobs
+    Given an agent with streams to two entries
+    When entry 0 tells the agent that it knows of durable jobs
+    Then the agent tells entry 1 at once that durable jobs exist
+
+  Scenario Outline: An entry learns of durable jobs from an agent
+    Given an entry that knows of no durable jobs
+    When an agent's message says that durable jobs exist: <exist>
+    Then the entry takes part in running durable jobs: <exist>
+
+    Examples:
+      | exist |
+      | yes   |
+      | no    |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -48,11 +48,16 @@
       | completes all jobs     | a DELETE for an unknown job     | 410    | no Retry-After         |
       | is shutting down       | a best-effort job               | 200    | Connection: close      |
 
-  Scenario: A caller's disconnect is reported to the job service
+  Scenario Outline: A caller's disconnect is reported to the job service
     Given an ingress that never responds
-    When a caller sends a best-effort job and disconnects
+    When a caller sends a <kind> job and disconnects
     Then the job service was notified that the caller disconnected
 
+    Examples:
+      | kind        |
+      | best-effort |
+      | durable     |
+
   # Guards against a job that two entries run, as the first one reads the
   # request after its caller has sent it to the other one.
   Scenario Outline: A request that is read after its caller has left starts nothing
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -192,8 +192,12 @@
         return JobState.RUNNING if job_id == "0022" else None
 
     async def submit_durable(self, job_id: Any, *_: Any) -> AnswerJob:
-        assert self.outcome is not None
-        return AnswerJob(job_id, self.outcome, 1.0)
+        if self.outcome is not None:
+            return AnswerJob(job_id, self.outcome, 1.0)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.disconnected.append(job_id)
 
     def cancel_job(self, job_id: Any) -> None:
         self.cancelled_jobs.append(job_id)
@@ -255,12 +259,18 @@
     context.job_service.fake_site_age_s = s
 
 
-@when("a caller sends a best-effort job and disconnects")
-def send_and_disconnect(context: Context) -> None:
-    body = msgspec.json.encode(JOB)
+@when("a caller sends a {kind} job and disconnects")
+def send_and_disconnect(context: Context, kind: str) -> None:
+    body = msgspec.json.encode({**JOB, "bestEffort": kind == "best-effort"})
     context.exchange = Exchange("POST", "/quick/0011", body)
     context.exchange.disconnects = True
-    asyncio.run(context.exchange.run(IngressApp(context.job_service, LOG)))
+
+    async def run() -> None:
+        async with asyncio.timeout(1.0):
+            await context.exchange.run(IngressApp(context.job_service, LOG))
+        context.disconnected = list(context.job_service.disconnected)
+
+    asyncio.run(run())
 
 
 @when("a caller sends {request}")
@@ -330,9 +340,7 @@
 
 @then("the job service was notified that the caller disconnected")
 def check_disconnected(context: Context) -> None:
-    assert context.job_service.disconnected == ["0011"], (
-        context.job_service.disconnected
-    )
+    assert context.disconnected == ["0011"], context.disconnected
     assert context.exchange.status == 0, context.exchange.status
 
 
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -166,6 +166,8 @@
         """The heartbeat of an incarnation that is not adopted yet."""
         self._last_expiry_at = float("-inf")
         self._is_stopping = False
+        self._durable_jobs_exist = False
+        """Whether any entry has told that it knows of durable jobs."""
         self._offers = CapacityOffers()
         self._probation = Probation()
         self._entries_with_runs: set[EntryId] = set()
@@ -368,6 +370,9 @@
             session.offered_at = float("-inf")
         if message.site is not None:
             self._adopt_site_config(message.site, session.entry.name, now)
+        if message.knows_durable_jobs and not self._durable_jobs_exist:
+            self._durable_jobs_exist = True
+            self._notify_all()
         echo = message.echo
         if echo is not None and echo.incarnation == self._incarnation:
             echoed_at = self._echoes.get(message.entry, float("-inf"))
@@ -1399,6 +1404,7 @@
             unconfirmed=tuple(unconfirmed),
             unconfirmed_left_s=tuple(unconfirmed.values()),
             other_demands=sum_demands(others),
+            durable_jobs_exist=self._durable_jobs_exist,
         )
         session.reports = []
         session.has_changes = False
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -25,8 +25,10 @@
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StopJob
 from fulmarscale.entry.durable.actions import StorageOutcome
+from fulmarscale.entry.durable.held_cancellations import HeldCancellations
 from fulmarscale.entry.durable.job_search import DurableJobSearch
 from fulmarscale.entry.durable.manager import DurableJobManager
+from fulmarscale.entry.durable.manager import STATUS_RETENTION_S
 from fulmarscale.entry.durable.record import cancel_key
 from fulmarscale.entry.durable.record import CANCEL_TABLE
 from fulmarscale.entry.durable.record import decode_member
@@ -48,6 +50,7 @@
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
+from fulmarscale.runs.clock import boottime_s
 from fulmarscale.runs.driver import Driver
 from fulmarscale.runs.model import JobId
 
@@ -84,6 +87,10 @@
 """
 
 
+HELD_RETRY_S: Final = 0.2
+"""Pause after a held cancellation that could not be stored."""
+
+
 class JobRunner(ABC):
     """The interface to the dispatcher, which runs the stored jobs."""
 
@@ -133,6 +140,7 @@
         self._activated = asyncio.Event()
         self._members_read = asyncio.Event()
         self._search = DurableJobSearch(rows, self._handle_search, log)
+        self._held = HeldCancellations(STATUS_RETENTION_S)
         self._removing_cancel_rows: set[str] = set()
         """Jobs whose rows in the table of cancellations are being removed."""
         self._store_waiters: dict[
@@ -180,6 +188,11 @@
             self._runner.set_durable_jobs_exist(exist=True)
             self._decide(self._manager.activate)
             self._tick()
+            if len(self._held):
+                self._log.write(
+                    Event.CANCELLATIONS_HELD, count=len(self._held)
+                )
+                self._tasks.run_once(self._store_held_cancellations())
 
     def submit_durable(
         self, job_id: JobId, queue: Queue, spec: JobSpec
@@ -189,10 +202,17 @@
         :param job_id: the job.
         :param queue: the queue to which it is submitted.
         :param spec: the tasks to run.
-        :returns: a future that is resolved when the outcome is known.
+        :returns: a future that is resolved when the outcome is known. The
+            job may be given up once all its futures are cancelled.
         """
         self.activate()
         future: asyncio.Future[StorageOutcome] = asyncio.Future()
+        if self._held.holds(job_id, boottime_s()):
+            future.set_result(StorageOutcome.REFUSED)
+            return future
+        future.add_done_callback(
+            lambda done: self._withdraw_submitter(job_id, done)
+        )
         self._store_waiters.setdefault(job_id, []).append(future)
         self._decide(self._manager.submit_durable, job_id, queue, spec)
         return future
@@ -312,6 +332,19 @@
         for part_rows in removed.values():
             self._tasks.run_once(self._remove_cancel_rows(part_rows))
 
+    def _withdraw_submitter(
+        self, job_id: JobId, future: asyncio.Future[StorageOutcome]
+    ) -> None:
+        """Stop waiting for a caller; give the job up with the last one."""
+        if not future.cancelled():
+            return
+        waiters = self._store_waiters.get(job_id, [])
+        if future in waiters:
+            waiters.remove(future)
+        if not waiters:
+            self._store_waiters.pop(job_id, None)
+            self._decide(self._manager.withdraw, job_id)
+
     def _tick(self) -> None:
         self._decide(self._manager.tick, self._runner.pending())
 
@@ -491,12 +524,13 @@
     async def _write_tombstone(self, job_id: JobId) -> bool:
         """Keep a job from being stored whose first write may be under way.
 
-        While no durable jobs are known to exist, nothing is written.
+        While no durable jobs are known to exist, nothing is written yet.
 
         :returns: false if the job has been stored in the meantime.
         :raises FulmarError: STORE_UNAVAILABLE.
         """
         if not self._activated.is_set():
+            self._held.add(job_id, boottime_s())
             return True
         record = make_tombstone(self._manager.entry)
         write = RowWrite(record_key(job_id), encode_row(record), 0)
@@ -509,6 +543,17 @@
             raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
         return answer.status is CommitStatus.APPLIED
 
+    async def _store_held_cancellations(self) -> None:
+        """Store the cancellations from before durable jobs were known."""
+        while (job_id := self._held.latest(boottime_s())) is not None:
+            try:
+                if not await self._write_tombstone(job_id):
+                    await self._cancel_in_store(job_id)
+            except FulmarError:
+                await asyncio.sleep(HELD_RETRY_S)
+                continue
+            self._held.remove(job_id)
+
     async def _write_cancellation(
         self, row: Row, record: DurableJobRecord
     ) -> bool:
--- a/src/fulmarscale/entry/durable/durable_job.py
+++ b/src/fulmarscale/entry/durable/durable_job.py
@@ -48,6 +48,10 @@
         """The record that the row is known to hold; none if not known yet."""
         self.version = version
         """The row's version; 0 if there is none yet."""
+        self.may_be_stored = False
+        """Whether a first write was sent that is not known to have failed."""
+        self.is_awaited = True
+        """Whether a caller waits for the first write."""
         self.cancelled_version = 0
         """The row's version with a cancellation by another entry; 0 if none.
 
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -148,6 +148,7 @@
         """
         existing = self._jobs.get(job_id)
         if existing is not None:
+            existing.is_awaited = True
             if existing.stored_record is not None:
                 self._actions.answer_stored(job_id, existing.stored_record)
             return self._take_actions(now)
@@ -180,6 +181,31 @@
         self._write_queue.enqueue(job)
         return self._take_actions(now)
 
+    def withdraw(self, job_id: JobId, now: float) -> list[ManagerAction]:
+        """Give up a new job for whose first write no caller waits any more.
+
+        Its callers may have cancelled it elsewhere by now, where only a
+        stored job is known. One whose write was sent is not given up.
+        """
+        job = self._jobs.get(job_id)
+        if job is not None:
+            job.is_awaited = False
+            self._drop_unwanted(job)
+        return self._take_actions(now)
+
+    def _drop_unwanted(self, job: DurableJob) -> bool:
+        """Drop a new job that no caller waits for and no store has.
+
+        :returns: whether it was dropped.
+        """
+        is_unsent = job.is_new and not job.may_be_stored
+        if job.is_awaited or not is_unsent or not job.is_open:
+            return False
+        del self._jobs[job.job_id]
+        self._write_queue.discard(job)
+        self._actions.log(Event.JOB_WITHDRAWN, job=job.job_id)
+        return True
+
     def cancel(self, job_id: JobId, now: float) -> list[ManagerAction]:
         """Cancel a job that this entry owns, at a caller's request.
 
@@ -449,7 +475,7 @@
             self._actions.answer_end_waiters(
                 job.job_id, StorageOutcome.UNKNOWN
             )
-            if job.is_new:
+            if job.is_new and (job.may_be_stored or not job.is_open):
                 self._unresolved.add(job)
         self._jobs.clear()
         self._write_queue.clear()
@@ -657,7 +683,11 @@
         self._requeue_write(item, now)
 
     def _requeue_write(self, item: BatchItem, now: float) -> None:
+        """Write a record again that no attempt has stored."""
         job = item.job
+        job.may_be_stored = False
+        if self._drop_unwanted(job):
+            return
         job.pending_acks = [*item.pending_acks, *job.pending_acks]
         job.mark_dirty(now, is_urgent=True)
         self._write_queue.enqueue(job)
--- a/src/fulmarscale/entry/durable/write_queue.py
+++ b/src/fulmarscale/entry/durable/write_queue.py
@@ -105,6 +105,10 @@
         shard = shard_of(job.job_id)
         self._dirty.setdefault(shard, {})[job.job_id] = job
 
+    def discard(self, job: DurableJob) -> None:
+        """Remove a job whose record is not to be written after all."""
+        self._dirty.get(shard_of(job.job_id), {}).pop(job.job_id, None)
+
     def clear(self) -> None:
         """Discard all pending writes and ignore answers still to come."""
         self._shards.clear()
@@ -188,6 +192,7 @@
             job.pending_acks = []
             job.is_dirty = False
             job.is_urgent = False
+            job.may_be_stored = True
         return tuple(batch)
 
     def _start_transaction(self, name: str, shard: ShardWrites) -> CommitBatch:
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -64,6 +64,8 @@
         self._fleet = fleet
         self._has_durable_jobs = True
         """Whether any durable jobs may exist."""
+        self._knows_durable_jobs = False
+        """Whether any durable jobs are known to exist or are being stored."""
         self._site = SiteConfig()
         """The newest known configuration of the site."""
         self._site_adopted_at = float("-inf")
@@ -71,9 +73,9 @@
 
     def set_durable_jobs_exist(self, *, exist: bool) -> None:
         """Set whether any durable jobs exist, and send it to all agents."""
-        if exist == self._has_durable_jobs:
+        if exist == self._has_durable_jobs == self._knows_durable_jobs:
             return
-        self._has_durable_jobs = exist
+        self._has_durable_jobs = self._knows_durable_jobs = exist
         for view in self._fleet.views:
             view.mark_dirty()
 
@@ -180,6 +182,7 @@
             has_confined_queues=bool(self._fleet.bulkheads.queues),
             unconfirmed=view.unconfirmed,
             demands=backlog.demands if site.has_priorities else (),
+            knows_durable_jobs=self._knows_durable_jobs,
         )
         view.has_reported_backlog = backlog.millicores > 0
         if view.must_probe:
--- a/src/fulmarscale/entry/jobs/process.py
+++ b/src/fulmarscale/entry/jobs/process.py
@@ -351,6 +351,8 @@
 
     def receive_agent(self, session: int, message: AgentMessage) -> None:
         """Process a message of an agent."""
+        if message.durable_jobs_exist:
+            self._durable_jobs.activate()
         self._decide(self._dispatcher.receive_agent, session, message)
 
     def close_agent(self, session: int) -> None:
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -229,7 +229,7 @@
     queues, the confinement ends.
     """
     CALLER_LEFT = 527, Importance.WARNING
-    """The caller had left before its best-effort job was taken."""
+    """The caller had left before its job was taken."""
     TASK_RESTARTED = 528, Importance.WARNING
     """The entry requests a start of a task that has had a run.
 
@@ -305,6 +305,14 @@
     """
     JOB_SHOWN = 549, Importance.ROUTINE
     """A caller asked for the state of a job, or to cancel it."""
+    JOB_WITHDRAWN = 550, Importance.WARNING
+    """A durable job was given up before its first write, without callers.
+
+    Its callers have got no answer and may have sent it to another entry, or
+    cancelled it there.
+    """
+    CANCELLATIONS_HELD = 551, Importance.CHANGE
+    """Cancellations from before durable jobs were known are now stored."""
     TARGET_UNREACHABLE = 600, Importance.WARNING
     """The target does not respond; no run is started on it."""
     TARGET_LEAVING = 602, Importance.CHANGE
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -253,9 +253,10 @@
         A body that was received before is in its list, and is taken out of
         it, so that nothing holds it while the job runs.
 
-        A best-effort job is cancelled once all its callers have disconnected,
-        and not begun if its caller has left before the request was read.
-        A durable one is stored before the response.
+        A best-effort job is cancelled once all its callers have disconnected.
+        A durable one is stored before the response; until it is sent to the
+        store, it is given up with its callers. Neither is begun if its caller
+        has left before the request was read.
         """
         if not bodies:
             site = self._job_service.site
@@ -314,27 +315,30 @@
                 send, scope, UNAVAILABLE, "there is no room for the tasks"
             )
             return
-        if spec.is_durable:
-            answer = await self._job_service.submit_durable(
-                job_id, queue, spec, wait_s
-            )
-            await self._respond_outcome(send, answer)
-            return
         if has_client_left(scope):
             # It may have sent the job to another entry by now.
             self._log.write(Event.CALLER_LEFT, job=job_id, queue=queue.name)
             await _wait_for_disconnect(receive)
             return
-        future = self._job_service.submit(job_id, queue, spec, wait_s)
+        future: asyncio.Future[AnswerJob]
+        if spec.is_durable:
+            future = asyncio.create_task(
+                self._job_service.submit_durable(job_id, queue, spec, wait_s)
+            )
+        else:
+            future = self._job_service.submit(job_id, queue, spec, wait_s)
         disconnect = asyncio.create_task(_wait_for_disconnect(receive))
         await asyncio.wait(
             (future, disconnect), return_when=asyncio.FIRST_COMPLETED
         )
-        if not future.done():
+        if future.done():
+            disconnect.cancel()
+            await self._respond_outcome(send, future.result())
+        elif spec.is_durable:
+            future.cancel()
+            await asyncio.wait((future,))
+        else:
             self._job_service.withdraw_caller(job_id, future)
-            return
-        disconnect.cancel()
-        await self._respond_outcome(send, future.result())
 
     async def _respond_outcome(self, send: Any, answer: AnswerJob) -> None:
         """Respond with a job's outcome."""
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -235,6 +235,8 @@
 
     Empty if the site has no priorities.
     """
+    knows_durable_jobs: bool = False
+    """Whether the entry knows that durable jobs exist or are being stored."""
 
 
 class AgentMessage(MessagePart):
@@ -290,3 +292,5 @@
 
     Empty if the site has no priorities.
     """
+    durable_jobs_exist: bool = False
+    """Whether any entry has told the agent that it knows of durable jobs."""
