Stop repeating the first write of a job after a minute

What callers would see: UNASKED, a cancelled job that is stored. Cause: a first write that gets no answer was repeated for as long as the entry renewed its lease, for instance while one part of the table does not answer it. The row that a cancellation leaves for it to conflict with is removed after 150 s. Under another lease it was not repeated after 60 s. Change: 60 s hold under one lease, too. As the last attempt may still be applied, the entry scans the records 10 s later and takes such a job back; otherwise a query would show it as running for ever.

--- a/features/cancellations.feature
+++ b/features/cancellations.feature
@@ -42,6 +42,14 @@
     When 50 unknown jobs are cancelled at entry 1
     Then entry 1 has sent 0 transactions
 
+  # Guards against a first write that is applied when the row of the job's
+  # cancellation has been removed.
+  Scenario: A first write that gets no answer is not repeated for long
+    Given an entry that holds its lease
+    When the first write of a job gets no answer for 150 s
+    Then the first write was last sent after at most 61 s
+    And the entry has scanned the records after the last attempt
+
   # Guards against entries that learn of the first durable jobs too late.
   Scenario: An agent tells all entries that one of them knows of durable jobs
     Given an agent with streams to two entries
--- a/features/steps/cancellation_steps.py
+++ b/features/steps/cancellation_steps.py
@@ -17,9 +17,15 @@
 from features.support.run_site import TASK
 from fulmarscale.agent.run_actions import SendMessage
 from fulmarscale.agent.run_guard import RunGuard
+from fulmarscale.entry.durable.actions import CommitBatch
+from fulmarscale.entry.durable.actions import CommitMember
+from fulmarscale.entry.durable.actions import ScanRecords
 from fulmarscale.entry.durable.driver import DurableJobDriver
+from fulmarscale.entry.durable.manager import DurableJobManager
 from fulmarscale.entry.durable.record import CANCEL_TABLE
 from fulmarscale.entry.durable.record import DurableJobState
+from fulmarscale.entry.durable.rows import CommitResult
+from fulmarscale.entry.durable.rows import CommitStatus
 from fulmarscale.entry.jobs.process import DispatchProcess
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.messages import AgentMessage
@@ -37,6 +43,8 @@
 
 JOB: Final = JobId("a")
 SPEC: Final = JobSpec("9000", (Step(1, TASK, 9.0),), is_durable=True)
+TICKS_PER_S: Final = 20
+
 FEED_S: Final = 0.1
 """Time between reads of the table of cancellations."""
 
@@ -196,6 +204,50 @@
     assert commits == count, commits
 
 
+@given("an entry that holds its lease")
+def hold_lease(context: Context) -> None:
+    context.manager = DurableJobManager(EntryId("e0", 1))
+    context.manager.activate(0.0)
+
+
+@when("the first write of a job gets no answer for {duration_s:d} s")
+def repeat_first_write(context: Context, duration_s: int) -> None:
+    """Answer renewals of the lease at once, and record writes not at all."""
+    manager = context.manager
+    context.sent_at, context.scanned_at = [], []
+    ends_at = duration_s * TICKS_PER_S
+    for tick in range(ends_at):
+        now = tick / TICKS_PER_S
+        actions = manager.tick({}, now)
+        if tick == TICKS_PER_S:
+            actions += manager.submit_durable(JOB, QUEUE, SPEC, now)
+        for action in actions:
+            match action:
+                case CommitMember():
+                    answer = CommitResult(CommitStatus.APPLIED, tick + 1)
+                    manager.resolve_member_write(action.name, answer, now)
+                case CommitBatch():
+                    context.sent_at.append(now)
+                    answer = CommitResult(CommitStatus.UNKNOWN)
+                    manager.resolve_batch(
+                        action.shard, action.attempt_number, answer, now
+                    )
+                case ScanRecords():
+                    context.scanned_at.append(now)
+                    manager.process_scan((), (), now)
+
+
+@then("the first write was last sent after at most {limit_s:g} s")
+def check_last_attempt(context: Context, limit_s: float) -> None:
+    assert context.sent_at, "the job was not sent"
+    assert context.sent_at[-1] <= limit_s, context.sent_at[-1]
+
+
+@then("the entry has scanned the records after the last attempt")
+def check_scanned(context: Context) -> None:
+    assert context.scanned_at[-1] > context.sent_at[-1], context.scanned_at
+
+
 @given("an agent with streams to two entries")
 def make_agent(context: Context) -> None:
     context.entries = [EntryId(f"e{number}", 1) for number in range(2)]
--- a/src/fulmarscale/entry/durable/first_writes.py
+++ b/src/fulmarscale/entry/durable/first_writes.py
@@ -24,12 +24,16 @@
 """
 
 FIRST_WRITE_LIMIT_S: Final = 60.0
-"""Time after which a job's first write is not repeated under another lease.
+"""Time after which a job's first write is not repeated any more.
 
 The row of a job that was cancelled meanwhile, which keeps the write from being
 applied, is removed after STATUS_RETENTION_S.
 """
 
+LATE_WRITE_S: Final = 10.0
+"""Time after which a write without an answer is taken to be applied or lost.
+"""
+
 
 def rejection(
     *,
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -23,6 +23,7 @@
 from fulmarscale.entry.durable.durable_job import DurableJob
 from fulmarscale.entry.durable.durable_job import PendingAck
 from fulmarscale.entry.durable.durable_job import task_number
+from fulmarscale.entry.durable.first_writes import LATE_WRITE_S
 from fulmarscale.entry.durable.first_writes import rejection
 from fulmarscale.entry.durable.first_writes import UnresolvedWrites
 from fulmarscale.entry.durable.membership import Membership
@@ -440,8 +441,18 @@
             self._actions.add(renewal)
         self._actions.add(*self._membership.remove_expired(now))
         self._expire_ended_jobs(now)
+        self._drop_overdue(now)
         return self._take_actions(now)
 
+    def _drop_overdue(self, now: float) -> None:
+        """Drop new jobs whose first write was repeated for too long.
+
+        A later scan finds those of which an attempt was applied after all.
+        """
+        for job in self._write_queue.drop_overdue(now):
+            self._drop_unstored(job)
+            self._scans.request_at(now + LATE_WRITE_S)
+
     @property
     def _is_takeover_complete(self) -> bool:
         """Whether all jobs to be taken over are stored as this entry's own.
@@ -664,24 +675,27 @@
 
     def _handle_refused(self, item: BatchItem, now: float) -> None:
         """Drop a job that is not stored yet; queue any other write again."""
-        job = item.job
-        if job.is_new:
-            self._jobs.pop(job.job_id)
-            self._actions.log(
-                Event.JOB_NOT_KEPT,
-                job=job.job_id,
-                is_owner=True,
-                is_store_sound=False,
-                open_jobs=self.open_jobs,
-            )
-            # This attempt was not stored, but an earlier one may have been.
-            self._actions.answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
-            self._actions.answer_end_waiters(
-                job.job_id, StorageOutcome.UNKNOWN
-            )
+        if item.job.is_new:
+            self._drop_unstored(item.job)
             return
         self._requeue_write(item, now)
 
+    def _drop_unstored(self, job: DurableJob) -> None:
+        """Drop a new job whose first write is not known to be applied."""
+        if self._jobs.get(job.job_id) is not job:
+            return
+        del self._jobs[job.job_id]
+        self._actions.log(
+            Event.JOB_NOT_KEPT,
+            job=job.job_id,
+            is_owner=True,
+            is_store_sound=False,
+            open_jobs=self.open_jobs,
+        )
+        # This attempt was not stored, but an earlier one may have been.
+        self._actions.answer_submitters(job.job_id, StorageOutcome.UNKNOWN)
+        self._actions.answer_end_waiters(job.job_id, StorageOutcome.UNKNOWN)
+
     def _requeue_write(self, item: BatchItem, now: float) -> None:
         """Write a record again that no attempt has stored."""
         job = item.job
--- a/src/fulmarscale/entry/durable/scan_schedule.py
+++ b/src/fulmarscale/entry/durable/scan_schedule.py
@@ -56,6 +56,8 @@
         self._is_needed = False
         self._is_scanning = False
         self._retry_at = float("-inf")
+        self._due_at = float("inf")
+        """When to scan if not before."""
         self._query_due_at = float("inf")
         """When to scan because of callers' queries."""
         self._next_query_scan_at = float("-inf")
@@ -70,6 +72,13 @@
         """Scan as soon as possible."""
         self._is_needed = True
 
+    def request_at(self, due_at: float) -> None:
+        """Scan at a later time.
+
+        :param due_at: the entry's time.
+        """
+        self._due_at = min(self._due_at, due_at)
+
     def request_if_ownerless(self, record: DurableJobRecord | None) -> None:
         """Scan if a job's stored owner is lost.
 
@@ -96,12 +105,14 @@
         :param now: the entry's time.
         """
         is_query_due = now >= self._query_due_at
-        is_due = self._is_needed or is_query_due
+        is_due = self._is_needed or is_query_due or now >= self._due_at
         if not is_due or self._is_scanning or now < self._retry_at:
             return False
         if is_query_due:
             self._next_query_scan_at = now + QUERY_SCAN_PAUSE_S
             self._query_due_at = float("inf")
+        if now >= self._due_at:
+            self._due_at = float("inf")
         self._is_needed = False
         self._is_scanning = True
         return True
--- a/src/fulmarscale/entry/durable/write_queue.py
+++ b/src/fulmarscale/entry/durable/write_queue.py
@@ -16,6 +16,7 @@
 from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.durable_job import DurableJob
 from fulmarscale.entry.durable.durable_job import PendingAck
+from fulmarscale.entry.durable.first_writes import FIRST_WRITE_LIMIT_S
 from fulmarscale.entry.durable.record import DurableJobRecord
 from fulmarscale.entry.durable.record import encode_row
 from fulmarscale.entry.durable.record import record_key
@@ -127,6 +128,33 @@
                 commits.append(self._start_transaction(name, shard))
         return commits
 
+    def drop_overdue(self, now: float) -> list[DurableJob]:
+        """Drop the new jobs whose first write was repeated for too long.
+
+        An attempt may still be applied.
+
+        :param now: the entry's time.
+        :returns: the jobs.
+        """
+        dropped: list[DurableJob] = []
+        for shard in self._shards.values():
+            if shard.is_in_flight or not shard.may_still_apply:
+                continue
+            overdue = [
+                item.job
+                for item in shard.batch
+                if item.job.is_new
+                and now - item.job.created_at > FIRST_WRITE_LIMIT_S
+            ]
+            if not overdue:
+                continue
+            dropped += overdue
+            shard.batch = tuple(
+                item for item in shard.batch if item.job not in overdue
+            )
+            shard.may_still_apply = bool(shard.batch)
+        return dropped
+
     def resolve(
         self, name: str, attempt_number: int, answer: CommitResult, now: float
     ) -> tuple[BatchItem, ...]:
