Play late writes and cancellations beside faults of processes

Checked besides: a cancelled job starts nothing 3 s after the acknowledgement and the last fault, and each agent's row names its target in the end.

--- a/features/steps/process_chaos_steps.py
+++ b/features/steps/process_chaos_steps.py
@@ -11,6 +11,7 @@
 from behave import when
 
 from features.support.process_chaos import play
+from features.support.process_chaos import STORE_FAULTS
 
 if TYPE_CHECKING:
     from behave.runner import Context
@@ -38,6 +39,25 @@
     )
 
 
+@when(
+    "random faults and late writes with seed {seed:d} are played for"
+    " {length_s:g} s, and {percent:d} % of the durable jobs are cancelled"
+)
+def play_store_faults(
+    context: Context, seed: int, length_s: float, percent: int
+) -> None:
+    context.chaos, _ = asyncio.run(
+        play(
+            Path(context.folder),
+            seed,
+            length_s,
+            faults=STORE_FAULTS,
+            cancel_share=percent / 100,
+            **context.sizes,
+        )
+    )
+
+
 @then("at least {count:d} jobs were completed or stored")
 def check_progress(context: Context, count: int) -> None:
     assert context.chaos.completed >= count, context.chaos.completed
--- a/features/support/process_chaos.py
+++ b/features/support/process_chaos.py
@@ -26,6 +26,7 @@
 from features.support.process_site import make_job
 from features.support.process_site import ProcessSite
 from fulmarscale.platform.agent_registration import AGENT_TABLE
+from fulmarscale.platform.agent_registration import decode_agent_row
 from standins.link import Link
 from standins.row_store import RowStoreStandIn
 
@@ -54,6 +55,18 @@
     "link_cut",
 )
 
+STORE_FAULTS: Final = (*FAULTS, "late_write", "late_write")
+"""With writes to the store that get no answer and are applied late."""
+
+CANCEL_S: Final = 3.0
+"""Time from the acknowledgement of a job's cancelling to its last start.
+
+As long after the last fault, all machines are in touch.
+"""
+
+CANCEL_TAIL_S: Final = 12.0
+"""How long runs are recorded after the faults if jobs are cancelled."""
+
 LAG_S: Final = 0.02
 """Delay of the test's own event loop that is recorded."""
 
@@ -131,6 +144,7 @@
     :param seed: determines the faults and jobs.
     :param length_s: how long they last.
     :param faults: the kinds of faults.
+    :param cancel_share: share of the durable jobs that are cancelled.
     """
 
     def __init__(
@@ -139,12 +153,19 @@
         seed: int,
         length_s: float,
         faults: tuple[str, ...] = FAULTS,
+        cancel_share: float = 0.0,
     ) -> None:
         self._site = site
         self._seed = seed
         self._random = random.Random(seed)
         self._length_s = length_s
         self._faults = faults
+        self._cancel_share = cancel_share
+        self._cancel_random = random.Random(f"{seed}/cancel")
+        self._cancelled_at: dict[str, float] = {}
+        """When the cancelling of each job was acknowledged."""
+        self._calm_since = 0.0
+        """When the last fault ended."""
         self._busy: set[str] = set()
         self._jobs = 0
         self._durable_jobs: set[str] = set()
@@ -161,8 +182,21 @@
             group.create_task(self._disturb())
             for _ in range(callers):
                 group.create_task(self._call())
-        await asyncio.sleep(2.0)
+        self._calm_since = asyncio.get_running_loop().time()
+        await asyncio.sleep(CANCEL_TAIL_S if self._cancel_share else 2.0)
         lag.cancel()
+        self._record_rows()
+
+    def _record_rows(self) -> None:
+        """Record which agents' rows do not name their target."""
+        targets = {runner.runner_id for runner in self._site.runners}
+        self._outdated_agents = []
+        for agent in self._site.agents:
+            row = decode_agent_row(self._site.store.value(AGENT_TABLE, agent))
+            if row.target is None or (
+                row.target.incarnation.target not in targets
+            ):
+                self._outdated_agents.append(agent)
 
     def note(self, text: str) -> None:
         """Add a line to the trace."""
@@ -181,8 +215,25 @@
             and one.is_noted
             and one.task.partition(".")[0] in self._durable_jobs
         ]
+        lines += [
+            f"a run after its job was cancelled: {run}"
+            for runner in self._site.runners
+            for run in runner.runs
+            if self._is_unwanted(run)
+        ]
+        lines += [
+            f"a row without the agent's target: {agent}"
+            for agent in self._outdated_agents
+        ]
         return lines
 
+    def _is_unwanted(self, run: RunRecord) -> bool:
+        """Return whether a run began too late after its job's cancelling."""
+        cancelled_at = self._cancelled_at.get(run.task.partition(".")[0])
+        if cancelled_at is None:
+            return False
+        return run.began_at > max(cancelled_at, self._calm_since) + CANCEL_S
+
     async def _watch_lag(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -203,13 +254,36 @@
             body["bestEffort"] = self._random.random() < 0.6
             if not body["bestEffort"]:
                 self._durable_jobs.add(job)
+            cancelling = self._cancel_some(job, body)
             status = await self._submit(job, body)
             self.completed += status == 200
+            await cancelling
             await asyncio.sleep(self._random.uniform(0, 0.05))
 
+    def _cancel_some(
+        self, job: str, body: dict[str, Any]
+    ) -> asyncio.Future[None]:
+        """Cancel some of the durable jobs, also before they are stored."""
+        is_chosen = self._cancel_random.random() < self._cancel_share
+        return asyncio.ensure_future(
+            self._cancel_soon(job)
+            if is_chosen and not body["bestEffort"]
+            else asyncio.sleep(0.0)
+        )
+
+    async def _cancel_soon(self, job: str) -> None:
+        await asyncio.sleep(self._cancel_random.choice((0.0, 0.1, 1.0, 2.5)))
+        entry = self._cancel_random.choice(self._site.entries)
+        status = await self._site.cancel(entry, job, CALLER_WAIT_S)
+        self.note(f"{job} cancelled at {entry}: {status}")
+        if status in (200, 410):
+            self._cancelled_at[job] = asyncio.get_running_loop().time()
+
     async def _submit(self, job: str, body: dict[str, Any]) -> int:
         status = 0
         for _ in range(3):
+            if job in self._cancelled_at:
+                break
             entry = self._random.choice(self._site.entries)
             self.note(f"{job} to {entry}, best effort: {body['bestEffort']}")
             status = await self._site.submit(entry, job, body, CALLER_WAIT_S)
@@ -321,6 +395,12 @@
         await asyncio.sleep(self._random.uniform(0.1, 0.6))
         runner.late_s = lambda: None
 
+    async def _late_write(self) -> None:
+        """Let the next write to the store get no answer and be late."""
+        late_s = self._random.uniform(1.0, 6.0)
+        self.note(f"the next write is applied {late_s:.3f} s late")
+        self._site.store.delay_next(late_s)
+
     def _take_link(self) -> tuple[str, Link] | None:
         name = self._take(list(self._site.links))
         return None if name is None else (name, self._site.links[name])
@@ -382,11 +462,12 @@
     agents: int,
     callers: int,
     faults: tuple[str, ...] = FAULTS,
+    cancel_share: float = 0.0,
 ) -> tuple[Chaos, list[RunRecord]]:
     """Play random faults; return what was done and all runs."""
     async with RelayedSite(folder, entries, agents) as site:
         await site.settle()
-        chaos = Chaos(site, seed, length_s, faults)
+        chaos = Chaos(site, seed, length_s, faults, cancel_share)
         await chaos.play(callers)
         runs = [run for runner in site.runners for run in runner.runs]
         return chaos, runs
@@ -399,6 +480,7 @@
 @click.option("--agents", type=int, default=16, show_default=True)
 @click.option("--callers", type=int, default=10, show_default=True)
 @click.option("--faults", default=",".join(FAULTS))
+@click.option("--cancels", type=float, default=0.0, show_default=True)
 @click.option("--folder", type=click.Path(path_type=Path))
 def main(
     seed: int,
@@ -407,6 +489,7 @@
     agents: int,
     callers: int,
     faults: str,
+    cancels: float,
     folder: Path | None,
 ) -> None:
     """Play random faults once; exits with 1 if a task had two runs at once.
@@ -425,6 +508,7 @@
             agents=agents,
             callers=callers,
             faults=tuple(faults.split(",")),
+            cancel_share=cancels,
         )
     )
     lines = sorted([f"{run.began_at:.4f} {run}" for run in runs])
--- a/features/support/process_site.py
+++ b/features/support/process_site.py
@@ -202,8 +202,17 @@
     ) -> int:
         """Submit a job and return the status; 0 if there was no response."""
         content = msgspec.json.encode(body)
+        return await self._request(entry, "POST", job, content, wait_s)
+
+    async def cancel(self, entry: str, job: str, wait_s: float) -> int:
+        """Cancel a job and return the status; 0 if there was no response."""
+        return await self._request(entry, "DELETE", job, b"", wait_s)
+
+    async def _request(
+        self, entry: str, method: str, job: str, content: bytes, wait_s: float
+    ) -> int:
         request = (
-            f"POST {QUEUE_PREFIX}{job} HTTP/1.1\r\nHost: {QUEUE_HOST}\r\n"
+            f"{method} {QUEUE_PREFIX}{job} HTTP/1.1\r\nHost: {QUEUE_HOST}\r\n"
             f"Deadline-Ms: {wait_s * 1000:.0f}\r\n"
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(content)}\r\n\r\n"
