--- a/standins/link.py
+++ b/standins/link.py
@@ -29,6 +29,10 @@
         """How long each piece of data is held, in seconds."""
         self.is_cut = False
         """Whether data is lost, with its connection unusable from then on."""
+        self.pieces = 0
+        """Number of pieces of data that were forwarded."""
+        self.forwarded_bytes = 0
+        """Their length."""
         self._is_open = asyncio.Event()
         self._is_open.set()
         self._server: asyncio.Server | None = None
@@ -97,6 +101,8 @@
             await self._is_open.wait()
             is_lost = is_lost or self.is_cut
             if not is_lost:
+                self.pieces += 1
+                self.forwarded_bytes += len(data)
                 writer.write(data)
                 await writer.drain()
         if not is_lost:
