--- a/features/steps/durable_steps.py
+++ b/features/steps/durable_steps.py
@@ -49,6 +49,8 @@
 
     from behave.runner import Context
 
+    from features.support.durable_chaos import DurableSeedResult
+
 WORKERS = 3
 
 
@@ -439,15 +441,24 @@
     assert actual == count, actual
 
 
+def play_seeds(
+    context: Context,
+    play: Callable[[int], DurableSeedResult],
+    first: int,
+    last: int,
+) -> None:
+    """Play a range of seeds of random faults in several processes."""
+    with ProcessPoolExecutor(WORKERS) as pool:
+        seeds = range(first, last + 1)
+        context.chaos_results = list(pool.map(play, seeds))
+
+
 @when(
     "random faults with seeds {first:d} to {last:d} are injected into"
     " simulated sites with a store"
 )
 def run_sites_with_store(context: Context, first: int, last: int) -> None:
-    with ProcessPoolExecutor(WORKERS) as pool:
-        context.chaos_results = list(
-            pool.map(play_durable_seed, range(first, last + 1))
-        )
+    play_seeds(context, play_durable_seed, first, last)
     runs = sum(result.runs for result in context.chaos_results)
     done = sum(result.completed for result in context.chaos_results)
     print(f"{runs} runs, {done} jobs completed")
@@ -458,10 +469,7 @@
     " crashing tasks"
 )
 def run_sites_with_crashes(context: Context, first: int, last: int) -> None:
-    with ProcessPoolExecutor(WORKERS) as pool:
-        context.chaos_results = list(
-            pool.map(play_crashing_seed, range(first, last + 1))
-        )
+    play_seeds(context, play_crashing_seed, first, last)
 
 
 @when(
@@ -469,10 +477,7 @@
     " targets that fail runs"
 )
 def run_sites_with_failures(context: Context, first: int, last: int) -> None:
-    with ProcessPoolExecutor(WORKERS) as pool:
-        context.chaos_results = list(
-            pool.map(play_failing_seed, range(first, last + 1))
-        )
+    play_seeds(context, play_failing_seed, first, last)
 
 
 @when(
@@ -480,9 +485,7 @@
     " durable jobs"
 )
 def run_sites_with_restarts(context: Context, first: int, last: int) -> None:
-    with ProcessPoolExecutor(max_workers=WORKERS) as pool:
-        seeds = range(first, last + 1)
-        context.chaos_results = list(pool.map(play_restart_seed, seeds))
+    play_seeds(context, play_restart_seed, first, last)
 
 
 @then('no task of job "{job}" was done more than once')
--- a/features/support/durable_site.py
+++ b/features/support/durable_site.py
@@ -30,8 +30,6 @@
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StopJob
 from fulmarscale.entry.durable.actions import StorageOutcome
-from fulmarscale.entry.durable.driver import decode_job_rows
-from fulmarscale.entry.durable.driver import decode_member_rows
 from fulmarscale.entry.durable.manager import DurableJobManager
 from fulmarscale.entry.durable.record import cancel_key
 from fulmarscale.entry.durable.record import CANCEL_TABLE
@@ -42,6 +40,8 @@
 from fulmarscale.entry.durable.record import MEMBER_TABLE
 from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import RECORD_TABLE
+from fulmarscale.entry.durable.row_decoding import decode_job_rows
+from fulmarscale.entry.durable.row_decoding import decode_member_rows
 from fulmarscale.entry.durable.rows import RowWrite
 from fulmarscale.entry.jobs.actions import AdvanceOwnerEpoch
 from fulmarscale.entry.jobs.actions import CloseDurableJob
--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -25,32 +25,24 @@
 from fulmarscale.entry.durable.actions import StartJob
 from fulmarscale.entry.durable.actions import StopJob
 from fulmarscale.entry.durable.actions import StorageOutcome
-from fulmarscale.entry.durable.held_cancellations import HeldCancellations
 from fulmarscale.entry.durable.job_search import DurableJobSearch
 from fulmarscale.entry.durable.manager import DurableJobManager
-from fulmarscale.entry.durable.manager import STATUS_RETENTION_S
-from fulmarscale.entry.durable.record import cancel_key
-from fulmarscale.entry.durable.record import CANCEL_TABLE
-from fulmarscale.entry.durable.record import decode_member
-from fulmarscale.entry.durable.record import decode_record
 from fulmarscale.entry.durable.record import DurableJobState
-from fulmarscale.entry.durable.record import encode_row
 from fulmarscale.entry.durable.record import JobRow
-from fulmarscale.entry.durable.record import make_tombstone
 from fulmarscale.entry.durable.record import MEMBER_TABLE
 from fulmarscale.entry.durable.record import MemberRow
 from fulmarscale.entry.durable.record import record_key
 from fulmarscale.entry.durable.record import RECORD_TABLE
+from fulmarscale.entry.durable.row_decoding import decode_job_record
+from fulmarscale.entry.durable.row_decoding import decode_job_rows
+from fulmarscale.entry.durable.row_decoding import decode_member_rows
 from fulmarscale.entry.durable.rows import CommitStatus
-from fulmarscale.entry.durable.rows import RowWrite
+from fulmarscale.entry.durable.stored_cancellations import StoredCancellations
 from fulmarscale.entry.durable.unowned_ends import UnownedEndReview
-from fulmarscale.entry.durable.write_queue import INCONCLUSIVE_STATUSES
-from fulmarscale.entry.durable.write_queue import MAX_BATCH_RECORDS
 from fulmarscale.entry.jobs.job_service import DurableJobs
 from fulmarscale.errors import FulmarError
 from fulmarscale.errors import ResultCode
 from fulmarscale.events import Event
-from fulmarscale.runs.clock import boottime_s
 from fulmarscale.runs.driver import Driver
 from fulmarscale.runs.model import JobId
 
@@ -70,12 +62,6 @@
 TICK_S: Final = 0.05
 """Time between ticks of the manager, for decisions that depend on the time."""
 
-MAX_CANCEL_ATTEMPTS: Final = 5
-"""Conflicts with the owner's writes after which a cancellation fails.
-
-An owner writes a job's row only a few times in all.
-"""
-
 MEMBER_ROWS_WAIT_S: Final = 1.0
 """How long a query for pending jobs waits for the first read of lease rows."""
 
@@ -87,10 +73,6 @@
 """
 
 
-HELD_RETRY_S: Final = 0.2
-"""Pause after a held cancellation that could not be stored."""
-
-
 class JobRunner(ABC):
     """The interface to the dispatcher, which runs the stored jobs."""
 
@@ -140,9 +122,14 @@
         self._activated = asyncio.Event()
         self._members_read = asyncio.Event()
         self._search = DurableJobSearch(rows, self._handle_search, log)
-        self._held = HeldCancellations(STATUS_RETENTION_S)
-        self._removing_cancel_rows: set[str] = set()
-        """Jobs whose rows in the table of cancellations are being removed."""
+        self._cancellations = StoredCancellations(
+            entry,
+            rows,
+            log,
+            is_active=self._activated.is_set,
+            activate=self.activate,
+            adopt=self._adopt_tombstone,
+        )
         self._store_waiters: dict[
             JobId, list[asyncio.Future[StorageOutcome]]
         ] = {}
@@ -188,11 +175,7 @@
             self._runner.set_durable_jobs_exist(exist=True)
             self._decide(self._manager.activate)
             self._tick()
-            if len(self._held):
-                self._log.write(
-                    Event.CANCELLATIONS_HELD, count=len(self._held)
-                )
-                self._tasks.run_once(self._store_held_cancellations())
+            self._tasks.run_once(self._cancellations.store_held())
 
     def submit_durable(
         self, job_id: JobId, queue: Queue, spec: JobSpec
@@ -207,7 +190,7 @@
         """
         self.activate()
         future: asyncio.Future[StorageOutcome] = asyncio.Future()
-        if self._held.holds(job_id, boottime_s()):
+        if self._cancellations.holds(job_id):
             future.set_result(StorageOutcome.REFUSED)
             return future
         future.add_done_callback(
@@ -224,13 +207,13 @@
         :raises FulmarError: STORE_UNAVAILABLE; it may have been cancelled.
         """
         if not self._manager.has_job(job_id):
-            return await self._cancel_in_store(job_id)
+            return await self._cancellations.cancel(job_id)
         future: asyncio.Future[StorageOutcome] = asyncio.Future()
         self._end_waiters.setdefault(job_id, []).append(future)
         self._decide(self._manager.cancel, job_id)
         if await future is StorageOutcome.STORED:
             return True
-        return await self._cancel_in_store(job_id)
+        return await self._cancellations.cancel(job_id)
 
     def owns(self, job_id: JobId) -> bool:
         """Return whether a job is stored and owned by this entry."""
@@ -320,17 +303,16 @@
 
     def apply_cancellations(self, rows: tuple[Row, ...]) -> None:
         """Apply the cancellations that other entries have stored."""
-        removed: dict[str, list[Row]] = {}
-        for row in rows:
+        own = [
+            row
+            for row in rows
+            if self._manager.has_job(JobId(row.row_key.key))
+        ]
+        for row in own:
             job_id = JobId(row.row_key.key)
-            if not self._manager.has_job(job_id):
-                continue
             self._decide(self._manager.apply_cancellation, job_id, row.version)
-            if row.row_key.key not in self._removing_cancel_rows:
-                self._removing_cancel_rows.add(row.row_key.key)
-                removed.setdefault(row.row_key.part, []).append(row)
-        for part_rows in removed.values():
-            self._tasks.run_once(self._remove_cancel_rows(part_rows))
+        for batch in self._cancellations.claim_notices(own):
+            self._tasks.run_once(self._cancellations.remove_notices(batch))
 
     def _withdraw_submitter(
         self, job_id: JobId, future: asyncio.Future[StorageOutcome]
@@ -345,6 +327,9 @@
             self._store_waiters.pop(job_id, None)
             self._decide(self._manager.withdraw, job_id)
 
+    def _adopt_tombstone(self, row: JobRow) -> None:
+        self._decide(self._manager.adopt_tombstone, row)
+
     def _tick(self) -> None:
         self._decide(self._manager.tick, self._runner.pending())
 
@@ -367,7 +352,7 @@
             return None
         # The row shows that durable jobs exist.
         self.activate()
-        record = self._decode_record(row)
+        record = decode_job_record(row, self._log)
         if record is not None:
             self._decide(self._manager.check_owner, job_id, record)
         return record
@@ -494,136 +479,3 @@
         if count:
             detail = f"{table}: {count} rows"
             self._log.write(Event.ROW_UNREADABLE, detail=detail)
-
-    async def _cancel_in_store(self, job_id: JobId) -> bool:
-        """Cancel a job that another entry or no entry owns.
-
-        The owner may write the same row concurrently, so each attempt reads
-        the row again.
-        """
-        for _ in range(MAX_CANCEL_ATTEMPTS):
-            row = await self._rows.read_row(record_key(job_id))
-            if row is None:
-                if await self._write_tombstone(job_id):
-                    return False
-                continue
-            record = self._decode_record(row)
-            if record is None:
-                return False
-            self.activate()
-            if record.state is not DurableJobState.OPEN:
-                return not record.is_tombstone
-            if await self._write_cancellation(row, record):
-                self._log.write(
-                    Event.JOB_REVOKED, job=job_id, owner=record.owner.name
-                )
-                return True
-        detail = f"cancellation failed after {MAX_CANCEL_ATTEMPTS} conflicts"
-        raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
-
-    async def _write_tombstone(self, job_id: JobId) -> bool:
-        """Keep a job from being stored whose first write may be under way.
-
-        While no durable jobs are known to exist, nothing is written yet.
-
-        :returns: false if the job has been stored in the meantime.
-        :raises FulmarError: STORE_UNAVAILABLE.
-        """
-        if not self._activated.is_set():
-            self._held.add(job_id, boottime_s())
-            return True
-        record = make_tombstone(self._manager.entry)
-        write = RowWrite(record_key(job_id), encode_row(record), 0)
-        answer = await self._rows.commit((write,))
-        if answer.status is CommitStatus.APPLIED:
-            row = JobRow(job_id, record, answer.version)
-            self._decide(self._manager.adopt_tombstone, row)
-        elif answer.status is not CommitStatus.CONFLICT:
-            detail = f"store answered the cancellation: {answer.status.value}"
-            raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
-        return answer.status is CommitStatus.APPLIED
-
-    async def _store_held_cancellations(self) -> None:
-        """Store the cancellations from before durable jobs were known."""
-        while (job_id := self._held.latest(boottime_s())) is not None:
-            try:
-                if not await self._write_tombstone(job_id):
-                    await self._cancel_in_store(job_id)
-            except FulmarError:
-                await asyncio.sleep(HELD_RETRY_S)
-                continue
-            self._held.remove(job_id)
-
-    async def _write_cancellation(
-        self, row: Row, record: DurableJobRecord
-    ) -> bool:
-        """Store the cancellation of a job.
-
-        A second row notifies the owner, which follows the table of
-        cancellations.
-
-        :returns: false if the job's row has changed in the meantime.
-        :raises FulmarError: STORE_UNAVAILABLE; it may have been cancelled.
-        """
-        cancelled = record.ended_as(DurableJobState.CANCELLED)
-        writes = (
-            RowWrite(row.row_key, encode_row(cancelled), row.version),
-            RowWrite(cancel_key(JobId(row.row_key.key)), b"", 0),
-        )
-        answer = await self._rows.commit(writes)
-        if answer.status in INCONCLUSIVE_STATUSES:
-            detail = f"store answered the cancellation: {answer.status.value}"
-            raise FulmarError(ResultCode.STORE_UNAVAILABLE, detail)
-        return answer.status is CommitStatus.APPLIED
-
-    def _decode_record(self, row: Row) -> DurableJobRecord | None:
-        """Decode a job's row; log it if it is malformed."""
-        record = decode_record(row.value)
-        if record is None:
-            self._log.write(Event.ROW_UNREADABLE, detail=row.row_key.key)
-        return record
-
-    async def _remove_cancel_rows(self, rows: list[Row]) -> None:
-        """Remove cancellations once this entry, the owner, has read them.
-
-        If that fails the rows stay, which only take up space.
-
-        :param rows: rows of one part.
-        """
-        for first in range(0, len(rows), MAX_BATCH_RECORDS):
-            batch = rows[first : first + MAX_BATCH_RECORDS]
-            answer = await self._rows.commit(
-                tuple(
-                    RowWrite(row.row_key, None, row.version) for row in batch
-                )
-            )
-            for row in batch:
-                self._removing_cancel_rows.discard(row.row_key.key)
-            if answer.status is not CommitStatus.APPLIED:
-                self._log.write(
-                    Event.COMMIT_FAILED,
-                    table=CANCEL_TABLE,
-                    records=len(batch),
-                    status=answer.status.value,
-                )
-
-
-def decode_member_rows(rows: tuple[Row, ...]) -> tuple[MemberRow, ...]:
-    """Decode entries' lease rows, leaving out malformed ones."""
-    decoded = []
-    for row in rows:
-        member = decode_member(row.value)
-        if member is not None:
-            decoded.append(MemberRow(row.row_key.key, member, row.version))
-    return tuple(decoded)
-
-
-def decode_job_rows(rows: tuple[Row, ...]) -> list[JobRow]:
-    """Decode jobs' rows, leaving out malformed ones."""
-    decoded = []
-    for row in rows:
-        record = decode_record(row.value)
-        if record is not None:
-            job_id = JobId(row.row_key.key)
-            decoded.append(JobRow(job_id, record, row.version))
-    return decoded
