--- a/features/cancellations.feature
+++ b/features/cancellations.feature
@@ -9,7 +9,7 @@
     When entry 0 gets no answers from the store
     And a job is submitted to entry 0
     And its caller <conduct>
-    And the job is cancelled at entry 1
+    And the unstored job is cancelled at entry 1
     And it learns <source> that durable jobs exist
     And entry 0 gets answers from the store again
     Then each cancellation is acknowledged as of no such job
@@ -24,7 +24,7 @@
   # Guards against a cancellation that is forgotten before the job arrives.
   Scenario: A job that arrives after its cancellation is stopped
     Given two entries on one store that know of no durable jobs
-    When the job is cancelled at entry 1
+    When the unstored job is cancelled at entry 1
     And a job is submitted to entry 0
     And entry 1 is told by an agent that durable jobs exist
     Then each cancellation is acknowledged as of no such job
@@ -32,7 +32,7 @@
 
   Scenario: A job that is submitted again where it was cancelled is refused
     Given two entries on one store that know of no durable jobs
-    When the job is cancelled at entry 1
+    When the unstored job is cancelled at entry 1
     And a job is submitted to entry 1
     Then the job's submission is answered with refused
 
--- a/features/steps/cancellation_steps.py
+++ b/features/steps/cancellation_steps.py
@@ -143,7 +143,7 @@
     context.pair.wait(0.01)
 
 
-@when("the job is cancelled at entry {number:d}")
+@when("the unstored job is cancelled at entry {number:d}")
 def cancel_job(context: Context, number: int) -> None:
     context.pair.cancel(number)
 
