Write an agent's row again after any failure of its write

Cause: the mark that the row has changed was cleared before the write, and set again after a write without success, but not after an exception. The background task then starts again and waits for the next change. Change: the mark is set again unless the row is stored. Evidence: the new scenario, whose write of the target raises ValueError, leaves a row without it before. A step of platform.feature that two definitions matched has a name of its own.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -50,7 +50,7 @@
 
   Scenario Outline: A caller's disconnect is reported to the job service
     Given an ingress that never responds
-    When a caller sends a <kind> job and disconnects
+    When a caller disconnects after sending a <kind> job
     Then the job service was notified that the caller disconnected
 
     Examples:
@@ -190,6 +190,12 @@
       | first write after a restart |
       | last write before a restart |
 
+  # Guards against a change of the row that is forgotten with a failed write.
+  Scenario: An agent's row is written after an unexpected error of its write
+    Given an agent whose write of its target ends with an unexpected error
+    When its target is reported and 1.2 s pass
+    Then its row names the reported target
+
   # Guards against entries that drop an agent until its target's next heartbeat.
   Scenario: The row of a restarted agent names its target before the first heartbeat
     Given an agent that has written its row
--- a/features/steps/agent_row_steps.py
+++ b/features/steps/agent_row_steps.py
@@ -26,6 +26,9 @@
 if TYPE_CHECKING:
     from behave.runner import Context
 
+    from fulmarscale.entry.durable.rows import CommitResult
+    from fulmarscale.entry.durable.rows import RowWrite
+
 NAME: Final = "a"
 """The agent's name."""
 
@@ -44,16 +47,33 @@
 CALL_TIMEOUT_S: Final = 0.2
 
 
+class FailingClient(RowStoreClient):
+    """A client of the store whose second transaction ends with an error."""
+
+    transactions = 0
+
+    async def commit(self, writes: tuple[RowWrite, ...]) -> CommitResult:
+        """Apply all writes or none."""
+        self.transactions += 1
+        if self.transactions == 2:
+            raise ValueError("unexpected")
+        return await super().commit(writes)
+
+
 async def run_agent(
-    store: RowStoreStandIn, target: TargetReport | None, for_s: float
+    store: RowStoreStandIn,
+    target: TargetReport | None,
+    for_s: float,
+    client_type: type[RowStoreClient] = RowStoreClient,
 ) -> None:
     """Keep an agent's row for a while, as a process that is then killed.
 
     :param store: the store.
     :param target: the target that is reported; none if none is.
     :param for_s: for how long, in seconds.
+    :param client_type: the client of the store.
     """
-    client = RowStoreClient(store.address, CALL_TIMEOUT_S)
+    client = client_type(store.address, CALL_TIMEOUT_S)
     registrar = AgentRegistrar(client, NAME, "127.0.0.1:1", LOG)
     await registrar.read_previous_row()
     registrar.start()
@@ -78,11 +98,11 @@
         await store.start()
         if context.write != "first write":
             await run_agent(store, FORMER_TARGET, 0.2)
-        if context.write is not None:
+        if context.late_s:
             store.delay_next(context.late_s)
         if context.write == "last write before a restart":
             await run_agent(store, None, 0.02)
-        await run_agent(store, target, for_s)
+        await run_agent(store, target, for_s, context.client_type)
         row = decode_agent_row(store.value(AGENT_TABLE, NAME))
         context.stored_target = row.target
         await store.close()
@@ -95,11 +115,19 @@
 )
 def choose_late_write(context: Context, write: str, late_s: float) -> None:
     context.write, context.late_s = write, late_s
+    context.client_type = RowStoreClient
+
+
+@given("an agent whose write of its target ends with an unexpected error")
+def choose_failing_client(context: Context) -> None:
+    context.write, context.late_s = "first write", 0.0
+    context.client_type = FailingClient
 
 
 @given("an agent that has written its row")
 def choose_no_late_write(context: Context) -> None:
-    context.write = None
+    context.write, context.late_s = None, 0.0
+    context.client_type = RowStoreClient
 
 
 @when("its target is reported and {for_s:g} s pass")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -259,7 +259,7 @@
     context.job_service.fake_site_age_s = s
 
 
-@when("a caller sends a {kind} job and disconnects")
+@when("a caller disconnects after sending a {kind} job")
 def send_and_disconnect(context: Context, kind: str) -> None:
     body = msgspec.json.encode({**JOB, "bestEffort": kind == "best-effort"})
     context.exchange = Exchange("POST", "/quick/0011", body)
--- a/src/fulmarscale/platform/agent_registration.py
+++ b/src/fulmarscale/platform/agent_registration.py
@@ -169,10 +169,15 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            if await self._write():
+            is_stored = False
+            try:
+                is_stored = await self._write()
+            finally:
+                if not is_stored:
+                    self._changed.set()
+            if is_stored:
                 delay_s = FIRST_RETRY_DELAY_S
                 continue
-            self._changed.set()
             await asyncio.sleep(delay_s)
             delay_s = min(MAX_RETRY_DELAY_S, 2 * delay_s)
 
