Answer a new job at once if its entry gets no first lease

Cause: such a job waits for the first lease, which takes two calls. Jobs that come after a second without it are answered at once; those of the first second waited on. Callers send the job again, to an entry that the store may serve; and what a cancellation elsewhere has to reach is held back for a second at most instead of a caller's deadline.

--- a/features/cancellations.feature
+++ b/features/cancellations.feature
@@ -30,6 +30,7 @@
     Then each cancellation is acknowledged as of no such job
     And the job is stopped within 0.5 s
 
+  # Guards against a job that is taken again after its 410.
   Scenario: A job that is submitted again where it was cancelled is refused
     Given two entries on one store that know of no durable jobs
     When the unstored job is cancelled at entry 1
@@ -50,12 +51,20 @@
     Then the first write was last sent after at most 61 s
     And the entry has scanned the records after the last attempt
 
+  # Guards against a caller that waits for a lease which the store refuses.
+  Scenario: A job is given up at once when its entry gets no first lease
+    Given an entry that has just learnt of durable jobs
+    When a job is submitted to it and its lease gets no answer for 10 s
+    Then the caller got the outcome unknown within 1.1 s
+    And the job is not sent once the lease is granted
+
   # Guards against entries that learn of the first durable jobs too late.
   Scenario: An agent tells all entries that one of them knows of durable jobs
     Given an agent with streams to two entries
     When entry 0 tells the agent that it knows of durable jobs
     Then the agent tells entry 1 at once that durable jobs exist
 
+  # Guards against entries that ignore what an agent tells them.
   Scenario Outline: An entry learns of durable jobs from an agent
     Given an entry that knows of no durable jobs
     When an agent's message says that durable jobs exist: <exist>
--- a/features/steps/cancellation_steps.py
+++ b/features/steps/cancellation_steps.py
@@ -17,6 +17,7 @@
 from features.support.run_site import TASK
 from fulmarscale.agent.run_actions import SendMessage
 from fulmarscale.agent.run_guard import RunGuard
+from fulmarscale.entry.durable.actions import AnswerCallers
 from fulmarscale.entry.durable.actions import CommitBatch
 from fulmarscale.entry.durable.actions import CommitMember
 from fulmarscale.entry.durable.actions import ScanRecords
@@ -248,6 +249,53 @@
     assert context.scanned_at[-1] > context.sent_at[-1], context.scanned_at
 
 
+@given("an entry that has just learnt of durable jobs")
+def learn_of_durable_jobs(context: Context) -> None:
+    context.manager = DurableJobManager(EntryId("e0", 1))
+    context.manager.activate(0.0)
+
+
+@when(
+    "a job is submitted to it and its lease gets no answer for {duration_s:d}"
+    " s"
+)
+def wait_for_lease(context: Context, duration_s: int) -> None:
+    """Answer no write of the lease, then grant it."""
+    manager = context.manager
+    context.answers, context.batches = [], []
+    actions = manager.submit_durable(JOB, QUEUE, SPEC, 0.0)
+    for tick in range((duration_s + 2) * TICKS_PER_S):
+        now = tick / TICKS_PER_S
+        actions += manager.tick({}, now)
+        is_granted = now > duration_s
+        answer = CommitResult(
+            CommitStatus.APPLIED if is_granted else CommitStatus.UNKNOWN,
+            tick + 1,
+        )
+        for action in actions:
+            match action:
+                case CommitMember():
+                    manager.resolve_member_write(action.name, answer, now)
+                case CommitBatch():
+                    context.batches.append(action)
+                case AnswerCallers(is_for_end_waiters=False):
+                    context.answers.append((now, action.outcome.value))
+        actions = []
+    assert manager.is_owner
+
+
+@then("the caller got the outcome {outcome} within {limit_s:g} s")
+def check_early_answer(context: Context, outcome: str, limit_s: float) -> None:
+    assert len(context.answers) == 1, context.answers
+    assert context.answers[0][0] <= limit_s, context.answers
+    assert context.answers[0][1] == outcome, context.answers
+
+
+@then("the job is not sent once the lease is granted")
+def check_not_sent(context: Context) -> None:
+    assert not context.batches, context.batches
+
+
 @given("an agent with streams to two entries")
 def make_agent(context: Context) -> None:
     context.entries = [EntryId(f"e{number}", 1) for number in range(2)]
--- a/src/fulmarscale/entry/durable/first_writes.py
+++ b/src/fulmarscale/entry/durable/first_writes.py
@@ -19,8 +19,9 @@
 FIRST_LEASE_WAIT_S: Final = 1.0
 """How long after its activation this entry admits jobs without a lease.
 
-An admitted job then waits for the lease. The first lease takes two calls to
-the store, at most a second together while the store is available.
+An admitted job then waits for the lease, and is given up without it. The first
+lease takes two calls to the store, at most a second together while the store
+is available.
 """
 
 FIRST_WRITE_LIMIT_S: Final = 60.0
@@ -32,6 +33,8 @@
 
 LATE_WRITE_S: Final = 10.0
 """Time after which a write without an answer is taken to be applied or lost.
+
+The platform applies such a write seconds later, if at all.
 """
 
 
--- a/src/fulmarscale/entry/durable/manager.py
+++ b/src/fulmarscale/entry/durable/manager.py
@@ -23,6 +23,7 @@
 from fulmarscale.entry.durable.durable_job import DurableJob
 from fulmarscale.entry.durable.durable_job import PendingAck
 from fulmarscale.entry.durable.durable_job import task_number
+from fulmarscale.entry.durable.first_writes import FIRST_LEASE_WAIT_S
 from fulmarscale.entry.durable.first_writes import LATE_WRITE_S
 from fulmarscale.entry.durable.first_writes import rejection
 from fulmarscale.entry.durable.first_writes import UnresolvedWrites
@@ -475,7 +476,10 @@
             self._scans.request()
             self._actions.log(Event.OWNERSHIP_GAINED)
             self._repeat_first_writes(now)
-        if holds_lease or not self._is_owner:
+        if holds_lease:
+            return
+        if not self._is_owner:
+            self._give_up_first_jobs(now)
             return
         self._is_owner = False
         self._actions.log(Event.OWNERSHIP_LOST, jobs=len(self._jobs))
@@ -491,6 +495,18 @@
         self._jobs.clear()
         self._write_queue.clear()
 
+    def _give_up_first_jobs(self, now: float) -> None:
+        """Give up the jobs that were admitted before the first lease.
+
+        Without it after FIRST_LEASE_WAIT_S, the store is not available to
+        this entry; it may serve others, to which callers send a job again.
+        """
+        if now - self._active_since < FIRST_LEASE_WAIT_S:
+            return
+        for job in list(self._jobs.values()):
+            if job.is_new and job.is_open:
+                self._drop_unstored(job)
+
     def _repeat_first_writes(self, now: float) -> None:
         """Write the jobs whose first write was not resolved."""
         for job in self._unresolved.take(now):
@@ -694,10 +710,11 @@
         if self._jobs.get(job.job_id) is not job:
             return
         del self._jobs[job.job_id]
+        self._write_queue.discard(job)
         self._actions.log(
             Event.JOB_NOT_KEPT,
             job=job.job_id,
-            is_owner=True,
+            is_owner=self._is_owner,
             is_store_sound=False,
             open_jobs=self.open_jobs,
         )
