End what a submission and held cancellations wait for in every case

A handler that is cancelled while its durable job is being stored left the submission and the wait for the disconnect to themselves; both are cancelled now. Storing held cancellations starts again after an unexpected error, which only was logged before.

--- a/src/fulmarscale/entry/durable/driver.py
+++ b/src/fulmarscale/entry/durable/driver.py
@@ -175,7 +175,7 @@
             self._runner.set_durable_jobs_exist(exist=True)
             self._decide(self._manager.activate)
             self._tick()
-            self._tasks.run_once(self._cancellations.store_held())
+            self._tasks.run_forever(self._cancellations.store_held)
 
     def submit_durable(
         self, job_id: JobId, queue: Queue, spec: JobSpec
--- a/src/fulmarscale/entry/durable/held_cancellations.py
+++ b/src/fulmarscale/entry/durable/held_cancellations.py
@@ -18,7 +18,7 @@
 MAX_HELD: Final = 2_000
 """Most cancellations that are kept; the oldest are dropped.
 
-They take about 200 bytes each, and as many calls to the store later on.
+Each takes some hundred bytes, and a call to the store later on.
 """
 
 
--- a/src/fulmarscale/platform/ingress.py
+++ b/src/fulmarscale/platform/ingress.py
@@ -327,18 +327,16 @@
             )
         else:
             future = self._job_service.submit(job_id, queue, spec, wait_s)
-        disconnect = asyncio.create_task(_wait_for_disconnect(receive))
-        await asyncio.wait(
-            (future, disconnect), return_when=asyncio.FIRST_COMPLETED
-        )
-        if future.done():
-            disconnect.cancel()
-            await self._respond_outcome(send, future.result())
-        elif spec.is_durable:
-            future.cancel()
-            await asyncio.wait((future,))
-        else:
-            self._job_service.withdraw_caller(job_id, future)
+        try:
+            await _wait_for_answer(future, receive)
+            if future.done():
+                await self._respond_outcome(send, future.result())
+            elif not spec.is_durable:
+                self._job_service.withdraw_caller(job_id, future)
+        finally:
+            if spec.is_durable and not future.done():
+                future.cancel()
+                await asyncio.wait((future,))
 
     async def _respond_outcome(self, send: Any, answer: AnswerJob) -> None:
         """Respond with a job's outcome."""
@@ -400,6 +398,19 @@
         return None
 
 
+async def _wait_for_answer(
+    future: asyncio.Future[AnswerJob], receive: Any
+) -> None:
+    """Wait until a job's answer is known or its caller disconnects."""
+    disconnect = asyncio.create_task(_wait_for_disconnect(receive))
+    try:
+        await asyncio.wait(
+            (future, disconnect), return_when=asyncio.FIRST_COMPLETED
+        )
+    finally:
+        disconnect.cancel()
+
+
 async def _wait_for_disconnect(receive: Any) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
