Answer a job that is given up while a start is open as unfinished

A best-effort job was answered with 200, `failed` and 1006 although no task of it had failed so often; its caller did not send it again. Cause: answered so when an entry gave up a job (its deadline, a shutdown of the entry) while the target of an agent that it had lost might still begin a run, to keep the caller from a second run elsewhere. A false final answer was the only guard against that, and none at all if the caller had left before. Change: such a job ends as unfinished (504), as any that may have run. An entry tells the others of the starts that the targets of lost agents may still carry out, through the agents that it reaches, with the messages that these send in any case. No entry starts such a task until the agent is back, or for 15 s, and a job with one of them that is given up is not answered as not run. The event LOST_STARTS_SHARED names agents and tasks. Test: the scenario that asked for `failed` was wrong: PROTOCOL.md has it for a task that has failed maxAttempts times. In its place, the job is unfinished and is completed by the entry to which it is sent again, without two runs at once.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -162,16 +162,55 @@
     Then no task ever had two runs at the same time
     And job "a" is completed at entry 1
 
-  # Guards against a caller that sends a job again which may still begin.
-  Scenario: A job of which a start may still be executed ends as failed
-    Given a simulated site of 1 entries and 2 targets of 16 cores
-    And the next 6 start requests to target 0 are executed 2.2 s late
+  # Guards against a job that is shown as failed although none of its tasks has,
+  # as a lost agent's target may still begin one.
+  Scenario Outline: A job that is given up while a start may still be executed is not shown as failed: <end>
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When job "a" of 12 tasks of 1800 ms is submitted to entry 0, whose caller waits 2 s
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 9 s
+    And 1.5 s pass
+    And <end>
+    Then job "a" is unfinished at entry 0
+    When 1.3 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
+    And 20 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 1
+
+    Examples:
+      | end                          |
+      | entry 0 abandons all jobs    |
+      | the deadline of job "a" ends |
+
+  # Guards against a second run of a task whose caller has left an entry that has
+  # lost the agent of the first one.
+  Scenario: A start at a lost agent is known to the entry that the caller goes to
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
     When job "a" of 12 tasks of 1800 ms is submitted to entry 0
     And 0.02 s pass
     And agent 0 is killed and restarts after 9 s
     And 1.5 s pass
-    And entry 0 abandons all jobs
-    Then job "a" is failed at entry 0
+    And the caller of job "a" disconnects from entry 0
+    And 1.3 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
+    And 20 s pass
+    Then no task ever had two runs at the same time
+    And job "a" is completed at entry 1
+
+  # Guards against an answer that no task has run while one may still begin.
+  Scenario: A job that is sent again while its start may be executed is not answered as not run
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When job "a" of 1 tasks of 1800 ms is submitted to entry 0, whose caller waits 1 s
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 9 s
+    And 2.3 s pass
+    And job "a" of 1 tasks of 1800 ms is submitted to entry 1, whose caller waits 1 s
+    And 1.1 s pass
+    Then job "a" is unfinished at entry 1
 
   Scenario: A start request after the last renewal extends the time until the lease ends
     Given a simulated site of 1 entries and 2 targets of 16 cores
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -907,3 +907,8 @@
     assert former == msgspec.structs.replace(report, end=None)
     later = codec.decode(codec.encode([*fields, "more"], list), RunReport)
     assert later == report
+
+
+@when('the deadline of job "{job}" ends')
+def pass_deadline(context: Context, job: str) -> None:
+    context.run_site.advance(1.0)
--- a/src/fulmarscale/agent/entry_session.py
+++ b/src/fulmarscale/agent/entry_session.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from fulmarscale.ids import EntryId
+    from fulmarscale.runs.lost_agent_starts import LostAgentStart
     from fulmarscale.runs.messages import ClassDemand
     from fulmarscale.runs.messages import EntryMessage
     from fulmarscale.runs.messages import ExpectedRun
@@ -28,6 +29,7 @@
         "has_changes",
         "has_confined_queues",
         "latest_start_at",
+        "lost_agent_starts",
         "must_send",
         "number",
         "offered_at",
@@ -60,6 +62,8 @@
         """Whether capacity, runs or offers changed since the last message."""
         self.reports: list[RunReport] = []
         """Reports to send with the next message."""
+        self.lost_agent_starts: list[LostAgentStart] = []
+        """Starts at lost agents that the entry has yet to be told of."""
         self.site_revision = 0
         """The revision of the site configuration that the entry has."""
         self.backlog = 0
--- a/src/fulmarscale/agent/run_guard.py
+++ b/src/fulmarscale/agent/run_guard.py
@@ -48,6 +48,8 @@
 from fulmarscale.runs.limits import MAX_ECHO_AGE_S
 from fulmarscale.runs.limits import MAX_LEASE_S
 from fulmarscale.runs.limits import TARGET_CLOCK_FACTOR
+from fulmarscale.runs.lost_agent_starts import LostAgentStart
+from fulmarscale.runs.lost_agent_starts import LostAgentStarts
 from fulmarscale.runs.messages import AgentMessage
 from fulmarscale.runs.messages import DurableCompletion
 from fulmarscale.runs.messages import QueueLoad
@@ -150,6 +152,8 @@
         """The same if the target granted no lease longer than requested."""
         self._completions = UnacknowledgedCompletions()
         self._unconfirmed = UnconfirmedStarts()
+        self._lost_agent_starts = LostAgentStarts()
+        """Starts at other agents, which entries have lost."""
         self._crashes = CrashRecorder()
         self._runs: dict[TaskKey, Run] = {}
         self._orphans: dict[TaskKey, int] = {}
@@ -331,6 +335,7 @@
         if former is not None:
             self._actions.append(CloseStream(former.number))
         session = EntrySession(number, entry, now)
+        session.lost_agent_starts += self._lost_agent_starts.left(now)
         self._sessions[entry.name] = session
         self._log(Event.ENTRY_CONNECTED, entry=entry.name)
         if former is not None and former.entry != entry:
@@ -382,6 +387,7 @@
             message.unconfirmed, now
         ):
             self._notify_all()
+        self._pass_on(message.lost_agent_starts, session, now)
         for ack in message.acks:
             self._acknowledge_completion(ack, session)
         for task in message.stops:
@@ -390,6 +396,22 @@
             self._handle_start_request(session, request, now)
         return self._collect_actions(now)
 
+    def _pass_on(
+        self,
+        starts: tuple[LostAgentStart, ...],
+        sender: EntrySession,
+        now: float,
+    ) -> None:
+        """Tell the other entries of starts at lost agents.
+
+        The next message suffices: no entry places tasks on an agent without
+        a recent one.
+        """
+        news = self._lost_agent_starts.record(starts, now)
+        for session in self._sessions.values():
+            if session is not sender:
+                session.lost_agent_starts += news
+
     def adopt_site_config(
         self, site: SiteConfig, now: float
     ) -> list[RunAction]:
@@ -1284,6 +1306,7 @@
             return
         self._last_expiry_at = now
         self._crashes.expire(now)
+        self._lost_agent_starts.expire(now)
         self._reports = {
             task: cached
             for task, cached in self._reports.items()
@@ -1405,8 +1428,12 @@
             unconfirmed_left_s=tuple(unconfirmed.values()),
             other_demands=sum_demands(others),
             durable_jobs_exist=self._durable_jobs_exist,
+            lost_agent_starts=self._lost_agent_starts.refresh(
+                session.lost_agent_starts, now
+            ),
         )
         session.reports = []
+        session.lost_agent_starts = []
         session.has_changes = False
         session.must_send = False
         session.sent_at = now
--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -18,6 +18,7 @@
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
+    from fulmarscale.runs.lost_agent_starts import LostAgentStart
     from fulmarscale.runs.messages import AgentMessage
     from fulmarscale.runs.messages import CompletionAck
     from fulmarscale.runs.messages import DurableCompletion
@@ -96,6 +97,8 @@
         """Tasks of any entry whose starts the target may still carry out."""
         self.unconfirmed: tuple[UnconfirmedStart, ...] = ()
         """Starts of the agent's former processes, for the next message."""
+        self.lost_agent_starts: list[LostAgentStart] = []
+        """Starts at agents that are lost, for the next message."""
         self.expected: tuple[ExpectedRun, ...] = ()
         """Runs from an earlier stream, for the first message of this one."""
         self._free = Resources()
@@ -179,7 +182,7 @@
         own_starts: tuple[UnconfirmedStart, ...] = ()
         is_new_process = self._reported_starts.is_of_new_process(message)
         if is_new_process:
-            own_starts = self._own_unconfirmed(now)
+            own_starts = self.own_unconfirmed(now)
         is_any_ruled_out = self._reported_starts.update(message, now)
         if is_new_process:
             others = self._reported_starts.hand_back(now)
@@ -250,6 +253,7 @@
         self.starts.clear()
         self.stops.clear()
         self.acks.clear()
+        self.lost_agent_starts.clear()
         self.unacknowledged.clear()
 
     def is_usable(
@@ -365,8 +369,8 @@
             return True
         return self._reported_starts.includes(task, now)
 
-    def _own_unconfirmed(self, now: float) -> tuple[UnconfirmedStart, ...]:
-        """Return the requested runs that may still begin.
+    def own_unconfirmed(self, now: float) -> tuple[UnconfirmedStart, ...]:
+        """Return this entry's requested runs that may still begin.
 
         :param now: the entry's time.
         """
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -229,8 +229,7 @@
             # An earlier submission of the job has run, perhaps elsewhere.
             self._results.give_up_if_crashing(job, now)
             return self._defer_flush()
-        if self._crashes.suspicion_of(job_id).counts:
-            # Runs of an earlier submission of the job may have begun.
+        if self._may_have_run(job, now):
             job.may_have_run = True
         self._admission.add(job)
         self._subset.record_needs(job, now)
@@ -245,6 +244,16 @@
         )
         return self._defer_flush()
 
+    def _may_have_run(self, job: Job, now: float) -> bool:
+        """Return whether runs of an earlier submission may have begun.
+
+        :param job: a new job that isn't durable.
+        :param now: the entry's time.
+        """
+        if self._crashes.suspicion_of(job.job_id).counts:
+            return True
+        return self._fleet.may_begin_elsewhere(job, now)
+
     def start_durable_job(
         self,
         job_id: JobId,
@@ -377,6 +386,7 @@
 
     def abandon_all(self, now: float) -> list[DispatchAction]:
         """Abandon all jobs that aren't durable, as the entry shuts down."""
+        self._share_lost_agent_starts(now)
         for job in list(self._open.jobs.values()):
             if not job.is_durable:
                 self._abandon(job, now, "entry_stops")
@@ -445,6 +455,7 @@
             return self._defer_flush()
         if view.update(message, now) or message.reports or message.completions:
             self._open.needs_placement = True
+        self._fleet.record_lost_agent_starts(message, now)
         if view.is_due(now):
             view.mark_dirty()
         if message.site is not None:
@@ -516,6 +527,8 @@
         for view in self._fleet.views:
             if view.assigned and now - view.last_message_at > RUN_EXPIRY_S:
                 self._results.expire_runs(view, now)
+        if now >= self._hold_until:
+            self._share_lost_agent_starts(now)
         self._crashes.refresh(now)
         self._update_bulkheads(now)
         forecasts = self._admission.forecasts(now)
@@ -531,6 +544,16 @@
         self._outbox.tick(self._open.waiting.values(), now)
         return self._flush(now)
 
+    def _share_lost_agent_starts(self, now: float) -> None:
+        """Tell the other entries which starts lost agents' targets may do."""
+        news = self._fleet.share_lost_agent_starts(now)
+        if news:
+            self._log(
+                Event.LOST_STARTS_SHARED,
+                agents=sorted({start.agent for start in news}),
+                tasks=[str(start.task) for start in news],
+            )
+
     def _log_readiness(self, now: float) -> None:
         """Log a change of the readiness, with its inputs."""
         if self.is_ready == self._was_ready:
@@ -646,24 +669,9 @@
     ) -> None:
         """Close a job without a result."""
         outcome = JobOutcome.NOT_RUN
-        code = ResultCode.OK
         if job.is_started:
             outcome = JobOutcome.UNFINISHED
-        if self._may_begin_late(job, now):
-            # Its caller must not send it again.
-            outcome = JobOutcome.FAILED
-            code = ResultCode.AGENT_LOST
-        self._close_job(job, outcome, now, reason, wait_s, code=code)
-
-    def _may_begin_late(self, job: Job, now: float) -> bool:
-        """Return whether a run of a job may begin after its agent was lost."""
-        for task in job.assigned:
-            view = self._fleet.find(task.agent)
-            if view is None or not view.is_lost(now):
-                continue
-            if view.may_begin(task.key, now):
-                return True
-        return False
+        self._close_job(job, outcome, now, reason, wait_s)
 
     def _close_job(
         self,
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -23,6 +23,8 @@
 from fulmarscale.entry.jobs.target_speeds import TargetSpeeds
 from fulmarscale.runs.limits import MAX_STATE_AGE_S
 from fulmarscale.runs.limits import STREAM_TIMEOUT_S
+from fulmarscale.runs.lost_agent_starts import LostAgentStart
+from fulmarscale.runs.lost_agent_starts import LostAgentStarts
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
@@ -33,6 +35,7 @@
     from fulmarscale.entry.jobs.job import Job
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.entry.jobs.target_choice import TargetChoice
+    from fulmarscale.runs.messages import AgentMessage
     from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
 
@@ -83,6 +86,10 @@
         """Names of the agents of slow targets that only get trial runs."""
         self._dirty: set[str] = set()
         """Names of the agents with a message due."""
+        self._lost_agent_starts = LostAgentStarts()
+        """Starts of other entries at agents that these have lost."""
+        self._shared_starts = LostAgentStarts()
+        """Starts of this entry that the others have been told of."""
 
     @property
     def views(self) -> list[AgentView]:
@@ -351,6 +358,8 @@
         :param key: the task.
         :param now: the entry's time.
         """
+        if key in self._lost_agent_starts.tasks(now):
+            return True
         return any(
             view.has_unexpired_run(key, now) for view in self._agents.values()
         )
@@ -360,11 +369,61 @@
 
         :param now: the entry's time.
         """
-        tasks: set[TaskKey] = set()
+        tasks = self._lost_agent_starts.tasks(now)
         for view in self._agents.values():
             view.add_unexpired_tasks(tasks, now)
         return tasks
 
+    def record_lost_agent_starts(
+        self, message: AgentMessage, now: float
+    ) -> None:
+        """Record what an agent tells of the starts at lost agents.
+
+        :param message: the agent's message, which may show that it is back.
+        :param now: the entry's time.
+        """
+        if message.lost_agent_starts:
+            others = self._shared_starts.without_known(
+                message.lost_agent_starts
+            )
+            self._lost_agent_starts.record(others, now)
+        if message.target is not None:
+            self._lost_agent_starts.record_return(message.name, now)
+
+    def may_begin_elsewhere(self, job: Job, now: float) -> bool:
+        """Return whether a lost agent's target may begin a task of a job.
+
+        :param job: a job that another entry may have had before.
+        :param now: the entry's time.
+        """
+        lost = self._lost_agent_starts.tasks(now)
+        return bool(lost) and any(task.key in lost for task in job.tasks)
+
+    def share_lost_agent_starts(
+        self, now: float
+    ) -> tuple[LostAgentStart, ...]:
+        """Tell the other entries of starts at the agents that are lost.
+
+        A caller may send a job to any of them, which must not run a task
+        that a lost agent's target may still begin. The agents pass it on.
+
+        :param now: the entry's time.
+        :returns: the starts that are told of for the first time.
+        """
+        self._lost_agent_starts.expire(now)
+        self._shared_starts.expire(now)
+        starts = [
+            LostAgentStart(view.name, start.task, start.left_s)
+            for view in self._agents.values()
+            if view.assigned and view.is_lost(now)
+            for start in view.own_unconfirmed(now)
+        ]
+        news = self._shared_starts.record(starts, now)
+        for view in self.connected if news else ():
+            view.lost_agent_starts += news
+            view.mark_dirty()
+        return news
+
     def in_time(
         self, job: Job, views: list[AgentView], now: float
     ) -> list[AgentView]:
--- a/src/fulmarscale/entry/jobs/outbox.py
+++ b/src/fulmarscale/entry/jobs/outbox.py
@@ -183,6 +183,7 @@
             unconfirmed=view.unconfirmed,
             demands=backlog.demands if site.has_priorities else (),
             knows_durable_jobs=self._knows_durable_jobs,
+            lost_agent_starts=tuple(view.lost_agent_starts),
         )
         view.has_reported_backlog = backlog.millicores > 0
         if view.must_probe:
@@ -195,6 +196,7 @@
         view.starts = []
         view.stops = []
         view.acks = []
+        view.lost_agent_starts = []
         view.expected = ()
         view.unconfirmed = ()
         view.sent_at = now
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -157,6 +157,12 @@
 
     It had no use for the agent for 10 s.
     """
+    LOST_STARTS_SHARED = 409, Importance.WARNING
+    """Targets of lost agents may still begin runs of some tasks.
+
+    The entry tells the others, so that none of them starts these tasks
+    elsewhere meanwhile.
+    """
     ENTRY_CONNECTED = 410, Importance.CHANGE
     """An entry opened a stream to this agent."""
     ENTRY_DISCONNECTED = 411, Importance.CHANGE
--- a/src/fulmarscale/runs/messages.py
+++ b/src/fulmarscale/runs/messages.py
@@ -13,6 +13,7 @@
 
 from fulmarscale.ids import EntryId
 from fulmarscale.runs.crashes import TargetCrash
+from fulmarscale.runs.lost_agent_starts import LostAgentStart
 from fulmarscale.runs.model import EndCause
 from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import RefusalReason
@@ -237,6 +238,11 @@
     """
     knows_durable_jobs: bool = False
     """Whether the entry knows that durable jobs exist or are being stored."""
+    lost_agent_starts: Items[LostAgentStart] = ()
+    """Starts that the entry requested from agents that it has lost.
+
+    Each is sent once on a stream. The agent tells the other entries.
+    """
 
 
 class AgentMessage(MessagePart):
@@ -294,3 +300,5 @@
     """
     durable_jobs_exist: bool = False
     """Whether any entry has told the agent that it knows of durable jobs."""
+    lost_agent_starts: tuple[LostAgentStart, ...] = ()
+    """Starts that other entries requested from agents that they have lost."""
