Show in the log what a job's failure is based on

A line JOB_ENDED told the reason, but not the code that the caller gets, nor the failed runs and crashes that were counted, so that an end that counts twice and another limit of attempts looked alike. Change: JOB_ENDED of a failed job has `code`, `failures`, `attempts` and `crashes`. Nothing is written for other jobs.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -614,6 +614,18 @@
       | agent 0 is killed and restarts after 9 s   | agent_silent | no report        |
       | entry 0 is paused for 4 s                  | stopped      | entry_gone       |
 
+  # Guards against a failure whose line doesn't show what it is based on.
+  Scenario: The log of an entry tells what a job's failure is based on
+    Given a simulated site of 1 entries and 4 targets of 16 cores
+    And every run on simulated target 0 fails
+    And every run on simulated target 1 fails
+    And every run on simulated target 2 fails
+    And every run on simulated target 3 fails
+    When job "a" of 2 tasks of 200 ms is submitted to entry 0
+    And 6 s pass
+    Then job "a" is failed at entry 0
+    And the log of entry 0 shows the failure with code 1010, failures 3, attempts 3 and crashes 0
+
   # Guards against streams that break while versions are mixed.
   Scenario: Entries and agents of other versions read a report of a run
     Then a report without its last field, or with one more, is read
--- a/features/steps/run_steps.py
+++ b/features/steps/run_steps.py
@@ -912,3 +912,25 @@
 @when('the deadline of job "{job}" ends')
 def pass_deadline(context: Context, job: str) -> None:
     context.run_site.advance(1.0)
+
+
+@then(
+    "the log of entry {number:d} shows the failure with code {code:d},"
+    " failures {failures:d}, attempts {attempts:d} and crashes {crashes:d}"
+)
+def check_failure_line(
+    context: Context,
+    number: int,
+    code: int,
+    failures: int,
+    attempts: int,
+    crashes: int,
+) -> None:
+    ends = [
+        line.fields
+        for line in context.run_site.entries[number].logs
+        if line.event is Event.JOB_ENDED
+    ]
+    names = ("code", "failures", "attempts", "crashes")
+    shown = [tuple(end[name] for name in names) for end in ends]
+    assert shown == [(code, failures, attempts, crashes)], ends
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -692,6 +692,9 @@
         :param wait_s: its predicted wait, in seconds, if it is rejected.
         :param code: why it has failed, for the caller.
         """
+        cause = {}
+        if outcome is JobOutcome.FAILED:
+            cause = self._describe_failure(job, code)
         self._open.remove(job.job_id)
         self._admission.discard(job.job_id)
         self._crashes.forget_job(job.job_id)
@@ -704,6 +707,7 @@
             reason=reason,
             took_s=round(now - job.arrived_at, 3),
             over_objective_s=round(now - job.objective_at, 3),
+            **cause,
         )
         if job.is_durable:
             self._actions.append(CloseDurableJob(job.job_id, outcome, code))
@@ -714,6 +718,15 @@
             AnswerJob(job.job_id, outcome, delay_s, took_s, code)
         )
 
+    def _describe_failure(self, job: Job, code: ResultCode) -> dict[str, Any]:
+        """Return the facts behind a failure, as fields of a line."""
+        return {
+            "code": code.value,
+            "failures": job.max_failures,
+            "attempts": job.queue.max_attempts,
+            "crashes": self._crashes.suspicion_of(job.job_id).max_count,
+        }
+
     def _stop_runs(self, job: Job) -> None:
         for task in job.assigned:
             view = self._fleet.find(task.agent)
--- a/src/fulmarscale/entry/jobs/job.py
+++ b/src/fulmarscale/entry/jobs/job.py
@@ -225,6 +225,11 @@
         """The tasks that are assigned to an agent."""
         return list(self._by_phase[TaskPhase.ASSIGNED].values())
 
+    @property
+    def max_failures(self) -> int:
+        """The most failed runs of one task."""
+        return max((task.failures for task in self._tasks), default=0)
+
     @property
     def is_waiting(self) -> bool:
         """Whether any task waits for free capacity."""
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -205,10 +205,9 @@
         """Close a job that was taken over after its last run."""
         if job.job_id not in self._open.jobs:
             return
-        max_failures = max((task.failures for task in job.tasks), default=0)
         if job.is_done:
             self._close_job(job, JobOutcome.COMPLETED, now, "done")
-        elif max_failures >= job.queue.max_attempts:
+        elif job.max_failures >= job.queue.max_attempts:
             self._close_failed(job, now)
         else:
             self.give_up_if_crashing(job, now)
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -190,7 +190,12 @@
     owned by this entry.
     """
     JOB_ENDED = 513, Importance.ROUTINE
-    """A job has its answer; the outcome and the reason are logged."""
+    """A job has its answer; the outcome and the reason are logged.
+
+    For a failed job, `code` is that of the answer, `failures` and `crashes`
+    the most failed runs of one task and crashes of targets under one, and
+    `attempts` the number of failed runs at which it fails.
+    """
     JOB_REJECTED = 514, Importance.ROUTINE
     """An HTTP request was rejected on receipt."""
     JOB_HOPELESS = 515, Importance.ROUTINE
