--- /dev/null
+++ b/features/lost_starts.feature
@@ -0,0 +1,18 @@
+Feature: Starts at lost agents are known to all entries, under virtual time
+
+  # Guards against a second run of a task whose entry was killed, at an entry that
+  # has no stream to the agent that has told the others and is then lost.
+  Scenario: An unconfirmed start that a lost agent has told of is known to all entries
+    Given a simulated site of 3 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When targets 0 to 0 become unreachable from entry 1
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 0
+    And 0.1 s pass
+    And simulated target 0 stops sending responses
+    And entry 0 is killed
+    And 1.3 s pass
+    And agent 0 loses power for good
+    And 1.7 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
+    And 20 s pass
+    Then no task ever had two runs at the same time
