--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -16,3 +16,20 @@
     And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
     And 20 s pass
     Then no task ever had two runs at the same time
+
+  # Guards against a second run of a task at an entry that the first one has not
+  # told, as it stopped before it counted the agent as lost.
+  Scenario: An entry that stops just after an agent lost power tells of its starts
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 2.2 s late
+    When job "a" of 12 tasks of 1800 ms is submitted to entry 0
+    And 0.02 s pass
+    And agent 0 loses power for good
+    And 0.1 s pass
+    And entry 0 abandons all jobs
+    And 0.1 s pass
+    And entry 0 is killed
+    And 1.3 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
+    And 20 s pass
+    Then no task ever had two runs at the same time
