--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -52,3 +52,20 @@
     And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
     And 20 s pass
     Then no task ever had two runs at the same time
+
+  # Guards against a message from before the loss that is read after the news.
+  Scenario: An agent's message from before its loss does not rule out its starts
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    When job "b" of 4 tasks of 1800 ms, at most 1 on one target, is submitted to entry 1
+    And 0.44 s pass
+    Given the next 6 start requests to target 0 are executed 4.2 s late
+    When messages of target 0 to entry 1 are held back for 0.6 s
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 0, whose caller waits 2 s
+    And 0.1 s pass
+    And agent 0 loses power for good
+    And 1 s pass
+    And the deadline of job "a" ends
+    And 1.3 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
+    And 20 s pass
+    Then no task ever had two runs at the same time
