--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -69,3 +69,18 @@
     And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
     And 20 s pass
     Then no task ever had two runs at the same time
+
+  # Guards against news that get lost as no stream is open when they are told.
+  Scenario: An entry tells of starts at a lost agent once it reaches another one again
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When job "a" of 12 tasks of 1800 ms is submitted to entry 0, whose caller waits 2 s
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 9 s
+    And streams of entry 0 to all agents that are up are disconnected for 0.4 s
+    And 1.1 s pass
+    And the deadline of job "a" ends
+    And 1.3 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
+    And 20 s pass
+    Then no task ever had two runs at the same time
