--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -84,3 +84,19 @@
     And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 20 s
     And 20 s pass
     Then no task ever had two runs at the same time
+
+  # Guards against news of another entry that are taken for the entry's own.
+  Scenario: A job that comes back to its first entry after a second lost start
+    Given a simulated site of 2 entries and 2 targets of 16 cores
+    And the next 12 start requests to target 1 are executed 3.2 s late
+    When job "a" of 12 tasks of 1800 ms is submitted to entry 0, whose caller waits 1 s
+    And 0.02 s pass
+    And agent 1 is killed and restarts after 0.5 s
+    And 3.5 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 1, whose caller waits 1 s
+    And 0.02 s pass
+    And agent 1 is killed and restarts after 9 s
+    And 2.3 s pass
+    And job "a" of 12 tasks of 1800 ms is submitted to entry 0, whose caller waits 20 s
+    And 20 s pass
+    Then no task ever had two runs at the same time
