--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -100,3 +100,15 @@
     And job "a" of 12 tasks of 1800 ms is submitted to entry 0, whose caller waits 20 s
     And 20 s pass
     Then no task ever had two runs at the same time
+
+  # Guards against an answer that no task has run while one may still begin.
+  Scenario: A job that is sent again to its first entry is not answered as not run
+    Given a simulated site of 1 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When job "a" of 1 tasks of 1800 ms is submitted to entry 0, whose caller waits 1 s
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 9 s
+    And 2.3 s pass
+    And job "a" of 1 tasks of 1800 ms is submitted to entry 0, whose caller waits 1 s
+    And 1.1 s pass
+    Then job "a" is unfinished at entry 0
