--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -112,3 +112,17 @@
     And job "a" of 1 tasks of 1800 ms is submitted to entry 0, whose caller waits 1 s
     And 1.1 s pass
     Then job "a" is unfinished at entry 0
+
+  # Guards against an answer that no task has run while a target may begin one
+  # whose agent is not lost.
+  Scenario: A job of which an agent reports an unconfirmed start is not answered as not run
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When job "a" of 1 tasks of 1800 ms is submitted to entry 0, whose caller waits 1 s
+    And 0.1 s pass
+    And simulated target 0 stops sending responses
+    And the deadline of job "a" ends
+    And 1.3 s pass
+    And job "a" of 1 tasks of 1800 ms is submitted to entry 1, whose caller waits 1 s
+    And 1.1 s pass
+    Then job "a" is unfinished at entry 1
