--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -126,3 +126,15 @@
     And job "a" of 1 tasks of 1800 ms is submitted to entry 1, whose caller waits 1 s
     And 1.1 s pass
     Then job "a" is unfinished at entry 1
+
+  # Guards against an answer that no task has run from an overloaded entry.
+  Scenario: A job that an overloaded entry rejects is not answered as not run while its start may be executed
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 6.2 s late
+    When job "a" of 1 tasks of 1800 ms is submitted to entry 0, whose caller waits 1 s
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 9 s
+    And entry 1 is overloaded for 3 s
+    And job "a" of 1 tasks of 1800 ms is submitted to entry 1, whose caller waits 1 s
+    And 1.1 s pass
+    Then job "a" is unfinished at entry 1
