--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -138,3 +138,19 @@
     And job "a" of 1 tasks of 1800 ms is submitted to entry 1, whose caller waits 1 s
     And 1.1 s pass
     Then job "a" is unfinished at entry 1
+
+  # Guards against an answer that no task has run by an idle entry, to which the
+  # news have yet to come.
+  Scenario: A job that is sent again to an idle entry is not answered as not run
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When 1 s pass
+    And job "a" of 1 tasks of 1800 ms is submitted to entry 0
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 9 s
+    And 0.02 s pass
+    And entry 0 abandons all jobs
+    And 1.3 s pass
+    And job "a" of 1 tasks of 1800 ms is submitted to entry 1, whose caller waits 1 s
+    And 1.1 s pass
+    Then job "a" is unfinished at entry 1
