--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -154,3 +154,19 @@
     And job "a" of 1 tasks of 1800 ms is submitted to entry 1, whose caller waits 1 s
     And 1.1 s pass
     Then job "a" is unfinished at entry 1
+
+  # Guards against a job that waits for an agent that has long been back.
+  Scenario: A job begins soon after a lost agent is back, at an entry without a stream to it
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When targets 0 to 0 become unreachable from entry 1
+    And job "a" of 12 tasks of 200 ms is submitted to entry 0, whose caller waits 2 s
+    And 0.02 s pass
+    And agent 0 is killed and restarts after 0.9 s
+    And 0.8 s pass
+    And the caller of job "a" disconnects from entry 0
+    And 1.3 s pass
+    And job "a" of 12 tasks of 200 ms is submitted to entry 1
+    And 20 s pass
+    Then no task ever had two runs at the same time
+    And the response to job "a" took at most 5 s
