--- a/features/lost_starts.feature
+++ b/features/lost_starts.feature
@@ -170,3 +170,17 @@
     And 20 s pass
     Then no task ever had two runs at the same time
     And the response to job "a" took at most 5 s
+
+  # Guards against a job that waits for as long as an agent is back without its
+  # target.
+  Scenario: A job waits no longer than a start may be late for an agent that is back without its target
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And the next 6 start requests to target 0 are executed 4.2 s late
+    When job "a" of 12 tasks of 200 ms is submitted to entry 0, whose caller waits 2 s
+    And 0.1 s pass
+    And simulated target 0 stops sending responses
+    And agent 0 is killed and restarts after 0.5 s
+    And 3.2 s pass
+    And job "a" of 12 tasks of 200 ms is submitted to entry 1, whose caller waits 60 s
+    And 18 s pass
+    Then job "a" is completed at entry 1
