Keep starts at lost agents known until they are ruled out

Cause: the entries were told once, and any message of the agent ruled the starts out. News were lost while no stream was open; a message from before the loss or from a moment between two losses counted as a return; another entry's start of the same task was taken for the own one; starts that only agents had reported were not told; an entry that stopped told of nothing in the first 0.3 s of a loss. The time that was left slid with the agent's last message. An answer `not_run` asked only for starts of other entries, and at arrival. Change: a start is told with the agent's newest token, so that a message counts as a return only if the agent made it after it can have handled the request. A later loss is news. Entries tell new streams, at their own stop all open starts, and withdraw what is ruled out for those without a stream to the agent. What is left counts from the request. Before a job is given up as not run, the entry asks all that it knows: its own starts, those that agents report and those at lost agents. Remains: an entry that is killed within 0.3 s of its agent, and entries without a common agent, have no word of such a start.

--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -13,12 +13,13 @@
 from fulmarscale.runs.limits import LATE_START_S
 from fulmarscale.runs.limits import MAX_STATE_AGE_S
 from fulmarscale.runs.limits import PROBE_TIMEOUT_S
+from fulmarscale.runs.lost_agent_starts import LostAgentStart
+from fulmarscale.runs.lost_agent_starts import MAX_LEFT_S
 from fulmarscale.runs.messages import UnconfirmedStart
 from fulmarscale.runs.model import Resources
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
-    from fulmarscale.runs.lost_agent_starts import LostAgentStart
     from fulmarscale.runs.messages import AgentMessage
     from fulmarscale.runs.messages import CompletionAck
     from fulmarscale.runs.messages import DurableCompletion
@@ -40,6 +41,9 @@
 REFUSAL_BACKOFF_S: Final = 0.02
 """Pause after a refused start, to let a newer report of the target arrive."""
 
+SILENCE_S: Final = IDLE_PING_S + 0.1
+"""Time without a message after which an agent has missed a keep-alive."""
+
 TRIAL_INTERVAL_S: Final = 1.0
 """Pause after a failed run before a quarantined target gets another trial."""
 
@@ -80,6 +84,10 @@
         """The same by priority class; empty if the site has no priorities."""
         self.assigned: dict[TaskKey, int] = {}
         """Numbers of the start requests whose runs may not have ended."""
+        self._requested_at: dict[TaskKey, float] = {}
+        """When each of those starts was requested."""
+        self._newest_token: AgentToken | None = None
+        """The agent's newest token, also of an earlier stream."""
         self._begun: set[TaskKey] = set()
         """Those of the tasks whose runs are known to have begun."""
         self.starts: list[StartRequest] = []
@@ -182,14 +190,14 @@
         own_starts: tuple[UnconfirmedStart, ...] = ()
         is_new_process = self._reported_starts.is_of_new_process(message)
         if is_new_process:
-            own_starts = self.own_unconfirmed(now)
+            own_starts = self._own_unconfirmed(now)
         is_any_ruled_out = self._reported_starts.update(message, now)
         if is_new_process:
             others = self._reported_starts.hand_back(now)
             self.unconfirmed = own_starts + others
             self.mark_dirty()
         self.probed_at = None
-        self.token = message.token
+        self.token = self._newest_token = message.token
         self.last_message_at = now
         self.target = message.target
         self._date_target(message.token.time_s, now)
@@ -337,6 +345,7 @@
             self._probation_ends_at = now + request.probation_s
         self.starts.append(request)
         self.assigned[request.task] = request.request_number
+        self._requested_at[request.task] = now
         self._unaccounted_starts.append((self.sequence + 1, request.demand))
         self._free -= request.demand
         self.mark_dirty()
@@ -369,8 +378,19 @@
             return True
         return self._reported_starts.includes(task, now)
 
-    def own_unconfirmed(self, now: float) -> tuple[UnconfirmedStart, ...]:
-        """Return this entry's requested runs that may still begin.
+    def has_run_of(self, job_id: JobId, now: float) -> bool:
+        """Return whether a run of a job may go on, or begin, on the target.
+
+        :param job_id: the job.
+        :param now: the entry's time.
+        """
+        if any(task.job_id == job_id for task in self.assigned):
+            return True
+        reported = self._reported_starts.tasks(now)
+        return any(task.job_id == job_id for task in reported)
+
+    def _own_unconfirmed(self, now: float) -> tuple[UnconfirmedStart, ...]:
+        """Return the requested runs that may still begin.
 
         :param now: the entry's time.
         """
@@ -381,6 +401,31 @@
             if self.may_begin(task, now)
         )
 
+    def open_starts(
+        self, now: float, *, is_own_lost: bool
+    ) -> tuple[LostAgentStart, ...]:
+        """Return the starts that the target may carry out without its agent.
+
+        Those of other entries count once the agent has missed a keep-alive.
+
+        :param now: the entry's time.
+        :param is_own_lost: whether this entry's starts are included.
+        """
+        left_s: dict[TaskKey, float] = {}
+        if self.session is None or now - self.last_message_at > SILENCE_S:
+            left_s = self._reported_starts.left_s(now)
+        if is_own_lost:
+            left_s |= {
+                task: requested_at + MAX_LEFT_S - now
+                for task, requested_at in self._requested_at.items()
+                if task not in self._begun
+            }
+        return tuple(
+            LostAgentStart(self.name, task, left_s[task], self._newest_token)
+            for task in left_s
+            if left_s[task] > 0.0
+        )
+
     def add_unexpired_tasks(self, tasks: set[TaskKey], now: float) -> None:
         """Add the tasks of which a run may go on, or begin, on the target.
 
@@ -403,6 +448,7 @@
     def release(self, task: TaskKey) -> None:
         """Remove a task whose run has ended."""
         del self.assigned[task]
+        del self._requested_at[task]
         self._begun.discard(task)
 
     def add_acks(self, acks: tuple[CompletionAck, ...]) -> None:
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -229,7 +229,8 @@
             # An earlier submission of the job has run, perhaps elsewhere.
             self._results.give_up_if_crashing(job, now)
             return self._defer_flush()
-        if self._may_have_run(job, now):
+        if self._crashes.suspicion_of(job_id).counts:
+            # Runs of an earlier submission of the job may have begun.
             job.may_have_run = True
         self._admission.add(job)
         self._subset.record_needs(job, now)
@@ -244,16 +245,6 @@
         )
         return self._defer_flush()
 
-    def _may_have_run(self, job: Job, now: float) -> bool:
-        """Return whether runs of an earlier submission may have begun.
-
-        :param job: a new job that isn't durable.
-        :param now: the entry's time.
-        """
-        if self._crashes.suspicion_of(job.job_id).counts:
-            return True
-        return self._fleet.may_begin_elsewhere(job, now)
-
     def start_durable_job(
         self,
         job_id: JobId,
@@ -386,7 +377,7 @@
 
     def abandon_all(self, now: float) -> list[DispatchAction]:
         """Abandon all jobs that aren't durable, as the entry shuts down."""
-        self._share_lost_agent_starts(now)
+        self._share_lost_agent_starts(now, is_stopping=True)
         for job in list(self._open.jobs.values()):
             if not job.is_durable:
                 self._abandon(job, now, "entry_stops")
@@ -416,7 +407,7 @@
         if view.session is not None:
             self._sessions.pop(view.session, None)
         view.reset()
-        self._fleet.connect(view, session)
+        self._fleet.connect(view, session, now)
         view.token = None
         view.sequence = 0
         view.expected = tuple(
@@ -544,9 +535,13 @@
         self._outbox.tick(self._open.waiting.values(), now)
         return self._flush(now)
 
-    def _share_lost_agent_starts(self, now: float) -> None:
-        """Tell the other entries which starts lost agents' targets may do."""
-        news = self._fleet.share_lost_agent_starts(now)
+    def _share_lost_agent_starts(
+        self, now: float, *, is_stopping: bool = False
+    ) -> None:
+        """Tell the other entries of starts that may still be carried out."""
+        news = self._fleet.share_lost_agent_starts(
+            now, is_stopping=is_stopping
+        )
         if news:
             self._log(
                 Event.LOST_STARTS_SHARED,
@@ -669,7 +664,7 @@
     ) -> None:
         """Close a job without a result."""
         outcome = JobOutcome.NOT_RUN
-        if job.is_started:
+        if job.is_started or self._fleet.has_run_of(job.job_id, now):
             outcome = JobOutcome.UNFINISHED
         self._close_job(job, outcome, now, reason, wait_s)
 
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -36,6 +36,7 @@
     from fulmarscale.entry.jobs.job import Task
     from fulmarscale.entry.jobs.target_choice import TargetChoice
     from fulmarscale.runs.messages import AgentMessage
+    from fulmarscale.runs.model import JobId
     from fulmarscale.runs.model import ServiceName
     from fulmarscale.runs.model import TaskKey
 
@@ -135,13 +136,15 @@
         """The agents with an open stream."""
         return self._connected.values()
 
-    def connect(self, view: AgentView, session: int) -> None:
+    def connect(self, view: AgentView, session: int, now: float) -> None:
         """Mark an agent as connected.
 
         :param view: the agent.
         :param session: the number of its stream.
+        :param now: the entry's time.
         """
         view.session = session
+        view.lost_agent_starts += self._shared_starts.left(now)
         self._connected[view.name] = view
 
     def disconnect(self, view: AgentView) -> None:
@@ -369,10 +372,7 @@
 
         :param now: the entry's time.
         """
-        tasks = self._lost_agent_starts.tasks(now)
-        for view in self._agents.values():
-            view.add_unexpired_tasks(tasks, now)
-        return tasks
+        return self._lost_agent_starts.tasks(now) | self._reported_tasks(now)
 
     def record_lost_agent_starts(
         self, message: AgentMessage, now: float
@@ -383,47 +383,82 @@
         :param now: the entry's time.
         """
         if message.lost_agent_starts:
-            others = self._shared_starts.without_known(
-                message.lost_agent_starts
-            )
+            own = self._shared_starts
+            others = [
+                start
+                for start in message.lost_agent_starts
+                if start.left_s <= 0.0 or own.news((start,), now)
+            ]
             self._lost_agent_starts.record(others, now)
-        if message.target is not None:
-            self._lost_agent_starts.record_return(message.name, now)
+        if message.target is None:
+            return
+        for starts in (self._lost_agent_starts, self._shared_starts):
+            if starts:
+                starts.record_return(message.name, message.token, now)
 
-    def may_begin_elsewhere(self, job: Job, now: float) -> bool:
-        """Return whether a lost agent's target may begin a task of a job.
+    def has_run_of(self, job_id: JobId, now: float) -> bool:
+        """Return whether a run of a job may go on, or begin, on any target.
 
-        :param job: a job that another entry may have had before.
+        :param job_id: a job that this or another entry may have had before.
         :param now: the entry's time.
         """
         lost = self._lost_agent_starts.tasks(now)
-        return bool(lost) and any(task.key in lost for task in job.tasks)
+        if any(task.job_id == job_id for task in lost):
+            return True
+        return any(
+            view.has_run_of(job_id, now) for view in self._agents.values()
+        )
 
     def share_lost_agent_starts(
-        self, now: float
+        self, now: float, *, is_stopping: bool = False
     ) -> tuple[LostAgentStart, ...]:
         """Tell the other entries of starts at the agents that are lost.
 
         A caller may send a job to any of them, which must not run a task
         that a lost agent's target may still begin. The agents pass it on.
 
+        They are told as well once such a start is ruled out.
+
         :param now: the entry's time.
+        :param is_stopping: whether the entry can't tell later of agents that
+            are lost already, but have not been silent for long.
         :returns: the starts that are told of for the first time.
         """
-        self._lost_agent_starts.expire(now)
-        self._shared_starts.expire(now)
+        withdrawn: tuple[LostAgentStart, ...] = ()
+        for known in (self._lost_agent_starts, self._shared_starts):
+            if known:
+                known.expire(now)
+                withdrawn += known.withdraw(self._reported_tasks(now), now)
         starts = [
-            LostAgentStart(view.name, start.task, start.left_s)
+            start
             for view in self._agents.values()
-            if view.assigned and view.is_lost(now)
-            for start in view.own_unconfirmed(now)
+            for start in view.open_starts(
+                now,
+                is_own_lost=bool(view.assigned)
+                and (is_stopping or view.is_lost(now)),
+            )
+            if self._must_share(start, now)
         ]
         news = self._shared_starts.record(starts, now)
-        for view in self.connected if news else ():
-            view.lost_agent_starts += news
-            view.mark_dirty()
+        if news or withdrawn:
+            for view in self.connected:
+                view.lost_agent_starts += news + withdrawn
+                view.mark_dirty()
         return news
 
+    def _must_share(self, start: LostAgentStart, now: float) -> bool:
+        """Return whether the others may not know that a start is open."""
+        if not self._lost_agent_starts.news((start,), now):
+            return False
+        return self._shared_starts.is_closed_or_later(start, now)
+
+    def _reported_tasks(self, now: float) -> set[TaskKey]:
+        """Return the tasks whose runs agents report as not ruled out."""
+        tasks: set[TaskKey] = set()
+        for view in self._agents.values():
+            view.add_unexpired_tasks(tasks, now)
+        return tasks
+
     def in_time(
         self, job: Job, views: list[AgentView], now: float
     ) -> list[AgentView]:
--- a/src/fulmarscale/entry/jobs/unconfirmed_starts.py
+++ b/src/fulmarscale/entry/jobs/unconfirmed_starts.py
@@ -79,6 +79,17 @@
             if self.includes(task, now)
         }
 
+    def left_s(self, now: float) -> dict[TaskKey, float]:
+        """Return the tasks of which a run may begin, and for how long.
+
+        :param now: the entry's time.
+        :returns: the time that is left, in seconds, by task.
+        """
+        return {
+            task: until - now
+            for task, until in (self._former | self._told).items()
+        }
+
     def hand_back(self, now: float) -> tuple[UnconfirmedStart, ...]:
         """Return what former processes have told, for the present one.
 
