Count an entry's open runs by job

Change: the fleet counts the assigned tasks of each job; only what agents report of other entries is searched by target.

--- a/src/fulmarscale/entry/jobs/agent_view.py
+++ b/src/fulmarscale/entry/jobs/agent_view.py
@@ -20,6 +20,8 @@
 from fulmarscale.runs.model import TargetState
 
 if TYPE_CHECKING:
+    from collections import Counter
+
     from fulmarscale.runs.messages import AgentMessage
     from fulmarscale.runs.messages import CompletionAck
     from fulmarscale.runs.messages import DurableCompletion
@@ -54,9 +56,17 @@
     Also queues what the next message to the agent contains.
     """
 
-    def __init__(self, name: str, now: float, dirty: set[str]) -> None:
+    def __init__(
+        self,
+        name: str,
+        now: float,
+        dirty: set[str],
+        assigned_by_job: Counter[JobId],
+    ) -> None:
         self._dirty = dirty
         """Names of agents with a message due; shared with the fleet."""
+        self._assigned_by_job = assigned_by_job
+        """Number of the assigned tasks of each job; shared with the fleet."""
         self.name = name
         self.session: int | None = None
         """The number of the open stream; none while disconnected."""
@@ -344,6 +354,8 @@
             self._probation_job = request.task.job_id
             self._probation_ends_at = now + request.probation_s
         self.starts.append(request)
+        if request.task not in self.assigned:
+            self._assigned_by_job[request.task.job_id] += 1
         self.assigned[request.task] = request.request_number
         self._requested_at[request.task] = now
         self._unaccounted_starts.append((self.sequence + 1, request.demand))
@@ -378,15 +390,15 @@
             return True
         return self._reported_starts.includes(task, now)
 
-    def has_run_of(self, job_id: JobId, now: float) -> bool:
-        """Return whether a run of a job may go on, or begin, on the target.
+    def reports_start_of(self, job_id: JobId, now: float) -> bool:
+        """Return whether the agent reports an open start of a job.
 
         :param job_id: the job.
         :param now: the entry's time.
         """
-        if any(task.job_id == job_id for task in self.assigned):
-            return True
         reported = self._reported_starts.tasks(now)
+        if not reported:
+            return False
         return any(task.job_id == job_id for task in reported)
 
     def _own_unconfirmed(self, now: float) -> tuple[UnconfirmedStart, ...]:
@@ -448,6 +460,9 @@
     def release(self, task: TaskKey) -> None:
         """Remove a task whose run has ended."""
         del self.assigned[task]
+        self._assigned_by_job[task.job_id] -= 1
+        if not self._assigned_by_job[task.job_id]:
+            del self._assigned_by_job[task.job_id]
         del self._requested_at[task]
         self._begun.discard(task)
 
--- a/src/fulmarscale/entry/jobs/fleet.py
+++ b/src/fulmarscale/entry/jobs/fleet.py
@@ -87,6 +87,8 @@
         """Names of the agents of slow targets that only get trial runs."""
         self._dirty: set[str] = set()
         """Names of the agents with a message due."""
+        self._assigned_by_job: Counter[JobId] = Counter()
+        """Number of the tasks of each job whose runs may not have ended."""
         self._lost_agent_starts = LostAgentStarts()
         """Starts of other entries at agents that these have lost."""
         self._shared_starts = LostAgentStarts()
@@ -127,7 +129,7 @@
         """Return the agent of a name, added if it is unknown."""
         view = self._agents.get(name)
         if view is None:
-            view = AgentView(name, now, self._dirty)
+            view = AgentView(name, now, self._dirty, self._assigned_by_job)
             self._agents[name] = view
         return view
 
@@ -402,11 +404,14 @@
         :param job_id: a job that this or another entry may have had before.
         :param now: the entry's time.
         """
+        if job_id in self._assigned_by_job:
+            return True
         lost = self._lost_agent_starts.tasks(now)
         if any(task.job_id == job_id for task in lost):
             return True
         return any(
-            view.has_run_of(job_id, now) for view in self._agents.values()
+            view.reports_start_of(job_id, now)
+            for view in self._agents.values()
         )
 
     def share_lost_agent_starts(
