Count a crash that is told of late when a job is given up

What callers saw: 503, `not_run`, for a best-effort job that was sent again after its task had crashed a target, if the entry learned of that crash only after the job had come, or rejected the job as overloaded. Cause: the crashes under a job's tasks were looked up only when it came, past the check for overload. Change: they are looked up when a job is given up, as the runs at the targets.

--- a/features/runs.feature
+++ b/features/runs.feature
@@ -212,6 +212,21 @@
     And 1.1 s pass
     Then job "a" is unfinished at entry 1
 
+  # Guards against an answer that no task has run while one has crashed a target,
+  # of which the entry is told after the job has come again.
+  Scenario: A job of which a crash is told of later is not answered as not run
+    Given a simulated site of 2 entries and 4 targets of 16 cores
+    And task 0 of job "a" crashes each target that starts it
+    When messages from agents to entry 1 arrive in 0.76 s at the earliest
+    And job "a" of 1 tasks of 300 ms is submitted to entry 0
+    And 0.1 s pass
+    And the caller of job "a" disconnects from entry 0
+    And job "b" of 60 tasks of 4000 ms is submitted to entry 0
+    And 0.6 s pass
+    And job "a" of 1 tasks of 300 ms is submitted to entry 1, whose caller waits 1 s
+    And 1.2 s pass
+    Then job "a" is unfinished at entry 1
+
   Scenario: A start request after the last renewal extends the time until the lease ends
     Given a simulated site of 1 entries and 2 targets of 16 cores
     When simulated target 0 stops responding to renewals
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -664,10 +664,22 @@
     ) -> None:
         """Close a job without a result."""
         outcome = JobOutcome.NOT_RUN
-        if job.is_started or self._fleet.has_run_of(job.job_id, now):
+        if job.is_started or self._may_have_run(job.job_id, now):
             outcome = JobOutcome.UNFINISHED
         self._close_job(job, outcome, now, reason, wait_s)
 
+    def _may_have_run(self, job_id: JobId, now: float) -> bool:
+        """Return whether a run of an earlier submission is known of.
+
+        It may have been told of after the job came again.
+
+        :param job_id: the job.
+        :param now: the entry's time.
+        """
+        if self._crashes.suspicion_of(job_id).counts:
+            return True
+        return self._fleet.has_run_of(job_id, now)
+
     def _close_job(
         self,
         job: Job,
