Skip the starts at lost agents for messages of other agents

What callers saw: nothing yet. Each message of any agent went through all known starts at lost agents. Change: the names of these agents are kept apart. Evidence (timeit, 1,000 starts at 100 lost agents, message of another agent, this machine beside other work): record_return 62 us before, 0.1 us after. features/lost_starts.feature: 12 passed.

--- a/src/fulmarscale/runs/lost_agent_starts.py
+++ b/src/fulmarscale/runs/lost_agent_starts.py
@@ -98,6 +98,8 @@
     def __init__(self) -> None:
         self._starts: dict[tuple[str, TaskKey], KnownStart] = {}
         """The starts by agent and task."""
+        self._agents: set[str] = set()
+        """The agents of these starts; most messages are from others."""
 
     def __bool__(self) -> bool:
         return bool(self._starts)
@@ -142,6 +144,7 @@
             elif key in self._starts or len(self._starts) < MAX_STARTS:
                 until = now + min(MAX_LEFT_S, start.left_s)
                 self._starts[key] = KnownStart(until, start.heard)
+                self._agents.add(start.agent)
         return news
 
     def is_closed_or_later(self, start: LostAgentStart, now: float) -> bool:
@@ -165,6 +168,8 @@
         :param token: that of its message.
         :param now: this process's time.
         """
+        if agent not in self._agents:
+            return
         for (name, _), start in self._starts.items():
             if name == agent and is_after(token, start.heard, MAX_ECHO_AGE_S):
                 ruled_out_at = now + RUN_EXPIRY_S
@@ -198,6 +203,7 @@
             for key, start in self._starts.items()
             if now <= start.until
         }
+        self._agents = {agent for agent, _ in self._starts}
 
     def tasks(self, now: float) -> set[TaskKey]:
         """Return the tasks of which a start may be carried out.
