Fail a job for crashes only if two were certainly under a task

Cause: an agent reports every run that it counts as on the crashed target: also one whose start had no response (the target never began it), one that a stop may have ended, and one that ended while the target did not respond. The first is the youngest and so the most suspect. Two of them at a level of 0.9, or three crashes at any level, ended the job: a suspicion decided on a fact. Change: a crashed run tells whether the target had shown until the crash that it went on (a sign at most 0.35 s old, no stop sent). Only such crashes count towards giving up, two at a level of 0.9. Others stay suspects for trials. Three crashes at a low level lead to a trial, not to the end. Five possible crashes end a task in any case, so that it has at most two more starts after three crashes under it (BUDGET); a best-effort job of which that isn't certain is answered as unfinished, as one that may have run. Durable jobs store the certain counts too, in a field at the end; in rows and messages of the earlier format none are certain. Test: unfounded_failures checks all random runs; the other scenarios fail before but for that of the formats, whose fields are new.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -134,6 +134,38 @@
     And 8 s pass
     Then job "a" is completed at entry 0
 
+  # Guards against jobs that are failed for crashes before their runs began.
+  Scenario: A job whose starts had not begun when targets crashed is completed
+    Given a simulated site of 1 entries and 5 targets of 16 cores
+    When job "a" of 1 tasks of 300 ms is submitted to entry 0, whose caller waits 20 s
+    And the target that is asked to start it crashes before it does, 2 times
+    And 8 s pass
+    Then job "a" is completed at entry 0
+
+  # Guards against jobs that are failed for crashes which they hardly caused.
+  Scenario: A job under which three targets crash by themselves is completed
+    Given a simulated site of 1 entries and 5 targets of 16 cores
+    When job "a" of 1 tasks of 6000 ms is submitted to entry 0, whose caller waits 30 s
+    And the target that runs job "a" crashes by itself, 3 times 3.5 s apart
+    And 16 s pass
+    Then job "a" is completed at entry 0
+
+  # Guards against durable jobs that are failed for crashes which they hardly
+  # caused.
+  Scenario: A durable job under which three targets crash by themselves is completed
+    Given a simulated site of 2 entries, 5 targets and a store
+    When durable job "a" of 1 tasks of 6000 ms is submitted to entry 0
+    And the target that runs job "a" crashes by itself, 3 times 3.5 s apart
+    And 16 s pass
+    Then the store records job "a" as completed
+    And no guarantee for durable jobs is violated
+
+  # Guards against crashes that are lost, or taken as certain, in an update.
+  Scenario: Crashes in rows and messages of the earlier format are possible ones
+    Given a stored record and a crashed run of the format without certainty
+    Then the record has its crashes, none of them certain
+    And the run is not certain
+
   # Guards against a job of several steps that is cleared by its first step.
   Scenario: A task of a later step that crashes targets is given up
     Given a simulated site of 2 entries, 8 targets and a store
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -17,8 +17,13 @@
 from features.support.dispatch_score import score_jobs
 from features.support.run_site import TASK
 from fulmarscale.cli.crashes import main as list_crashes
+from fulmarscale.decoding import decode_msgpack
+from fulmarscale.entry.durable.record import decode_record
+from fulmarscale.entry.durable.record import encode_row
+from fulmarscale.entry.durable.record import make_tombstone
 from fulmarscale.entry.jobs.crash_history import CrashHistory
 from fulmarscale.events import Event
+from fulmarscale.ids import EntryId
 from fulmarscale.listeners.http_server import AsgiServer
 from fulmarscale.logs import EventLog
 from fulmarscale.platform.asgi import CRASHES_PATH
@@ -46,6 +51,15 @@
 DOWN_S = 5.0
 """Time for which targets are down that lose power or leave."""
 
+LATE_START_S = 2.0
+"""How late targets begin runs that crash before they do."""
+
+START_AGE_S = 0.05
+"""Age of a start request up to which such a target crashes."""
+
+START_WAIT_S = 10.0
+"""Longest time until enough targets were asked to start a task."""
+
 CONNECT_RETRY_S = 0.05
 """Pause before a server that does not listen yet is tried again."""
 
@@ -220,6 +234,68 @@
         find_target_of(context, job).crash(DOWN_S, is_dark=True)
 
 
+@when(
+    'the target that runs job "{job}" crashes by itself, {times:d} times'
+    " {gap_s:g} s apart"
+)
+def crash_under(context: Context, job: str, times: int, gap_s: float) -> None:
+    for _ in range(times):
+        context.run_site.advance(gap_s)
+        find_target_of(context, job).crash(DOWN_S)
+
+
+@when(
+    "the target that is asked to start it crashes before it does,"
+    " {times:d} times"
+)
+def crash_before_start(context: Context, times: int) -> None:
+    site = context.run_site
+    for target in site.targets:
+        target.start_delays_s = [LATE_START_S]
+    crashed: list[FakeTarget] = []
+    for _ in range(round(START_WAIT_S / START_AGE_S)):
+        site.advance(START_AGE_S)
+        for target in site.targets:
+            if not target.start_delays_s and target not in crashed:
+                target.crash(DOWN_S)
+                crashed.append(target)
+        if len(crashed) >= times:
+            break
+    assert len(crashed) == times, crashed
+    for target in site.targets:
+        target.start_delays_s.clear()
+
+
+@given("a stored record and a crashed run of the format without certainty")
+def make_earlier_format(context: Context) -> None:
+    record = msgspec.structs.replace(
+        make_tombstone(EntryId("entry0", 1)),
+        crashes=((0, 2),),
+        certain_crashes=((0, 1),),
+    )
+    row = msgspec.msgpack.decode(encode_row(record))
+    context.row = msgspec.msgpack.encode(row[:-1])
+    crashed = CrashedRun(
+        TaskKey(JobId("a"), 0, 0, 0), QueueName("q"), 0.1, is_certain=True
+    )
+    run = msgspec.msgpack.decode(msgspec.msgpack.encode(crashed))
+    context.crashed_run = msgspec.msgpack.encode(run[:-1])
+
+
+@then("the record has its crashes, none of them certain")
+def check_earlier_record(context: Context) -> None:
+    record = decode_record(context.row)
+    assert record is not None
+    assert record.crashes == ((0, 2),), record
+    assert record.certain_crashes == (), record
+
+
+@then("the run is not certain")
+def check_earlier_run(context: Context) -> None:
+    run = decode_msgpack(context.crashed_run, CrashedRun)
+    assert not run.is_certain, run
+
+
 @when(
     'the target that runs job "{job}" drains and leaves, {times:d} times'
     " {gap_s:g} s apart"
--- a/features/support/run_chaos.py
+++ b/features/support/run_chaos.py
@@ -326,6 +326,7 @@
         f"target over capacity: {name}"
         for name in site.targets_over_capacity()
     ]
+    violations += site.unfounded_failures()
     completed = sum(
         answer.outcome is JobOutcome.COMPLETED
         for entry in site.entries
--- a/features/support/run_site.py
+++ b/features/support/run_site.py
@@ -33,6 +33,7 @@
 from fulmarscale.agent.run_process import UNACKNOWLEDGED_POLL_S
 from fulmarscale.entry.jobs.actions import AnswerJob
 from fulmarscale.entry.jobs.actions import CloseAgentStream
+from fulmarscale.entry.jobs.actions import JobOutcome
 from fulmarscale.entry.jobs.actions import LogDispatchDecision
 from fulmarscale.entry.jobs.actions import OpenAgentStream
 from fulmarscale.entry.jobs.actions import SendEntryMessage
@@ -82,6 +83,9 @@
 
 MAX_STARTS: Final = 3
 
+MIN_GIVE_UP_CRASHES: Final = 2
+"""Crashes under a task after which its job may be given up."""
+
 CRASH_RESTART_S: Final = 3.3
 """Time that a target takes to start again after a crash by a task."""
 
@@ -181,6 +185,8 @@
         closed."""
         self._down_since = float("-inf")
         """When it last went down."""
+        self.crashed_at: set[float] = set()
+        """When it went down while its machine stayed up."""
         self.crashing_tasks: set[tuple[str, int]] = set()
         """Jobs and indexes of the tasks that crash the target."""
         self.crash_times: dict[Any, set[float]] = {}
@@ -242,6 +248,8 @@
         self.is_up = False
         self.is_dark = is_dark
         self._down_since = self._clock.now
+        if not is_dark:
+            self.crashed_at.add(self._clock.now)
         self._finish_all(RunOutcome.LAPSED)
         self._clock.call_in(down_s, self._start_again)
 
@@ -1102,6 +1110,33 @@
             if count >= MAX_STARTS
         ]
 
+    def unfounded_failures(self) -> list[str]:
+        """Return jobs answered as failed that neither failed nor crash.
+
+        A job has failed if a task has failed as often as its queue allows. It
+        may be given up if MIN_GIVE_UP_CRASHES targets crashed under a task.
+        """
+        crash_times = {
+            target.name: target.crashed_at for target in self.targets
+        }
+        failures: Counter[Any] = Counter()
+        crashes: Counter[Any] = Counter()
+        for run in self.history:
+            failures[run.task] += run.outcome is RunOutcome.FAILED
+            crashes[run.task] += run.ended_at in crash_times[run.target]
+        founded = {
+            task.job_id
+            for task in failures
+            if failures[task] >= QUEUE.max_attempts
+            or crashes[task] >= MIN_GIVE_UP_CRASHES
+        }
+        return [
+            f"shown as failed without cause: {job_id} ({answer.code.name})"
+            for entry in self.entries
+            for job_id, answer in entry.answers.items()
+            if answer.outcome is JobOutcome.FAILED and job_id not in founded
+        ]
+
     def starts_of(self, job_id: str, index: int) -> list[RunRecord]:
         """Return the runs of a task of a job, by start."""
         return [
--- a/src/fulmarscale/agent/crash_recorder.py
+++ b/src/fulmarscale/agent/crash_recorder.py
@@ -100,12 +100,17 @@
         """Record that a target refuses connections, with its runs.
 
         :param incarnation: the target's incarnation.
-        :param runs: the runs that were on it.
+        :param runs: the runs that were or may have been on it.
         :param now: the agent's time.
         """
         crashed_runs = sorted(
             (
-                CrashedRun(run.task, run.queue, now - run.requested_at)
+                CrashedRun(
+                    run.task,
+                    run.queue,
+                    now - run.requested_at,
+                    run.is_certain(now),
+                )
                 for run in runs
             ),
             key=lambda run: (run.age_s, run.task),
--- a/src/fulmarscale/agent/run.py
+++ b/src/fulmarscale/agent/run.py
@@ -64,6 +64,13 @@
     outcome: RunOutcome
 
 
+MAX_SIGN_AGE_S: Final = 0.35
+"""Time without a sign of a run after which it may have ended unnoticed.
+
+A target that responds lists its runs after 0.25 s at the latest, and at once
+when one completes.
+"""
+
 MAX_LISTED_COMPLETIONS: Final = 500
 """Most completions that a target lists at a time.
 
@@ -154,6 +161,16 @@
             return self.percent_reported_at
         return self.start_resolved_at
 
+    def is_certain(self, now: float) -> bool:
+        """Return whether the target has just shown that the run goes on.
+
+        It was not told to end it either.
+
+        :param now: the agent's time.
+        """
+        is_stop_sent = self.stop_sent_at > float("-inf")
+        return now - self.begun_at <= MAX_SIGN_AGE_S and not is_stop_sent
+
     def may_begin(self, now: float) -> bool:
         """Return whether the target may still carry out the start request.
 
--- a/src/fulmarscale/entry/durable/durable_job.py
+++ b/src/fulmarscale/entry/durable/durable_job.py
@@ -147,16 +147,16 @@
         :param now: the entry's time.
         :param crashes: the crashes under the job's tasks.
         """
-        counts = dict(self.record.crashes)
-        for number, count in crashes.by_task:
-            counts[number] = max(count, counts.get(number, 0))
         incarnations = dict.fromkeys(
             (*self.record.crash_incarnations, *crashes.incarnations)
         )
         self.record = msgspec.structs.replace(
             self.record,
             owner_epoch=self.record.owner_epoch + 1,
-            crashes=tuple(sorted(counts.items())),
+            crashes=_merge_counts(self.record.crashes, crashes.by_task),
+            certain_crashes=_merge_counts(
+                self.record.certain_crashes, crashes.certain
+            ),
             crash_incarnations=tuple(incarnations)[-MAX_CRASH_INCARNATIONS:],
         )
         self.mark_dirty(now, is_urgent=True)
@@ -183,3 +183,13 @@
     """Return the number of a task, counted from 0 over all steps."""
     before = sum(step.count for step in spec.steps[: key.step])
     return before + key.index
+
+
+def _merge_counts(
+    stored: tuple[tuple[int, int], ...], counted: tuple[tuple[int, int], ...]
+) -> tuple[tuple[int, int], ...]:
+    """Return the higher of two counts of each task, by the task's number."""
+    counts = dict(stored)
+    for number, count in counted:
+        counts[number] = max(count, counts.get(number, 0))
+    return tuple(sorted(counts.items()))
--- a/src/fulmarscale/entry/durable/record.py
+++ b/src/fulmarscale/entry/durable/record.py
@@ -135,6 +135,11 @@
     By them, a later owner detects which crashes that agents report are
     counted already. Emptied when the job has ended.
     """
+    certain_crashes: tuple[tuple[int, int], ...] = ()
+    """The counts of `crashes`, of those that certainly were under the task.
+
+    Empty in records of the earlier format. Emptied when the job has ended.
+    """
 
     @property
     def is_tombstone(self) -> bool:
@@ -170,6 +175,7 @@
             crashes=(),
             code=code.value,
             crash_incarnations=(),
+            certain_crashes=(),
         )
 
 
--- a/src/fulmarscale/entry/jobs/crash_history.py
+++ b/src/fulmarscale/entry/jobs/crash_history.py
@@ -18,10 +18,10 @@
 from fulmarscale.entry.jobs.crash_attribution import find_frequent_causes
 from fulmarscale.entry.jobs.crash_attribution import KnownCrash
 from fulmarscale.entry.jobs.crash_report import CrashReport
-from fulmarscale.entry.jobs.suspicion import MAX_CRASHES
 from fulmarscale.entry.jobs.suspicion import MIN_CRASHES
 from fulmarscale.entry.jobs.suspicion import NO_SUSPICION
 from fulmarscale.entry.jobs.suspicion import Suspicion
+from fulmarscale.entry.jobs.suspicion import TRIAL_CRASHES
 from fulmarscale.runs.crashes import CrashState
 from fulmarscale.runs.model import QueueName
 from fulmarscale.runs.model import TargetIncarnation
@@ -73,7 +73,9 @@
     """The crashes under a durable job's tasks by its stored record."""
 
     counts: dict[TaskKey, int]
-    """The number of crashes under each task."""
+    """The number of possible crashes under each task."""
+    certain: dict[TaskKey, int]
+    """The number of certain crashes under each task."""
     incarnations: frozenset[TargetIncarnation]
     """The incarnations of the targets that crashed."""
 
@@ -167,6 +169,7 @@
         if crashes.by_task:
             self._stored[job.job_id] = StoredCrashes(
                 {job.tasks[number].key: n for number, n in crashes.by_task},
+                {job.tasks[number].key: n for number, n in crashes.certain},
                 frozenset(crashes.incarnations),
             )
             self._forget_suspicions(job.job_id)
@@ -339,7 +342,7 @@
     def is_suspect(self, job_id: JobId) -> bool:
         """Return whether a job may only be run on trial."""
         suspicion = self.suspicion_of(job_id)
-        if suspicion.max_count >= MAX_CRASHES:
+        if suspicion.max_count >= TRIAL_CRASHES:
             return True
         if suspicion.max_count >= MIN_CRASHES:
             return suspicion.level >= RECURRENT_LEVEL
@@ -351,7 +354,7 @@
         A durable job's crashes must be confirmed, as its state is final.
         """
         suspicion = self.suspicion_of(job.job_id)
-        if not job.is_durable or suspicion.max_count >= MAX_CRASHES:
+        if not job.is_durable or suspicion.max_count >= TRIAL_CRASHES:
             return suspicion.is_sufficient
         return (
             suspicion.is_sufficient
@@ -474,6 +477,8 @@
                     continue
                 count = suspicion.counts.get(run.task, 0)
                 suspicion.counts[run.task] = count + 1
+                certain = suspicion.certain.get(run.task, 0)
+                suspicion.certain[run.task] = certain + run.is_certain
         stored = self._stored.get(job_id)
         if stored is not None:
             self._add_stored(suspicion, stored)
@@ -481,11 +486,13 @@
 
     def _add_stored(self, suspicion: Suspicion, stored: StoredCrashes) -> None:
         """Add the stored crashes that no agent has reported to this entry."""
-        reported = Counter(
-            run.task
+        runs = [
+            run
             for incarnation in stored.incarnations & self._crashes.keys()
             for run in self._crashes[incarnation].runs
-        )
+        ]
+        reported = Counter(run.task for run in runs)
+        certain = Counter(run.task for run in runs if run.is_certain)
         lost = 0
         for task, count in stored.counts.items():
             missing = count - reported[task]
@@ -493,4 +500,6 @@
                 continue
             suspicion.counts[task] = suspicion.counts.get(task, 0) + missing
             lost = max(lost, missing)
+            missing = max(stored.certain.get(task, 0) - certain[task], 0)
+            suspicion.certain[task] = suspicion.certain.get(task, 0) + missing
         suspicion.innocence *= (1.0 - LOST_CRASH_SUSPICION) ** lost
--- a/src/fulmarscale/entry/jobs/dispatcher.py
+++ b/src/fulmarscale/entry/jobs/dispatcher.py
@@ -272,7 +272,12 @@
         self._admission.set_objective(job)
         job.restore(record.done, record.failures, record.completions)
         self._crashes.restore(
-            job, CrashCounts(record.crashes, record.crash_incarnations)
+            job,
+            CrashCounts(
+                record.crashes,
+                record.crash_incarnations,
+                record.certain_crashes,
+            ),
         )
         self._subset.record_needs(job, now)
         self._open.add(job)
--- a/src/fulmarscale/entry/jobs/run_results.py
+++ b/src/fulmarscale/entry/jobs/run_results.py
@@ -214,7 +214,10 @@
             self.give_up_if_crashing(job, now)
 
     def give_up_if_crashing(self, job: Job, now: float) -> None:
-        """Close a job as failed if one of its tasks crashes targets."""
+        """Close a job if one of its tasks crashes targets.
+
+        A job that isn't durable has failed only if that is certain.
+        """
         if not self._crashes.must_give_up(job):
             return
         suspicion = self._crashes.suspicion_of(job.job_id)
@@ -224,7 +227,11 @@
             queue=job.queue.name,
             crashes=suspicion.max_count,
             suspicion=round(suspicion.level, 3),
+            is_founded=suspicion.is_founded,
         )
+        if not job.is_durable and not suspicion.is_founded:
+            self._close_job(job, JobOutcome.UNFINISHED, now, "crashes_targets")
+            return
         self._close_job(
             job,
             JobOutcome.FAILED,
@@ -359,14 +366,19 @@
         """Start nothing of a durable suspect until its crashes are stored."""
         if not job.is_durable or not self._crashes.is_suspect(job.job_id):
             return
-        counts = self._crashes.suspicion_of(job.job_id).counts
-        by_task = tuple(
-            (number, counts[task.key])
-            for number, task in enumerate(job.tasks)
-            if task.key in counts
+        suspicion = self._crashes.suspicion_of(job.job_id)
+        by_task, certain = (
+            tuple(
+                (number, counts[task.key])
+                for number, task in enumerate(job.tasks)
+                if counts.get(task.key)
+            )
+            for counts in (suspicion.counts, suspicion.certain)
         )
         incarnations = self._crashes.counted_incarnations(job.job_id)
-        self._advance_owner_epoch(job, CrashCounts(by_task, incarnations))
+        self._advance_owner_epoch(
+            job, CrashCounts(by_task, incarnations, certain)
+        )
 
     def _advance_owner_epoch(
         self, job: Job, crashes: CrashCounts = NO_CRASHES
--- a/src/fulmarscale/entry/jobs/suspicion.py
+++ b/src/fulmarscale/entry/jobs/suspicion.py
@@ -9,13 +9,16 @@
 from fulmarscale.runs.model import TaskKey
 
 GIVE_UP_LEVEL: Final = 0.9
-"""Suspicion from which a job is given up after MIN_CRASHES."""
+"""Suspicion from which a job is given up after MIN_CRASHES certain ones."""
 
 MIN_CRASHES: Final = 2
-"""Crashes under a task after which it may be given up."""
+"""Certain crashes under a task after which it may be given up."""
 
-MAX_CRASHES: Final = 3
-"""Crashes under a task after which it is given up in any case."""
+TRIAL_CRASHES: Final = 3
+"""Possible crashes under a task after which it only runs on trial."""
+
+MAX_CRASHES: Final = 5
+"""Possible crashes under a task after which it isn't started again."""
 
 
 class Suspicion(msgspec.Struct):
@@ -24,7 +27,9 @@
     innocence: float = 1.0
     """Probability that the job has caused none of the crashes."""
     counts: dict[TaskKey, int] = {}
-    """Number of crashes under each of its tasks."""
+    """Number of possible crashes under each of its tasks."""
+    certain: dict[TaskKey, int] = {}
+    """The same, of the crashes at which the task certainly ran."""
     last_at: float = float("-inf")
     """When the last of these crashes was."""
 
@@ -35,15 +40,20 @@
 
     @property
     def max_count(self) -> int:
-        """The most crashes under one task."""
+        """The most possible crashes under one task."""
         return max(self.counts.values(), default=0)
 
+    @property
+    def is_founded(self) -> bool:
+        """Whether MIN_CRASHES were certainly under one task."""
+        return max(self.certain.values(), default=0) >= MIN_CRASHES
+
     @property
     def is_sufficient(self) -> bool:
         """Whether the job is given up for these crashes."""
         if self.max_count >= MAX_CRASHES:
             return True
-        return self.max_count >= MIN_CRASHES and self.level >= GIVE_UP_LEVEL
+        return self.is_founded and self.level >= GIVE_UP_LEVEL
 
 
 NO_SUSPICION: Final = Suspicion()
--- a/src/fulmarscale/events.py
+++ b/src/fulmarscale/events.py
@@ -224,7 +224,8 @@
     """A job is given up, as targets crashed under one of its tasks.
 
     `crashes` is their number, `suspicion` the probability that the job has
-    caused one of them.
+    caused one of them, and `is_founded` tells whether the task certainly ran
+    at two of them.
     """
     JOB_ON_TRIAL = 525, Importance.CHANGE
     """A job that is suspected of a crash is run again, alone on a target."""
--- a/src/fulmarscale/runs/crashes.py
+++ b/src/fulmarscale/runs/crashes.py
@@ -25,7 +25,7 @@
 
 
 class CrashedRun(MessagePart):
-    """A run that was on a target when it crashed."""
+    """A run that was or may have been on a target when it crashed."""
 
     task: TaskKey
     """The task."""
@@ -33,18 +33,26 @@
     """The queue of its job."""
     age_s: float
     """Time from the start request to the crash, in seconds."""
+    is_certain: bool = False
+    """Whether the target had shown until the crash that the run went on.
+
+    Otherwise it may have been there. Agents of earlier versions don't tell.
+    """
 
 
 class CrashCounts(msgspec.Struct, frozen=True):
     """The crashes under the tasks of a durable job, as they are stored."""
 
     by_task: tuple[tuple[int, int], ...] = ()
-    """Numbers of the tasks under which targets crashed, each with a count."""
+    """Numbers of the tasks under which targets may have crashed, with counts.
+    """
     incarnations: tuple[TargetIncarnation, ...] = ()
     """The incarnations of targets whose crashes these are, newest last.
 
     Agents may report them again.
     """
+    certain: tuple[tuple[int, int], ...] = ()
+    """The same counts, of the crashes that certainly were under the task."""
 
 
 NO_CRASHES: Final = CrashCounts()
