--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -160,6 +160,17 @@
     Then the store records job "a" as completed
     And no guarantee for durable jobs is violated
 
+  # Guards against certain crashes that only processes in memory hold.
+  Scenario: The certain crashes of a durable task are stored and counted on
+    Given a simulated site of 2 entries, 8 targets and a store
+    And task 0 of job "bad" crashes each target that starts it
+    When durable job "bad" of 4 tasks of 300 ms is submitted to entry 0
+    And 1.5 s pass
+    Then the store records 1 certain crashes under task 0 of job "bad"
+    When all entries and agents are killed and restart after 0.5 s
+    And 3 s pass
+    Then the store records 2 certain crashes under task 0 of job "bad"
+
   # Guards against crashes that are lost, or taken as certain, in an update.
   Scenario: Crashes in rows and messages of the earlier format are possible ones
     Given a stored record and a crashed run of the format without certainty
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -266,6 +266,17 @@
         target.start_delays_s.clear()
 
 
+@then(
+    "the store records {count:d} certain crashes under task {index:d} of job"
+    ' "{job}"'
+)
+def check_certain_crashes(
+    context: Context, count: int, index: int, job: str
+) -> None:
+    record = context.run_site.record_of(job)
+    assert dict(record.certain_crashes).get(index) == count, record
+
+
 @given("a stored record and a crashed run of the format without certainty")
 def make_earlier_format(context: Context) -> None:
     record = msgspec.structs.replace(
