Start a task no more after four crashes that it was certainly under

What callers could see: BUDGET. With five possible crashes as the only bound, one crash that nobody reports, as its agent is lost with the target, lets a task be started three times after three crashes under it. Change: four certain crashes end a task in any case; five possible ones are for tasks whose starts are never confirmed.

--- a/src/fulmarscale/entry/jobs/suspicion.py
+++ b/src/fulmarscale/entry/jobs/suspicion.py
@@ -17,6 +17,13 @@
 TRIAL_CRASHES: Final = 3
 """Possible crashes under a task after which it only runs on trial."""
 
+MAX_CERTAIN_CRASHES: Final = 4
+"""Certain crashes under a task after which it isn't started again.
+
+One start fewer than is allowed, as an agent that is lost with its target does
+not report the crash.
+"""
+
 MAX_CRASHES: Final = 5
 """Possible crashes under a task after which it isn't started again."""
 
@@ -46,11 +53,18 @@
     @property
     def is_founded(self) -> bool:
         """Whether MIN_CRASHES were certainly under one task."""
-        return max(self.certain.values(), default=0) >= MIN_CRASHES
+        return self._max_certain >= MIN_CRASHES
+
+    @property
+    def _max_certain(self) -> int:
+        """The most certain crashes under one task."""
+        return max(self.certain.values(), default=0)
 
     @property
     def is_sufficient(self) -> bool:
         """Whether the job is given up for these crashes."""
+        if self._max_certain >= MAX_CERTAIN_CRASHES:
+            return True
         if self.max_count >= MAX_CRASHES:
             return True
         return self.is_founded and self.level >= GIVE_UP_LEVEL
